--- /dev/null
+++ b/crates/model/src/chain.rs
@@ -0,0 +1,63 @@
+//! Chain of agents that may take a new flow.
+
+use std::net::SocketAddrV4;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Most hops in a chain: two candidates of the current table and two of the previous one.
+pub const MAX_HOPS: usize = 4;
+
+/// One agent in a chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Hop {
+    /// Address of the agent's encapsulation socket.
+    pub agent: SocketAddrV4,
+    /// Whether the agent may only take a flow that it already knows.
+    pub known_only: bool,
+}
+
+/// The chain has [`MAX_HOPS`] hops already.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("chain holds {MAX_HOPS} hops already; drop a candidate before adding one")]
+pub struct ChainFull;
+
+/// Ordered agents to ask for a new flow, at most [`MAX_HOPS`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Chain {
+    hops: Vec<Hop>,
+}
+
+impl Chain {
+    /// Appends a hop.
+    ///
+    /// # Errors
+    /// Returns [`ChainFull`] when the chain holds [`MAX_HOPS`] hops.
+    pub fn push(&mut self, hop: Hop) -> Result<(), ChainFull> {
+        if self.hops.len() >= MAX_HOPS {
+            return Err(ChainFull);
+        }
+        self.hops.push(hop);
+        Ok(())
+    }
+
+    /// Hop at `index`, if the chain is that long.
+    pub fn hop(&self, index: usize) -> Option<Hop> {
+        self.hops.get(index).copied()
+    }
+
+    /// All hops in order.
+    pub fn hops(&self) -> &[Hop] {
+        &self.hops
+    }
+
+    /// Number of hops.
+    pub fn len(&self) -> usize {
+        self.hops.len()
+    }
+
+    /// Whether the chain has no hop.
+    pub fn is_empty(&self) -> bool {
+        self.hops.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,14 @@
+//! Shared plain types: identifiers, versions, virtual time, candidate chains and the hash that
+//! all rendezvous rankings use.
+//!
+//! Nothing here performs I/O or keeps state. Identifiers are small `Copy` values, so that decision
+//! code refers to arena entries by key instead of by reference.
+
+mod chain;
+pub mod hash;
+mod id;
+mod time;
+
+pub use chain::{Chain, ChainFull, Hop, MAX_HOPS};
+pub use id::{AgentId, ClassKey, DataCentreId, ServiceId, TargetKey, Version, Versions};
+pub use time::{Duration, Instant};
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
