Add admission of work to one target

The agent needs to decide what its target may run now, what waits and what is refused, with a cold target kept at its cold share and the target's own reports treated as hints.

Adds the sans-I/O crate: limit with cold, warming and ready phases, pacing below one concurrent request, bounded weighted class queues with deadline estimates, and the stream count.

--- /dev/null
+++ b/crates/admission/src/admission.rs
@@ -0,0 +1,336 @@
+//! The work of one target.
+
+use monsoon_model::{ClassKey, Duration, Instant};
+
+use crate::estimate::{Estimates, Learn};
+use crate::flight::{Flight, Running};
+use crate::limit::{Limiter, Phase, Sample};
+use crate::pacer::Pacer;
+use crate::queue::{QUEUE_PER_SLOT, Queued, Queues};
+use crate::streams::Streams;
+use crate::types::{
+    Action, HealthReport, Limits, Load, Outcome, ReportedState, ShedReason, TargetState, WorkId,
+};
+
+/// Age over baseline above which a request in flight counts as hanging.
+const HANGING: f64 = 8.0;
+
+/// Smallest age of a hanging request. Short baselines would else take scheduling delays for one.
+const HANGING_MIN: Duration = Duration::from_millis(50);
+
+/// Least share of the slots that a cold target is given, so that pauses stay finite.
+const COLD_SHARE_MIN: f64 = 0.001;
+
+/// Admission for one target. See the crate's documentation.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    limits: Limits,
+    limiter: Limiter,
+    pacer: Pacer,
+    estimates: Estimates,
+    queues: Queues,
+    flight: Flight,
+    streams: Streams,
+    leaving: bool,
+    draining: bool,
+    paused: bool,
+}
+
+impl Admission {
+    /// Admission for a target that is assumed to be cold.
+    pub fn new(limits: Limits) -> Self {
+        let share = limits.cold_share.clamp(COLD_SHARE_MIN, 1.0);
+        Self {
+            limiter: Limiter::new(limits.slots, share),
+            pacer: Pacer::default(),
+            estimates: Estimates::new(limits.classes.len()),
+            queues: Queues::new(&limits.classes),
+            flight: Flight::default(),
+            streams: Streams::new(limits.connections, share),
+            leaving: false,
+            draining: false,
+            paused: false,
+            limits,
+        }
+    }
+
+    /// Offers new work. It is started, queued or shed.
+    pub fn offer(
+        &mut self,
+        now: Instant,
+        id: WorkId,
+        class: ClassKey,
+        deadline: Option<Instant>,
+    ) -> Vec<Action> {
+        let index = usize::from(class.0);
+        let Some(limits) = self.limits.classes.get(index) else {
+            return vec![Action::Shed(id, ShedReason::UnknownClass)];
+        };
+        if self.is_leaving() {
+            return vec![Action::Shed(id, ShedReason::Leaving)];
+        }
+        if limits.stream {
+            let opened = self.streams.open(now, id, self.limiter.is_cold());
+            return vec![opened.map_or_else(|r| Action::Shed(id, r), |()| Action::Start(id))];
+        }
+        if let Some(reason) = self.refusal(now, index, deadline) {
+            return vec![Action::Shed(id, reason)];
+        }
+        self.queues.push(Queued {
+            id,
+            class: index,
+            deadline,
+        });
+        self.advance(now)
+    }
+
+    /// Records the end of started work. Unknown work is ignored.
+    pub fn finish(&mut self, now: Instant, id: WorkId, outcome: Outcome) -> Vec<Action> {
+        if self.streams.close(id) {
+            return Vec::new();
+        }
+        let Some(running) = self.flight.remove(id) else {
+            return Vec::new();
+        };
+        let busy = now.since(running.started);
+        let failed = outcome == Outcome::Failed;
+        // The limit before this evidence and after it both bound the pause: the smaller one holds.
+        let before = self.limiter.limit();
+        self.learn(now, running, outcome);
+        let limit = before.min(self.limiter.limit());
+        self.pacer.ended(now, busy, limit, failed);
+        self.advance(now)
+    }
+
+    /// Removes queued work. Started work stays until it is finished as cancelled.
+    pub fn cancel(&mut self, now: Instant, id: WorkId) -> Vec<Action> {
+        let removed = self.queues.remove(id);
+        let mut actions: Vec<_> = removed
+            .map(|w| Action::Shed(w.id, ShedReason::Cancelled))
+            .into_iter()
+            .collect();
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Advances time: sheds expired work, ends pauses, notices hanging requests.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let hanging = self
+            .flight
+            .iter()
+            .filter(|r| self.hangs_at(r).is_some_and(|at| at <= now));
+        if hanging.count() * 2 > self.flight.len() {
+            self.limiter.suspect(now);
+        }
+        self.advance(now)
+    }
+
+    /// Time of the next necessary [`tick`](Self::tick), if any. It may already have passed.
+    pub fn next_tick(&self) -> Option<Instant> {
+        let expiry = self.queues.earliest();
+        let resume = (self.paused && self.queues.len() > 0).then(|| self.pacer.resume());
+        let hanging = self.flight.iter().filter_map(|r| self.hangs_at(&r)).max();
+        let watched = matches!(self.limiter.phase(), Phase::Ready | Phase::Warming);
+        [expiry, resume, hanging.filter(|_| watched)]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Takes a report of the target's own endpoint. It can only make admission more careful.
+    pub fn report(&mut self, now: Instant, report: HealthReport) -> Vec<Action> {
+        self.draining = report.state == ReportedState::Draining;
+        self.limiter
+            .report(now, report.state == ReportedState::Cold, report.load);
+        self.advance(now)
+    }
+
+    /// Stops all new work for good and sheds what is queued.
+    pub fn set_leaving(&mut self, now: Instant) -> Vec<Action> {
+        self.leaving = true;
+        self.advance(now)
+    }
+
+    /// Present load.
+    pub fn load(&self) -> Load {
+        let pausing = u32::from(self.paused && self.flight.len() == 0);
+        Load {
+            busy: self.flight.len() as u32 + pausing,
+            queued: self.queues.len() as u32,
+            limit: (self.limiter.limit() * 1_000.0) as u32,
+            state: self.state(),
+            leaving: self.is_leaving(),
+        }
+    }
+
+    /// Present state.
+    pub fn state(&self) -> TargetState {
+        if self.is_leaving() {
+            TargetState::Leaving
+        } else if self.limiter.is_cold() {
+            TargetState::Cold
+        } else {
+            TargetState::Ready
+        }
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving || self.draining
+    }
+
+    /// Reason to refuse a new request at once, if any.
+    fn refusal(&self, now: Instant, class: usize, deadline: Option<Instant>) -> Option<ShedReason> {
+        if self.queues.class_len(class) >= self.queue_bound() {
+            let cold = self.limiter.is_cold();
+            return Some(if cold {
+                ShedReason::Cold
+            } else {
+                ShedReason::QueueFull
+            });
+        }
+        let idle = self.flight.len() == 0 && self.queues.len() == 0;
+        let wait = if idle {
+            self.pacer.pause(now, self.limiter.limit())
+        } else {
+            self.wait(now, class)
+        };
+        let service = if idle {
+            Duration::ZERO
+        } else {
+            self.estimates.service(class)
+        };
+        let late = deadline.is_some_and(|d| now + wait + service >= d);
+        late.then_some(ShedReason::Deadline)
+    }
+
+    /// Estimated wait of a new request of `class`.
+    fn wait(&self, now: Instant, class: usize) -> Duration {
+        let ahead = self.queues.work_ahead(class, |c| self.estimates.mean(c));
+        let limit = self.limiter.limit();
+        let queued = Duration::from_micros((ahead / limit) as u64);
+        self.pacer.pause(now, limit) + queued
+    }
+
+    /// Queued requests per class under the present limit.
+    fn queue_bound(&self) -> usize {
+        (QUEUE_PER_SLOT as f64 * self.limiter.limit()).ceil() as usize
+    }
+
+    /// Sheds what can no longer run and starts what may start.
+    fn advance(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.shed(now, &mut actions);
+        while self.has_room(now) {
+            let Some(work) = self.queues.pop() else {
+                break;
+            };
+            actions.push(self.start(now, work));
+        }
+        self.paused = self.pacer.pause(now, self.limiter.limit()) > Duration::ZERO;
+        actions
+    }
+
+    fn shed(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let (removed, reason) = if self.is_leaving() {
+            (self.queues.truncate(0), ShedReason::Leaving)
+        } else {
+            let cold = self.limiter.is_cold();
+            let reason = if cold {
+                ShedReason::Cold
+            } else {
+                ShedReason::QueueFull
+            };
+            (self.queues.truncate(self.queue_bound()), reason)
+        };
+        actions.extend(removed.iter().map(|w| Action::Shed(w.id, reason)));
+        let expired = self.queues.retain(|w| w.deadline.is_none_or(|d| d > now));
+        actions.extend(
+            expired
+                .iter()
+                .map(|w| Action::Shed(w.id, ShedReason::Deadline)),
+        );
+    }
+
+    /// Starts a request whose turn it is, or sheds it when its deadline cannot be met.
+    fn start(&mut self, now: Instant, work: Queued) -> Action {
+        let service = self.estimates.service(work.class);
+        let late = work.deadline.is_some_and(|d| now + service >= d);
+        // An idle target takes the request all the same: the estimate may be out of date, and only
+        // a completion can correct it.
+        if late && self.flight.len() > 0 {
+            self.queues.refund(work.class);
+            return Action::Shed(work.id, ShedReason::Deadline);
+        }
+        self.flight.insert(
+            work.id,
+            Running {
+                class: work.class,
+                started: now,
+            },
+        );
+        assert!(
+            self.flight.len() <= self.limits.slots.max(1) as usize,
+            "requests exceed the slots"
+        );
+        Action::Start(work.id)
+    }
+
+    fn has_room(&self, now: Instant) -> bool {
+        let limit = self.limiter.limit();
+        if limit < 1.0 {
+            return self.flight.len() == 0 && self.pacer.pause(now, limit) == Duration::ZERO;
+        }
+        self.flight.len() < limit as usize
+    }
+
+    /// Passes the end of a request to the estimates and the limiter.
+    fn learn(&mut self, now: Instant, running: Running, outcome: Outcome) {
+        let latency = now.since(running.started);
+        let ratio = match outcome {
+            Outcome::Ok => Some(self.estimates.record(running.class, latency, self.mode())),
+            Outcome::Failed => None,
+            // A cancelled request shows nothing unless it was already far too slow.
+            Outcome::Cancelled => match self.estimates.ratio(running.class, latency) {
+                Some(ratio) if ratio >= HANGING => Some(ratio),
+                _ => return,
+            },
+        };
+        let capacity = self.limiter.limit();
+        let saturated = self.queues.len() > 0 || (self.flight.len() + 2) as f64 > capacity;
+        let sample = Sample {
+            started: running.started,
+            ratio,
+            saturated,
+        };
+        if let Some(factor) = self.limiter.ended(now, sample) {
+            self.estimates.rescale(factor);
+        }
+    }
+
+    fn mode(&self) -> Learn {
+        match self.limiter.phase() {
+            Phase::Ready => Learn::Warm,
+            _ if !self.limiter.was_ready() => Learn::Provisional,
+            _ => Learn::Service,
+        }
+    }
+
+    /// Time from which more than half of the requests in flight hang, if the target is watched.
+    fn hanging_at(&self) -> Option<Instant> {
+        if !matches!(self.limiter.phase(), Phase::Ready | Phase::Warming) {
+            return None;
+        }
+        let mut times: Vec<_> = self
+            .flight
+            .iter()
+            .filter_map(|r| self.hangs_at(&r))
+            .collect();
+        times.sort_unstable();
+        times.get(self.flight.len() / 2).copied()
+    }
+
+    fn hangs_at(&self, running: &Running) -> Option<Instant> {
+        let baseline = self.estimates.baseline(running.class)?;
+        Some(running.started + baseline.mul_f64(HANGING).max(HANGING_MIN))
+    }
+}
--- /dev/null
+++ b/crates/admission/src/limit.rs
@@ -0,0 +1,329 @@
+//! Concurrency limit of the target and the phase it is in.
+
+use monsoon_model::{Duration, Instant};
+
+/// Shortest time in the cold phase. A target that just failed is given time before the next
+/// attempt; each further attempt doubles it.
+const DWELL_MIN: Duration = Duration::from_secs(2);
+
+/// Longest time between two attempts to leave the cold phase.
+const DWELL_MAX: Duration = Duration::from_secs(64);
+
+/// Time in the cold phase of a target that never sent a report: only time can show that it warmed.
+const DWELL_UNREPORTED: Duration = Duration::from_secs(10);
+
+/// Time in the ready phase after which the next cold phase starts at [`DWELL_MIN`] again.
+const SETTLED: Duration = Duration::from_secs(60);
+
+/// Age after which a report no longer holds the limit down.
+const REPORT_TTL: Duration = Duration::from_secs(10);
+
+/// Successes that a round needs at least.
+const ROUND_MIN: u32 = 5;
+
+/// Shortest time between two rises, so that the target's caches can follow.
+const ROUND_TIME: Duration = Duration::from_millis(500);
+
+/// Factor of one rise in the warming phase.
+const RISE: f64 = 1.5;
+
+/// Mean latency over baseline up to which a round counts as good.
+const GOOD: f64 = 1.5;
+
+/// Mean latency over baseline above which the limit falls in the ready phase.
+const HIGH: f64 = 2.0;
+
+/// Latency over baseline of a target that is taken for cold.
+const FAR: f64 = 4.0;
+
+/// Largest ratio that one sample contributes, so that one outlier alone changes nothing.
+const SAMPLE_MAX: f64 = 8.0;
+
+/// Factor of one decrease.
+const DECREASE: f64 = 0.8;
+
+/// Completions between two decreases: the effect of the first must be seen before the second.
+const DECREASE_GAP: u32 = 8;
+
+/// Good successes after which a suspected target is taken for warm again.
+const CLEARING: u32 = 2;
+
+/// Time at one steady latency after which a cold target that never regained its old baseline is
+/// taken to have a new speed.
+const PLATEAU: Duration = Duration::from_secs(30);
+
+/// Relative change of a round's latency that ends a plateau.
+const PLATEAU_CHANGE: f64 = 0.25;
+
+/// Phase of the target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Phase {
+    Cold,
+    Warming,
+    Ready,
+    /// Ready until one failure or far latency; carries the cold share until shown to be warm.
+    Suspect {
+        good: u32,
+    },
+}
+
+/// End of one request as evidence.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sample {
+    pub(crate) started: Instant,
+    /// Latency over baseline; none for a failure.
+    pub(crate) ratio: Option<f64>,
+    /// Whether the limit held other work back.
+    pub(crate) saturated: bool,
+}
+
+/// Mean over one round of successes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Round {
+    since: Instant,
+    count: u32,
+    sum: f64,
+}
+
+/// Limit and phase.
+#[derive(Clone, Debug)]
+pub(crate) struct Limiter {
+    slots: f64,
+    cold: f64,
+    phase: Phase,
+    /// Start of the present phase; earlier requests are no evidence for it.
+    since: Instant,
+    limit: f64,
+    dwell: Duration,
+    round: Round,
+    recent: f64,
+    sudden: f64,
+    gap: u32,
+    plateau: Option<(f64, Instant)>,
+    was_ready: bool,
+    cold_report: Option<Instant>,
+    full_report: Option<Instant>,
+    reported: bool,
+}
+
+impl Limiter {
+    pub(crate) fn new(slots: u32, cold_share: f64) -> Self {
+        let slots = f64::from(slots.max(1));
+        Self {
+            slots,
+            cold: (slots * cold_share).min(slots),
+            phase: Phase::Cold,
+            since: Instant::ZERO,
+            limit: (slots * cold_share).min(slots),
+            dwell: DWELL_MIN,
+            round: Round::default(),
+            recent: 1.0,
+            sudden: 1.0,
+            gap: 0,
+            plateau: None,
+            was_ready: false,
+            cold_report: None,
+            full_report: None,
+            reported: false,
+        }
+    }
+
+    /// Present average concurrency that the target may carry.
+    pub(crate) fn limit(&self) -> f64 {
+        match self.phase {
+            Phase::Cold | Phase::Suspect { .. } => self.cold,
+            Phase::Warming | Phase::Ready => self.limit,
+        }
+    }
+
+    pub(crate) fn is_cold(&self) -> bool {
+        matches!(self.phase, Phase::Cold | Phase::Suspect { .. })
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Whether the target was ever warm, so that its baseline is meaningful.
+    pub(crate) fn was_ready(&self) -> bool {
+        self.was_ready
+    }
+
+    /// Records a report of the target's own endpoint.
+    pub(crate) fn report(&mut self, now: Instant, cold: bool, load: Option<f64>) {
+        self.reported = true;
+        self.cold_report = cold.then_some(now);
+        self.full_report = load.is_some_and(|l| l >= 1.0).then_some(now);
+        if cold && self.phase != Phase::Cold {
+            self.fall(now);
+        }
+    }
+
+    /// Records the end of a request and returns the factor by which baselines change, if any.
+    pub(crate) fn ended(&mut self, now: Instant, sample: Sample) -> Option<f64> {
+        match sample.ratio {
+            None => self.failed(now, sample.started),
+            Some(ratio) => self.succeeded(now, ratio.min(SAMPLE_MAX), sample),
+        }
+    }
+
+    /// Treats the target as cold until it shows otherwise, because requests in flight hang.
+    pub(crate) fn suspect(&mut self, now: Instant) {
+        match self.phase {
+            Phase::Ready => self.enter(now, Phase::Suspect { good: 0 }),
+            Phase::Warming => self.fall(now),
+            Phase::Cold | Phase::Suspect { .. } => {}
+        }
+    }
+
+    fn failed(&mut self, now: Instant, started: Instant) -> Option<f64> {
+        match self.phase {
+            Phase::Ready => self.enter(now, Phase::Suspect { good: 0 }),
+            Phase::Suspect { .. } | Phase::Warming => self.fall(now),
+            // A failure of a request that the cold phase itself started restarts its time.
+            Phase::Cold if started >= self.since => self.restart(now),
+            Phase::Cold => {}
+        }
+        None
+    }
+
+    fn succeeded(&mut self, now: Instant, ratio: f64, sample: Sample) -> Option<f64> {
+        let fresh = sample.started >= self.since;
+        match self.phase {
+            Phase::Cold if fresh => return self.cold_success(now, ratio),
+            Phase::Warming if fresh => self.warming_success(now, ratio),
+            Phase::Suspect { good } if fresh => self.suspect_success(now, ratio, good),
+            Phase::Ready => self.ready_success(now, ratio, sample.saturated),
+            Phase::Cold | Phase::Warming | Phase::Suspect { .. } => {}
+        }
+        None
+    }
+
+    fn cold_success(&mut self, now: Instant, ratio: f64) -> Option<f64> {
+        let mean = self.round(now, ratio, ROUND_MIN, Duration::ZERO)?;
+        if self.holds_cold(now) {
+            return None;
+        }
+        if mean <= GOOD || !self.was_ready {
+            self.limit = self.cold;
+            self.enter(now, Phase::Warming);
+            return None;
+        }
+        match self.plateau {
+            Some((level, since)) if (mean / level - 1.0).abs() <= PLATEAU_CHANGE => {
+                if now.since(since) < PLATEAU {
+                    return None;
+                }
+                self.plateau = None;
+                Some(mean)
+            }
+            _ => {
+                self.plateau = Some((mean, now));
+                None
+            }
+        }
+    }
+
+    fn warming_success(&mut self, now: Instant, ratio: f64) {
+        let need = ROUND_MIN.max((2.0 * self.limit) as u32);
+        let Some(mean) = self.round(now, ratio, need, ROUND_TIME) else {
+            return;
+        };
+        if mean >= FAR {
+            self.fall(now);
+        } else if mean <= GOOD
+            && self
+                .full_report
+                .is_none_or(|at| now.since(at) >= REPORT_TTL)
+        {
+            self.limit = (self.limit * RISE).min(self.slots);
+            if self.limit >= self.slots {
+                self.was_ready = true;
+                self.enter(now, Phase::Ready);
+            }
+        }
+    }
+
+    fn suspect_success(&mut self, now: Instant, ratio: f64, good: u32) {
+        if ratio >= FAR {
+            self.fall(now);
+        } else if ratio <= HIGH && good + 1 >= CLEARING {
+            self.limit = (self.limit / 2.0).max(1.0).min(self.slots);
+            self.enter(now, Phase::Ready);
+        } else if ratio <= HIGH {
+            self.phase = Phase::Suspect { good: good + 1 };
+        }
+    }
+
+    fn ready_success(&mut self, now: Instant, ratio: f64, saturated: bool) {
+        self.recent += (ratio - self.recent) / 8.0;
+        self.sudden += (ratio - self.sudden) / 4.0;
+        self.gap = self.gap.saturating_add(1);
+        if self.sudden >= FAR {
+            self.enter(now, Phase::Suspect { good: 0 });
+        } else if self.recent >= HIGH && self.gap >= DECREASE_GAP {
+            self.limit = (self.limit * DECREASE).max(1.0).min(self.slots);
+            self.gap = 0;
+        } else if saturated && self.recent <= GOOD && !self.reports_full(now) {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.slots);
+        }
+        if now.since(self.since) >= SETTLED {
+            self.dwell = DWELL_MIN;
+        }
+    }
+
+    /// Adds a success to the round and returns its mean when it is complete.
+    fn round(&mut self, now: Instant, ratio: f64, need: u32, time: Duration) -> Option<f64> {
+        self.round.count += 1;
+        self.round.sum += ratio;
+        if self.round.count < need || now.since(self.round.since) < time {
+            return None;
+        }
+        let mean = self.round.sum / f64::from(self.round.count);
+        self.restart(now);
+        Some(mean)
+    }
+
+    fn restart(&mut self, now: Instant) {
+        self.round = Round {
+            since: now,
+            ..Round::default()
+        };
+    }
+
+    fn holds_cold(&self, now: Instant) -> bool {
+        let reported = self
+            .cold_report
+            .is_some_and(|at| now.since(at) < REPORT_TTL);
+        let dwell = if self.reported {
+            self.dwell
+        } else {
+            self.dwell.max(DWELL_UNREPORTED)
+        };
+        reported || now.since(self.since) < dwell
+    }
+
+    fn reports_full(&self, now: Instant) -> bool {
+        self.full_report
+            .is_some_and(|at| now.since(at) < REPORT_TTL)
+    }
+
+    fn fall(&mut self, now: Instant) {
+        if self.phase == Phase::Warming {
+            let doubled = self.dwell + self.dwell;
+            self.dwell = doubled.min(DWELL_MAX);
+        }
+        self.plateau = None;
+        self.enter(now, Phase::Cold);
+    }
+
+    fn enter(&mut self, now: Instant, phase: Phase) {
+        self.phase = phase;
+        self.since = now;
+        self.recent = 1.0;
+        self.sudden = 1.0;
+        self.gap = 0;
+        self.restart(now);
+        debug_assert!(self.limit() <= self.slots, "limit exceeds the slots");
+    }
+}
