Parse and check the configuration document

An operator who corrects one fault per attempt needs many attempts, and a derived deserialiser stops at its first error. The reader therefore walks the spanned TOML table itself and collects every fault with key path, line and remedy; the conversion from the raw to the checked document adds ranges, duplicates and relations.

--- /dev/null
+++ b/crates/config/src/diff.rs
@@ -0,0 +1,171 @@
+//! Differences between two documents, in words.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+
+use crate::document::{Class, DataCentre, Document, Service};
+
+/// One difference; `Display` is the plain text form.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Change {
+    /// Item exists only in the new document.
+    #[display("+ {item}")]
+    Added {
+        /// Item, such as `service prodejna`.
+        item: String,
+    },
+    /// Item exists only in the old document.
+    #[display("- {item}")]
+    Removed {
+        /// Item, such as `service prodejna`.
+        item: String,
+    },
+    /// Value of an item differs.
+    #[display("~ {item}: {old} -> {new}")]
+    Changed {
+        /// Item and key, such as `service prodejna slots`.
+        item: String,
+        /// Old value.
+        old: String,
+        /// New value.
+        new: String,
+    },
+}
+
+/// Differences from `old` to `new`, data centres first, each list in the order of numbers.
+pub fn diff(old: &Document, new: &Document) -> Vec<Change> {
+    let mut changes = Vec::new();
+    values(
+        "tenant",
+        &[("", old.tenant.clone(), new.tenant.clone())],
+        &mut changes,
+    );
+    let places = |document: &'_ Document| -> BTreeMap<u16, DataCentre> {
+        document
+            .data_centres
+            .iter()
+            .map(|(key, place)| (u16::from(key.0), place.clone()))
+            .collect()
+    };
+    let title = |place: &DataCentre| format!("data centre {}", place.name);
+    compare(&places(old), &places(new), title, place_diff, &mut changes);
+    let title = |service: &Service| format!("service {}", service.name);
+    compare(
+        &old.services,
+        &new.services,
+        title,
+        service_diff,
+        &mut changes,
+    );
+    changes
+}
+
+fn compare<K: Ord, T>(
+    old: &BTreeMap<K, T>,
+    new: &BTreeMap<K, T>,
+    title: impl Fn(&T) -> String,
+    inner: impl Fn(&T, &T, &mut Vec<Change>),
+    changes: &mut Vec<Change>,
+) {
+    for (key, item) in old {
+        match new.get(key) {
+            Some(present) => inner(item, present, changes),
+            None => changes.push(Change::Removed { item: title(item) }),
+        }
+    }
+    let added = new.iter().filter(|(key, _)| !old.contains_key(key));
+    changes.extend(added.map(|(_, item)| Change::Added { item: title(item) }));
+}
+
+fn values(item: &str, pairs: &[(&str, String, String)], changes: &mut Vec<Change>) {
+    for (key, old, new) in pairs.iter().filter(|(_, old, new)| old != new) {
+        let item = format!("{item} {key}").trim_end().to_owned();
+        changes.push(Change::Changed {
+            item,
+            old: old.clone(),
+            new: new.clone(),
+        });
+    }
+}
+
+fn place_diff(old: &DataCentre, new: &DataCentre, changes: &mut Vec<Change>) {
+    let pairs = [
+        ("name", old.name.clone(), new.name.clone()),
+        ("region", old.region.clone(), new.region.clone()),
+    ];
+    values(&format!("data centre {}", old.name), &pairs, changes);
+}
+
+fn service_diff(old: &Service, new: &Service, changes: &mut Vec<Change>) {
+    let title = format!("service {}", old.name);
+    let pairs = [
+        ("name", old.name.clone(), new.name.clone()),
+        ("addresses", addresses(old), addresses(new)),
+        ("slots", old.slots.to_string(), new.slots.to_string()),
+        (
+            "connections",
+            old.connections.to_string(),
+            new.connections.to_string(),
+        ),
+        (
+            "cold_share",
+            old.cold_share.to_string(),
+            new.cold_share.to_string(),
+        ),
+    ];
+    values(&title, &pairs, changes);
+    let classes = |service: &Service| -> BTreeMap<String, Class> {
+        service
+            .classes
+            .iter()
+            .map(|class| (class.name.clone(), class.clone()))
+            .collect()
+    };
+    let (before, after) = (classes(old), classes(new));
+    let name = |class: &Class| format!("{title} class {}", class.name);
+    compare(
+        &before,
+        &after,
+        name,
+        |a, b, out| class_diff(&title, a, b, out),
+        changes,
+    );
+    let order = |service: &Service| -> Vec<String> {
+        service
+            .classes
+            .iter()
+            .map(|class| class.name.clone())
+            .collect()
+    };
+    if before.keys().eq(after.keys()) {
+        let (old, new) = (order(old).join(", "), order(new).join(", "));
+        values(&title, &[("order of classes", old, new)], changes);
+    }
+}
+
+fn addresses(service: &Service) -> String {
+    let addresses: Vec<_> = service.addresses.iter().map(ToString::to_string).collect();
+    addresses.join(", ")
+}
+
+fn class_diff(service: &str, old: &Class, new: &Class, changes: &mut Vec<Change>) {
+    let deadline = |class: &Class| {
+        class
+            .deadline
+            .map_or("none".to_owned(), |span| format!("{} ms", span.as_millis()))
+    };
+    let pairs = [
+        ("method", old.method.clone(), new.method.clone()),
+        ("path", old.path.clone(), new.path.clone()),
+        ("stream", old.stream.to_string(), new.stream.to_string()),
+        (
+            "idempotent",
+            old.idempotent.to_string(),
+            new.idempotent.to_string(),
+        ),
+        ("weight", old.weight.to_string(), new.weight.to_string()),
+        ("deadline", deadline(old), deadline(new)),
+    ];
+    values(&format!("{service} class {}", old.name), &pairs, changes);
+}
--- /dev/null
+++ b/crates/config/src/raw.rs
@@ -0,0 +1,140 @@
+//! Document as it is written: types of values are known, their ranges and relations are not.
+
+use crate::fault::Fault;
+use crate::read::{Located, Reader, Section};
+
+/// Unchecked document with the faults found while reading it.
+#[derive(Debug, Default)]
+pub struct RawDocument {
+    pub(crate) tenant: Option<Located<String>>,
+    pub(crate) data_centres: Vec<RawDataCentre>,
+    pub(crate) services: Vec<RawService>,
+    pub(crate) faults: Vec<Fault>,
+}
+
+#[derive(Debug)]
+pub(crate) struct RawDataCentre {
+    pub(crate) prefix: String,
+    pub(crate) name: Option<Located<String>>,
+    pub(crate) number: Option<Located<i64>>,
+    pub(crate) region: Option<Located<String>>,
+}
+
+#[derive(Debug)]
+pub(crate) struct RawService {
+    pub(crate) prefix: String,
+    pub(crate) name: Option<Located<String>>,
+    pub(crate) number: Option<Located<i64>>,
+    pub(crate) addresses: Option<Located<Vec<Located<String>>>>,
+    pub(crate) slots: Option<Located<i64>>,
+    pub(crate) connections: Option<Located<i64>>,
+    pub(crate) cold_share: Option<Located<f64>>,
+    pub(crate) classes: Vec<RawClass>,
+    pub(crate) line: usize,
+}
+
+#[derive(Debug)]
+pub(crate) struct RawClass {
+    pub(crate) prefix: String,
+    pub(crate) name: Option<Located<String>>,
+    pub(crate) method: Option<Located<String>>,
+    pub(crate) path: Option<Located<String>>,
+    pub(crate) stream: bool,
+    pub(crate) idempotent: Option<Located<bool>>,
+    pub(crate) weight: Option<Located<i64>>,
+    pub(crate) deadline: Option<Located<i64>>,
+    pub(crate) line: usize,
+}
+
+impl RawDocument {
+    /// Reads a text. Faults are kept and reported by the conversion to a document.
+    pub fn read(text: &str) -> Self {
+        let mut reader = Reader::new(text);
+        let mut raw = reader.parse(read_root).unwrap_or_default();
+        raw.faults = reader.faults;
+        raw
+    }
+}
+
+fn read_root(reader: &mut Reader<'_>, root: &Section<'_>) -> RawDocument {
+    reader.only(root, &["tenant", "data_centre", "service"]);
+    let tenant = reader.string(root, "tenant");
+    let places = reader.tables(root, "data_centre", Some("at least one [[data_centre]]"));
+    let services = reader.tables(root, "service", Some("at least one [[service]]"));
+    RawDocument {
+        tenant,
+        data_centres: places
+            .iter()
+            .map(|section| read_data_centre(reader, section))
+            .collect(),
+        services: services
+            .iter()
+            .map(|section| read_service(reader, section))
+            .collect(),
+        faults: Vec::new(),
+    }
+}
+
+fn read_data_centre(reader: &mut Reader<'_>, section: &Section<'_>) -> RawDataCentre {
+    reader.only(section, &["name", "number", "region"]);
+    RawDataCentre {
+        prefix: section.prefix.clone(),
+        name: reader.string(section, "name"),
+        number: reader.integer(section, "number"),
+        region: reader.string(section, "region"),
+    }
+}
+
+fn read_service(reader: &mut Reader<'_>, section: &Section<'_>) -> RawService {
+    let known = [
+        "name",
+        "number",
+        "addresses",
+        "slots",
+        "connections",
+        "cold_share",
+        "class",
+    ];
+    reader.only(section, &known);
+    let classes = reader.tables(section, "class", Some("at least one [[service.class]]"));
+    RawService {
+        prefix: section.prefix.clone(),
+        name: reader.string(section, "name"),
+        number: reader.integer(section, "number"),
+        addresses: reader.strings(section, "addresses"),
+        slots: reader.integer(section, "slots"),
+        connections: reader.integer(section, "connections"),
+        cold_share: reader.float(section, "cold_share"),
+        classes: classes
+            .iter()
+            .map(|section| read_class(reader, section))
+            .collect(),
+        line: section.line,
+    }
+}
+
+fn read_class(reader: &mut Reader<'_>, section: &Section<'_>) -> RawClass {
+    let known = [
+        "name",
+        "method",
+        "path",
+        "stream",
+        "idempotent",
+        "weight",
+        "deadline_ms",
+    ];
+    reader.only(section, &known);
+    RawClass {
+        prefix: section.prefix.clone(),
+        name: reader.string(section, "name"),
+        method: reader.string(section, "method"),
+        path: reader.string(section, "path"),
+        stream: reader
+            .maybe_boolean(section, "stream")
+            .is_some_and(|stream| stream.value),
+        idempotent: reader.boolean(section, "idempotent"),
+        weight: reader.integer(section, "weight"),
+        deadline: reader.maybe_integer(section, "deadline_ms"),
+        line: section.line,
+    }
+}
