--- /dev/null
+++ b/crates/daemon/src/agent/cid.rs
@@ -0,0 +1,59 @@
+//! Connection IDs that tell any balancer where the flow lives.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use monsoon_model::{DataCentreId, ServiceId};
+use monsoon_wire::{CID_LEN, ConnectionId, Keyring};
+use quinn::{ConnectionIdGenerator, InvalidCid};
+
+/// Issues and recognises the connection IDs of one agent.
+pub struct CidGenerator {
+    keys: Arc<Keyring>,
+    agent: SocketAddrV4,
+    service: ServiceId,
+    data_centre: DataCentreId,
+    nonce: u32,
+}
+
+impl CidGenerator {
+    /// Generator for the agent at `agent`; nonces count up from `nonce`.
+    pub fn new(
+        keys: Arc<Keyring>,
+        agent: SocketAddrV4,
+        service: ServiceId,
+        data_centre: DataCentreId,
+        nonce: u32,
+    ) -> Self {
+        Self { keys, agent, service, data_centre, nonce }
+    }
+}
+
+impl ConnectionIdGenerator for CidGenerator {
+    fn generate_cid(&mut self) -> quinn::ConnectionId {
+        self.nonce = self.nonce.wrapping_add(1);
+        let id = ConnectionId {
+            agent: self.agent,
+            service: self.service,
+            data_centre: self.data_centre,
+            nonce: self.nonce,
+        };
+        quinn::ConnectionId::new(&id.seal(&self.keys))
+    }
+
+    fn validate(&self, cid: &quinn::ConnectionId) -> Result<(), InvalidCid> {
+        ConnectionId::open(cid, &self.keys)
+            .filter(|id| id.service == self.service && id.agent == self.agent)
+            .map(|_| ())
+            .ok_or(InvalidCid)
+    }
+
+    fn cid_len(&self) -> usize {
+        CID_LEN
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/control.rs
@@ -0,0 +1,71 @@
+//! Membership of the agent: announces the target's state and follows the balancers.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use monsoon_admission::TargetState;
+use monsoon_membership::{AgentNode, Event, LocalState, Member, State};
+use tokio::sync::mpsc;
+
+use super::Agent;
+use super::flows::Phase;
+use super::socket::AgentSocket;
+use crate::control::{Control, Machine};
+
+/// Time between two looks at the own state.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Runs the membership node until the agent left.
+pub async fn run(
+    control: Control,
+    node: Arc<Mutex<AgentNode>>,
+    socket: Arc<AgentSocket>,
+    events: mpsc::Receiver<Event>,
+) {
+    let machine = Machine { handle: AgentNode::handle, next_tick: AgentNode::next_tick };
+    let reader = node.clone();
+    control
+        .run(node, machine, events, move |_| {
+            let node = reader.lock().expect("no panic while the lock is held");
+            socket.set_balancers(node.balancers().into_iter().map(|balancer| balancer.data));
+        })
+        .await;
+}
+
+/// Reports the own state to the membership node while the process runs.
+pub async fn report_local(agent: Arc<Agent>, slots: u16, events: mpsc::Sender<Event>) {
+    let mut timer = tokio::time::interval(INTERVAL);
+    let mut reported = None;
+    loop {
+        timer.tick().await;
+        let local = local_state(&agent, slots);
+        if reported == Some(local) {
+            continue;
+        }
+        if events.send(Event::Local(local)).await.is_err() {
+            return;
+        }
+        reported = Some(local);
+    }
+}
+
+fn local_state(agent: &Agent, slots: u16) -> LocalState {
+    let load = agent.gate.load();
+    let state = match load.state {
+        _ if *agent.phase.borrow() != Phase::Serving => State::Leaving,
+        TargetState::Leaving => State::Leaving,
+        TargetState::Cold => State::Cold,
+        TargetState::Ready => State::Ready,
+    };
+    LocalState {
+        state,
+        load: (load.share() * 100.0) as u16,
+        slots,
+        versions: agent.configuration.versions(),
+    }
+}
+
+/// Member entry of an agent before its first announcement.
+pub fn member(base: Member, local: LocalState) -> Member {
+    Member { state: local.state, load: local.load, slots: local.slots, versions: local.versions, ..base }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/local.rs
@@ -0,0 +1,190 @@
+//! Runs a request at the local target, for a caller's flow or for another agent.
+//!
+//! The frames are the same in both cases. The target sees nothing of the request until the first
+//! body frame has arrived, which the other side sends only after it received `Admitted`. So
+//! whoever loses the connection before sending that frame knows that the request was not run.
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::BoxStream;
+use http::{HeaderName, HeaderValue, Method, Request, Response, Uri, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, Empty, StreamBody};
+use hyper::body::Incoming;
+use monsoon_admission::Outcome;
+use monsoon_model::{ClassKey, Duration, Instant};
+use tokio::sync::mpsc;
+
+use super::Agent;
+use super::gate::Permit;
+use super::respond::is_hop_by_hop;
+use super::target::{Exchange, RequestBody, TargetError};
+use crate::peer::{ExecuteHead, RequestFrame, ResponseFrame, ResponseHead};
+
+/// Header with the time left until the caller's deadline, in milliseconds.
+const DEADLINE: &str = "x-deadline-ms";
+
+/// Frames of the request after its head.
+pub type BodyFrames = BoxStream<'static, RequestFrame>;
+/// Frames of the response.
+pub type Replies = mpsc::Sender<ResponseFrame>;
+
+/// The other side has gone away.
+struct Gone;
+
+/// Runs one request; the response goes to `replies`, whose end cancels the request.
+pub async fn run(
+    agent: Arc<Agent>,
+    class: ClassKey,
+    head: ExecuteHead,
+    body: BodyFrames,
+    replies: Replies,
+) {
+    let closed = replies.clone();
+    tokio::select! {
+        _ = admit_and_run(&agent, class, head, body, replies) => {}
+        () = closed.closed() => agent.counters.count("request_cancelled"),
+    }
+}
+
+async fn admit_and_run(
+    agent: &Agent,
+    class: ClassKey,
+    head: ExecuteHead,
+    mut body: BodyFrames,
+    replies: Replies,
+) -> Result<(), Gone> {
+    let deadline = head.deadline_ms.map(|left| agent.clock.now() + Duration::from_millis(left));
+    let mut permit = match agent.gate.enter(class, deadline).await {
+        Ok(permit) => permit,
+        Err(reason) => {
+            log::debug!("admission: request refused: {reason}");
+            agent.counters.count("request_shed");
+            return reply(&replies, ResponseFrame::NotRun).await;
+        }
+    };
+    reply(&replies, ResponseFrame::Admitted).await?;
+    let Some(first) = body.next().await else {
+        return Ok(());
+    };
+    let mut exchange = match agent.target.connect().await {
+        Ok(exchange) => exchange,
+        Err(error) => return give_up(&mut permit, &replies, &error).await,
+    };
+    let request = match build(head, deadline, agent.clock.now(), first, body) {
+        Ok(request) => request,
+        Err(reason) => {
+            log::warn!("target: request cannot be passed on: {reason}");
+            return reply(&replies, ResponseFrame::NotRun).await;
+        }
+    };
+    match exchange.send(request).await {
+        Ok(response) => deliver(&mut permit, &replies, exchange, response).await,
+        Err(error) => give_up(&mut permit, &replies, &error).await,
+    }
+}
+
+async fn give_up(
+    permit: &mut Permit,
+    replies: &Replies,
+    error: &TargetError,
+) -> Result<(), Gone> {
+    log::warn!("target: {error}");
+    permit.set_outcome(Outcome::Failed);
+    let frame = match error {
+        TargetError::NotRun { .. } => ResponseFrame::NotRun,
+        TargetError::Unknown { .. } => ResponseFrame::Unknown,
+    };
+    reply(replies, frame).await
+}
+
+/// Passes the response on; a body that breaks off ends without [`ResponseFrame::End`].
+async fn deliver(
+    permit: &mut Permit,
+    replies: &Replies,
+    exchange: Exchange,
+    response: Response<Incoming>,
+) -> Result<(), Gone> {
+    let (parts, mut body) = response.into_parts();
+    let overloaded = parts.status == http::StatusCode::SERVICE_UNAVAILABLE;
+    let headers = parts
+        .headers
+        .iter()
+        .filter(|(name, _)| !is_hop_by_hop(name.as_str()))
+        .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect();
+    let head = ResponseHead { status: parts.status.as_u16(), headers };
+    reply(replies, ResponseFrame::Head(head)).await?;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    reply(replies, ResponseFrame::Data(data)).await?;
+                }
+            }
+            Err(error) => {
+                log::warn!("target: response broke off: {error}");
+                permit.set_outcome(Outcome::Failed);
+                return Ok(());
+            }
+        }
+    }
+    permit.set_outcome(if overloaded { Outcome::Failed } else { Outcome::Ok });
+    exchange.complete();
+    reply(replies, ResponseFrame::End).await
+}
+
+async fn reply(replies: &Replies, frame: ResponseFrame) -> Result<(), Gone> {
+    replies.send(frame).await.map_err(|_closed| Gone)
+}
+
+fn build(
+    head: ExecuteHead,
+    deadline: Option<Instant>,
+    now: Instant,
+    first: RequestFrame,
+    rest: BodyFrames,
+) -> Result<Request<RequestBody>, http::Error> {
+    let mut request = Request::builder()
+        .method(Method::from_bytes(head.method.as_bytes())?)
+        .uri(Uri::try_from(head.path)?)
+        .body(request_body(first, rest))?;
+    for (name, value) in head.headers {
+        let name = HeaderName::from_bytes(name.as_bytes())?;
+        let value = HeaderValue::from_bytes(&value)?;
+        request.headers_mut().append(name, value);
+    }
+    if !request.headers().contains_key(header::HOST) {
+        request.headers_mut().insert(header::HOST, HeaderValue::from_static("target"));
+    }
+    if let Some(deadline) = deadline {
+        let left = deadline.since(now).as_millis();
+        request.headers_mut().insert(DEADLINE, HeaderValue::from(left));
+    }
+    Ok(request)
+}
+
+fn request_body(first: RequestFrame, rest: BodyFrames) -> RequestBody {
+    if matches!(first, RequestFrame::End) {
+        return Empty::new().map_err(|never: Infallible| match never {}).boxed_unsync();
+    }
+    let frames = futures::stream::once(std::future::ready(first)).chain(rest).boxed();
+    let chunks = futures::stream::unfold(Some(frames), |frames| async move {
+        let mut frames = frames?;
+        match frames.next().await {
+            Some(RequestFrame::Data(data)) => Some((Ok(Frame::data(data)), Some(frames))),
+            Some(RequestFrame::End) => None,
+            // The target must not take a part of the body for the whole.
+            Some(RequestFrame::Head(_)) | None => Some((Err(body_broke_off()), None)),
+        }
+    });
+    BodyExt::boxed_unsync(StreamBody::new(chunks))
+}
+
+fn body_broke_off() -> io::Error {
+    io::Error::new(io::ErrorKind::UnexpectedEof, "the caller's request body broke off")
+}
--- /dev/null
+++ b/crates/daemon/src/agent/socket.rs
@@ -0,0 +1,242 @@
+//! Socket under the agent's QUIC endpoint: unwraps what balancers forward and wraps replies.
+//!
+//! Each first packet of a flow passes the handoff decision before QUIC sees it; a packet for
+//! another agent of the chain is passed on from here.
+
+use std::fmt;
+use std::io::{self, IoSliceMut};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+
+use monsoon_model::{Chain, Instant, ServiceId};
+use monsoon_routing::{Decision, Handoff, Load};
+use monsoon_wire::{ConnectionId, Direction, Envelope, Keyring, quic};
+use quinn::udp::{RecvMeta, Transmit};
+use quinn::{AsyncUdpSocket, UdpPoller};
+use tokio::io::ReadBuf;
+use tokio::net::UdpSocket;
+
+use super::forwarders::Forwarders;
+use crate::clock::Clock;
+use crate::counters::Counters;
+
+/// Largest datagram read, in bytes.
+const MAX_DATAGRAM: usize = 2_048;
+
+/// What the socket needs to know about the agent.
+pub struct SocketParts {
+    /// Socket that balancers and other agents send to.
+    pub udp: Arc<UdpSocket>,
+    /// Address of `udp` as others see it.
+    pub data: SocketAddrV4,
+    /// Shared keys.
+    pub keys: Arc<Keyring>,
+    /// Own service.
+    pub service: ServiceId,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Present load, for the handoff decision.
+    pub load: Box<dyn Fn() -> Load + Send + Sync>,
+    /// Event counters.
+    pub counters: Arc<Counters>,
+}
+
+/// Encapsulating socket.
+pub struct AgentSocket {
+    parts: SocketParts,
+    state: Mutex<State>,
+    buffer: Mutex<Box<[u8; MAX_DATAGRAM]>>,
+}
+
+struct State {
+    forwarders: Forwarders,
+    handoff: Handoff,
+    address: Option<SocketAddr>,
+}
+
+impl fmt::Debug for AgentSocket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AgentSocket").field("data", &self.parts.data).finish_non_exhaustive()
+    }
+}
+
+impl AgentSocket {
+    /// Socket over `parts` with an empty handoff memory.
+    pub fn new(parts: SocketParts) -> Self {
+        let state = State {
+            forwarders: Forwarders::default(),
+            handoff: Handoff::default(),
+            address: None,
+        };
+        let buffer = Mutex::new(Box::new([0; MAX_DATAGRAM]));
+        Self { parts, state: Mutex::new(state), buffer }
+    }
+
+    /// Replaces the balancers known from the membership.
+    pub fn set_balancers(&self, balancers: impl IntoIterator<Item = SocketAddrV4>) {
+        self.lock().forwarders.set_members(balancers);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no panic while the lock is held")
+    }
+
+    /// Unwraps one datagram; `Some` when it is for the local QUIC endpoint.
+    fn unwrap<'a>(
+        &self,
+        state: &mut State,
+        now: Instant,
+        from: SocketAddr,
+        datagram: &'a [u8],
+    ) -> Option<(Envelope, &'a [u8])> {
+        let Ok((envelope, payload)) = Envelope::open(&self.parts.keys, datagram) else {
+            self.parts.counters.count("envelope_unverified");
+            return None;
+        };
+        if envelope.direction != Direction::Forward || envelope.service != self.parts.service {
+            self.parts.counters.count("envelope_other_service");
+            return None;
+        }
+        if let (0, SocketAddr::V4(balancer)) = (envelope.hop, from) {
+            state.forwarders.heard(now, balancer);
+        }
+        if envelope.chain.is_empty() || self.is_own_flow(payload) {
+            return Some((envelope, payload));
+        }
+        self.decide(state, now, envelope, payload)
+    }
+
+    /// Whether the packet carries a connection ID that this agent issued.
+    fn is_own_flow(&self, payload: &[u8]) -> bool {
+        let dcid = match quic::first_look(payload) {
+            quic::Packet::Initial { dcid }
+            | quic::Packet::Long { dcid }
+            | quic::Packet::Short { dcid } => dcid,
+            quic::Packet::Unknown => return false,
+        };
+        ConnectionId::open(dcid, &self.parts.keys).is_some_and(|id| id.agent == self.parts.data)
+    }
+
+    fn decide<'a>(
+        &self,
+        state: &mut State,
+        now: Instant,
+        envelope: Envelope,
+        payload: &'a [u8],
+    ) -> Option<(Envelope, &'a [u8])> {
+        let load = (self.parts.load)();
+        let hop = usize::from(envelope.hop);
+        match state.handoff.decide(now, envelope.key, &envelope.chain, hop, load) {
+            // The accept loop refuses new flows of a leaving agent, which tells the caller.
+            Decision::Accept | Decision::Refuse => Some((envelope, payload)),
+            Decision::Pass(next) => {
+                self.pass_on(envelope, next, payload);
+                None
+            }
+        }
+    }
+
+    fn pass_on(&self, envelope: Envelope, next: usize, payload: &[u8]) {
+        let Some(target) = envelope.chain.hop(next) else {
+            return;
+        };
+        let onward = Envelope { hop: next as u8, ..envelope };
+        let datagram = onward.seal(&self.parts.keys, payload);
+        self.parts.counters.count("flow_passed_on");
+        self.send(&datagram, SocketAddr::V4(target.agent));
+    }
+
+    /// Sends without waiting; a full socket buffer drops the datagram, as the network may.
+    fn send(&self, datagram: &[u8], to: SocketAddr) {
+        if self.parts.udp.try_send_to(datagram, to).is_err() {
+            self.parts.counters.count("datagram_not_sent");
+        }
+    }
+}
+
+impl AsyncUdpSocket for AgentSocket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(AlwaysWritable)
+    }
+
+    fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        let now = self.parts.clock.now();
+        let (balancer, address) = {
+            let mut state = self.lock();
+            (state.forwarders.next(now), state.address)
+        };
+        let (Some(balancer), Some(address)) = (balancer, address) else {
+            self.parts.counters.count("reply_without_balancer");
+            return Ok(());
+        };
+        let envelope = Envelope {
+            direction: Direction::Reply,
+            service: self.parts.service,
+            caller: transmit.destination,
+            address: SocketAddr::new(transmit.src_ip.unwrap_or(address.ip()), address.port()),
+            key: 0,
+            chain: Chain::default(),
+            hop: 0,
+        };
+        let datagram = envelope.seal(&self.parts.keys, transmit.contents);
+        self.send(&datagram, SocketAddr::V4(balancer));
+        Ok(())
+    }
+
+    fn poll_recv(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let mut buffer = self.buffer.lock().expect("no panic while the lock is held");
+        loop {
+            let mut read = ReadBuf::new(&mut buffer[..]);
+            let from = match ready!(self.parts.udp.poll_recv_from(cx, &mut read)) {
+                Ok(from) => from,
+                // A peer's port is closed; ICMP reports it on the next receive.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
+                Err(error) => return Poll::Ready(Err(error)),
+            };
+            let now = self.parts.clock.now();
+            let mut state = self.lock();
+            let Some((envelope, payload)) = self.unwrap(&mut state, now, from, read.filled()) else {
+                continue;
+            };
+            if payload.len() > bufs[0].len() {
+                self.parts.counters.count("datagram_too_large");
+                continue;
+            }
+            bufs[0][..payload.len()].copy_from_slice(payload);
+            meta[0] = RecvMeta {
+                addr: envelope.caller,
+                len: payload.len(),
+                stride: payload.len(),
+                ecn: None,
+                dst_ip: Some(envelope.address.ip()),
+            };
+            state.address = Some(envelope.address);
+            return Poll::Ready(Ok(1));
+        }
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        Ok(SocketAddr::V4(self.parts.data))
+    }
+
+    fn may_fragment(&self) -> bool {
+        false
+    }
+}
+
+/// Sending never waits: a datagram that the socket cannot take is dropped.
+#[derive(Debug)]
+struct AlwaysWritable;
+
+impl UdpPoller for AlwaysWritable {
+    fn poll_writable(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/start.rs
@@ -0,0 +1,280 @@
+//! Start and planned stop of an agent.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use monsoon_admission::{ClassLimits, Limits};
+use monsoon_config::{Document, Service};
+use monsoon_membership::{AgentNode, Event, Role};
+use monsoon_metrics::Histograms;
+use monsoon_model::DataCentreId;
+use monsoon_routing::Load;
+use quinn::{Endpoint, EndpointConfig, ServerConfig, TransportConfig};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use super::cid::CidGenerator;
+use super::flows::{self, FlowCount, Phase};
+use super::gate::Gate;
+use super::socket::{AgentSocket, SocketParts};
+use super::target::Target;
+use super::{Agent, control, health, serve_peer};
+use crate::admin;
+use crate::peer;
+use crate::settings::Settings;
+use crate::shell::{EVENT_QUEUE, Shell, leave};
+use crate::signals::Signals;
+use crate::sockets::{BindError, Sockets};
+use crate::tls::TlsError;
+
+/// Time after which nobody sends new work to a leaving agent any more.
+const LEAVING_NOTICE: Duration = Duration::from_secs(3);
+/// Time between two looks whether the work in progress is done.
+const DRAIN_POLL: Duration = Duration::from_millis(100);
+/// Time without a packet after which a flow is lost.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Payload of a QUIC packet that fits into any path with the encapsulation header around it.
+const PACKET_SIZE: u16 = 1_200;
+
+/// An agent cannot start.
+#[derive(Debug, Display, Error, From)]
+pub enum AgentError {
+    /// A socket cannot be opened.
+    #[display("{_0}")]
+    Bind(BindError),
+    /// The certificate cannot be used.
+    #[display("{_0}")]
+    Tls(TlsError),
+    /// The QUIC endpoint cannot be created.
+    #[display("QUIC cannot start: {_0}; check the certificate and the data address")]
+    Quic(std::io::Error),
+}
+
+/// Place of an agent in the document.
+struct Placement {
+    tenant: String,
+    data_centre: DataCentreId,
+    service: Service,
+}
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+/// Returns the reason when the agent cannot start.
+pub async fn run(settings: Settings, service: &str, target: SocketAddr) -> Result<(), AgentError> {
+    let mut signals = Signals::new();
+    let sockets = Sockets::open(&settings).await?;
+    let shell = Shell::new(settings, &sockets);
+    shell.print_ready();
+    let data_centre = shell.settings.data_centre.clone();
+    let placement = tokio::select! {
+        placement = shell.learn(|document| place(document, &data_centre, service)) => placement,
+        () = signals.stop() => return Ok(()),
+    };
+    let builder = Builder { shell, placement };
+    let agent = builder.agent(target);
+    let socket = builder.socket(&agent, &sockets);
+    let endpoint = builder.endpoint(socket.clone())?;
+    let (events, membership) = builder.join(&agent, socket);
+    builder.spawn_services(&agent, &endpoint, sockets);
+    log::info!("agent: serves {service} of {}", agent.tenant);
+
+    signals.stop().await;
+    tokio::select! {
+        () = drain(&agent) => {}
+        () = signals.stop() => log::warn!("agent: second signal, work in progress is cut"),
+    }
+    leave(events, membership).await;
+    endpoint.close(0_u32.into(), b"instance stops");
+    endpoint.wait_idle().await;
+    Ok(())
+}
+
+fn place(document: &Document, data_centre: &str, service: &str) -> Result<Placement, String> {
+    let place = document.data_centre_named(data_centre).ok_or_else(|| {
+        format!("the document has no data centre {data_centre}; add it or correct the settings")
+    })?;
+    let service = document.service_named(service).ok_or_else(|| {
+        format!("the document has no service {service}; add it or correct the settings")
+    })?;
+    Ok(Placement {
+        tenant: document.tenant.clone(),
+        data_centre: place.number,
+        service: service.clone(),
+    })
+}
+
+/// Asks callers to go elsewhere and waits for the work in progress.
+async fn drain(agent: &Agent) {
+    log::info!("agent: stops after the work in progress");
+    agent.phase.send_replace(Phase::Leaving);
+    agent.gate.set_leaving();
+    tokio::time::sleep(LEAVING_NOTICE).await;
+    while agent.flows.get() > 0 || agent.gate.load().busy > 0 {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
+/// Closes or reopens the agent when its data centre is taken out or brought back.
+async fn follow_places(agent: Arc<Agent>, data_centre: DataCentreId) {
+    let mut changes = agent.configuration.subscribe();
+    changes.mark_changed();
+    while changes.changed().await.is_ok() {
+        let out = agent.configuration.out().contains(&data_centre);
+        agent.phase.send_if_modified(|phase| {
+            let next = match (*phase, out) {
+                (Phase::Serving, true) => Phase::Out,
+                (Phase::Out, false) => Phase::Serving,
+                (present, _) => present,
+            };
+            let modified = next != *phase;
+            *phase = next;
+            modified
+        });
+    }
+}
+
+fn admin_page(agent: &Agent, path: &str) -> Option<serde_json::Value> {
+    match path {
+        "/status" => Some(serde_json::json!({
+            "role": "agent",
+            "service": agent.service,
+            "versions": agent.configuration.versions(),
+            "flows": agent.flows.get(),
+            "load": agent.gate.load(),
+        })),
+        "/counters" => serde_json::to_value(agent.counters.snapshot()).ok(),
+        "/histograms" => {
+            let histograms = agent.histograms.lock().expect("no panic while the lock is held");
+            serde_json::to_value(histograms.snapshot()).ok()
+        }
+        _ => None,
+    }
+}
+
+/// Creates the parts of an agent.
+struct Builder {
+    shell: Shell,
+    placement: Placement,
+}
+
+impl Builder {
+    fn node(&self) -> AgentNode {
+        let place = &self.placement;
+        let member = self.shell.member(Role::Agent, place.data_centre, place.service.number);
+        let seeds = self.shell.settings.seeds.clone();
+        AgentNode::new(self.shell.control.clock.now(), member, seeds, rand::random())
+    }
+
+    /// Starts the membership node and the reports of the own state to it.
+    fn join(
+        &self,
+        agent: &Arc<Agent>,
+        socket: Arc<AgentSocket>,
+    ) -> (mpsc::Sender<Event>, JoinHandle<()>) {
+        let node = Arc::new(Mutex::new(self.node()));
+        let (events, inbox) = mpsc::channel(EVENT_QUEUE);
+        let membership = tokio::spawn(control::run(self.shell.control.clone(), node, socket, inbox));
+        let slots = u16::try_from(self.placement.service.slots).unwrap_or(u16::MAX);
+        tokio::spawn(control::report_local(agent.clone(), slots, events.clone()));
+        (events, membership)
+    }
+
+    fn spawn_services(&self, agent: &Arc<Agent>, endpoint: &Endpoint, sockets: Sockets) {
+        tokio::spawn(agent.gate.clone().run_timer());
+        tokio::spawn(health::poll(agent.target.clone(), agent.gate.clone()));
+        tokio::spawn(follow_places(agent.clone(), self.placement.data_centre));
+        tokio::spawn(flows::accept(agent.clone(), endpoint.clone()));
+        let (handlers, tls) = (serve_peer::handlers(agent), self.shell.tls.clone());
+        tokio::spawn(async move { peer::serve(sockets.peer, &tls, handlers).await });
+        let reader = agent.clone();
+        tokio::spawn(admin::serve(sockets.admin, move |path| admin_page(&reader, path)));
+    }
+
+    fn agent(&self, target: SocketAddr) -> Arc<Agent> {
+        let (phase, _) = watch::channel(Phase::Serving);
+        let (control, placement) = (&self.shell.control, &self.placement);
+        Arc::new(Agent {
+            clock: control.clock,
+            service: placement.service.number,
+            tenant: placement.tenant.clone(),
+            configuration: control.configuration.clone(),
+            gate: Gate::new(control.clock, limits(&placement.service)),
+            target: Target::new(target),
+            peers: control.peers.clone(),
+            histograms: Mutex::new(Histograms::default()),
+            counters: control.counters.clone(),
+            phase,
+            flows: FlowCount::default(),
+        })
+    }
+
+    fn socket(&self, agent: &Arc<Agent>, sockets: &Sockets) -> Arc<AgentSocket> {
+        let reader = agent.clone();
+        Arc::new(AgentSocket::new(SocketParts {
+            udp: sockets.data.clone(),
+            data: self.shell.addresses.data,
+            keys: self.shell.control.keys.clone(),
+            service: agent.service,
+            clock: agent.clock,
+            load: Box::new(move || flow_load(&reader)),
+            counters: agent.counters.clone(),
+        }))
+    }
+
+    fn endpoint(&self, socket: Arc<AgentSocket>) -> Result<Endpoint, AgentError> {
+        let (keys, data) = (self.shell.control.keys.clone(), self.shell.addresses.data);
+        let (service, data_centre) = (self.placement.service.number, self.placement.data_centre);
+        let mut config = EndpointConfig::new(Arc::new(keys.reset_key().clone()));
+        config.cid_generator(move || {
+            let nonce = rand::random();
+            Box::new(CidGenerator::new(keys.clone(), data, service, data_centre, nonce))
+        });
+        let tls = quinn::crypto::rustls::QuicServerConfig::try_from(self.shell.tls.caller_server()?)
+            .map_err(|error| AgentError::Quic(std::io::Error::other(error)))?;
+        let mut server = ServerConfig::with_crypto(Arc::new(tls));
+        server.transport_config(Arc::new(transport()));
+        Endpoint::new_with_abstract_socket(
+            config,
+            Some(server),
+            socket,
+            Arc::new(quinn::TokioRuntime),
+        )
+        .map_err(AgentError::Quic)
+    }
+}
+
+/// Load for the handoff decision; a leaving agent and one that is out take no new flow.
+fn flow_load(agent: &Agent) -> Load {
+    let load = agent.gate.load();
+    Load {
+        busy: load.busy,
+        queued: load.queued,
+        limit: load.limit.div_ceil(1_000),
+        leaving: load.leaving || *agent.phase.borrow() != Phase::Serving,
+    }
+}
+
+fn limits(service: &Service) -> Limits {
+    let class = |class: &monsoon_config::Class| ClassLimits {
+        weight: class.weight,
+        stream: class.stream,
+    };
+    Limits {
+        slots: service.slots,
+        connections: service.connections,
+        cold_share: service.cold_share,
+        classes: service.classes.iter().map(class).collect(),
+    }
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.initial_mtu(PACKET_SIZE);
+    transport.min_mtu(PACKET_SIZE);
+    transport.mtu_discovery_config(None);
+    transport.max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
+    transport
+}
--- /dev/null
+++ b/crates/daemon/src/agent/target.rs
@@ -0,0 +1,160 @@
+//! HTTP/1.1 towards the local target.
+//!
+//! The error type tells whether the target may have seen the request, because only a request that
+//! was certainly not sent may be tried elsewhere. A connection whose response is abandoned is
+//! closed, which cancels the request at the target.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Longest wait for a TCP connection to the target.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most idle connections kept; a further one is closed.
+const MAX_IDLE: usize = 32;
+
+/// Body of a request on its way to the target.
+pub type RequestBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// A request that got no response from the target.
+#[derive(Debug, Display, Error)]
+pub enum TargetError {
+    /// The target did not receive the request.
+    #[display("target {address} is unreachable: {reason}; check that it runs")]
+    NotRun {
+        /// Address of the target.
+        address: SocketAddr,
+        /// Error of the connection attempt.
+        reason: String,
+    },
+    /// The request was sent, and its outcome is unknown.
+    #[display("connection to target {address} broke before the response: {reason}")]
+    Unknown {
+        /// Address of the target.
+        address: SocketAddr,
+        /// Error of the connection.
+        reason: String,
+    },
+}
+
+/// Connections to the local target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    address: SocketAddr,
+    idle: Arc<Mutex<Vec<Connection>>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<RequestBody>,
+    driver: AbortHandle,
+}
+
+impl Target {
+    /// Target at `address`; nothing is connected yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: Arc::default() }
+    }
+
+    /// Reserves a connection.
+    ///
+    /// # Errors
+    /// Returns [`TargetError::NotRun`] when no connection can be made.
+    pub async fn connect(&self) -> Result<Exchange, TargetError> {
+        let connection = match self.take_idle() {
+            Some(connection) => connection,
+            None => self.open().await?,
+        };
+        Ok(Exchange { target: self.clone(), connection: Some(connection) })
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock().expect("no panic while the lock is held");
+        while let Some(connection) = idle.pop() {
+            if connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn open(&self) -> Result<Connection, TargetError> {
+        let refused = |reason: String| TargetError::NotRun { address: self.address, reason };
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
+            .await
+            .map_err(|_elapsed| refused("the connection attempt timed out".into()))?
+            .map_err(|error| refused(error.to_string()))?;
+        stream.set_nodelay(true).map_err(|error| refused(error.to_string()))?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| refused(error.to_string()))?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!("target: connection ended: {error}");
+            }
+        });
+        Ok(Connection { sender, driver: task.abort_handle() })
+    }
+}
+
+/// One request and its response on a reserved connection; dropping it cancels the request.
+#[derive(Debug)]
+pub struct Exchange {
+    target: Target,
+    connection: Option<Connection>,
+}
+
+impl Exchange {
+    /// Sends the request and waits for the head of the response.
+    ///
+    /// # Errors
+    /// Returns [`TargetError::NotRun`] when the connection had closed before the request was
+    /// written, [`TargetError::Unknown`] otherwise.
+    pub async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, TargetError> {
+        let address = self.target.address;
+        let Some(connection) = &mut self.connection else {
+            return Err(TargetError::NotRun { address, reason: "exchange is over".into() });
+        };
+        connection.sender.try_send_request(request).await.map_err(|mut error| {
+            let reason = error.error().to_string();
+            // The request comes back only when no byte of it was written.
+            if error.take_message().is_some() {
+                TargetError::NotRun { address, reason }
+            } else {
+                TargetError::Unknown { address, reason }
+            }
+        })
+    }
+
+    /// Returns the connection for reuse after a response was read to its end.
+    pub fn complete(mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        let mut idle = self.target.idle.lock().expect("no panic while the lock is held");
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.driver.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/args.rs
@@ -0,0 +1,22 @@
+//! Command line of the daemon.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+/// Options of `monsoonrouter`.
+#[derive(Debug, Options)]
+pub struct Args {
+    /// Print help and exit
+    pub help: bool,
+    /// Print the version and exit
+    #[options(short = "V")]
+    pub version: bool,
+    /// Settings file (TOML)
+    #[options(meta = "FILE")]
+    pub settings: Option<PathBuf>,
+    /// Check the settings and exit
+    pub check: bool,
+    /// Write logs as JSON lines
+    pub json: bool,
+}
--- /dev/null
+++ b/crates/daemon/src/balancer/forward.rs
@@ -0,0 +1,124 @@
+//! From callers to agents: one datagram, one routing decision.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use monsoon_model::{Chain, ServiceId};
+use monsoon_routing::{Established, FirstLook, Route, Router};
+use monsoon_wire::quic::{self, Packet};
+use monsoon_wire::{ConnectionId, Direction, Envelope, Keyring, flow_key, stateless_reset};
+use tokio::net::UdpSocket;
+
+use crate::clock::Clock;
+use crate::counters::Counters;
+
+/// What forwarding works with.
+#[derive(Clone, Debug)]
+pub struct Forward {
+    /// Routing decisions.
+    pub router: Arc<Mutex<Router>>,
+    /// Socket towards agents.
+    pub data: Arc<UdpSocket>,
+    /// Shared keys.
+    pub keys: Arc<Keyring>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Event counters.
+    pub counters: Arc<Counters>,
+}
+
+/// A datagram of a caller.
+#[derive(Clone, Copy, Debug)]
+pub struct Received<'a> {
+    /// Service of the address that the caller sent to.
+    pub service: ServiceId,
+    /// Address that the caller sent to.
+    pub address: SocketAddr,
+    /// Caller.
+    pub caller: SocketAddr,
+    /// QUIC packets.
+    pub payload: &'a [u8],
+}
+
+impl Forward {
+    /// Forwards one datagram; the result is a stateless reset for the caller, if it needs one.
+    pub fn datagram(&self, received: Received<'_>) -> Option<Vec<u8>> {
+        let packet = quic::first_look(received.payload);
+        let look = self.look(received.caller, &packet);
+        let key = if let FirstLook::New { key } = look { key } else { 0 };
+        let now = self.clock.now();
+        let route = self
+            .router
+            .lock()
+            .expect("no panic while the lock is held")
+            .route(now, received.service, look);
+        match route {
+            Route::Established(agent) => {
+                self.send(received, 0, Chain::default(), SocketAddr::V4(agent));
+                None
+            }
+            Route::New(chain) => {
+                let first = chain.hop(0)?;
+                self.send(received, key, chain, SocketAddr::V4(first.agent));
+                None
+            }
+            Route::Reset => self.reset(received.payload, &packet),
+            Route::Drop(reason) => {
+                self.counters.count(reason.name());
+                None
+            }
+        }
+    }
+
+    fn look(&self, caller: SocketAddr, packet: &Packet<'_>) -> FirstLook {
+        let (Packet::Initial { dcid } | Packet::Long { dcid } | Packet::Short { dcid }) = *packet
+        else {
+            return FirstLook::Unverified;
+        };
+        if let Some(id) = ConnectionId::open(dcid, &self.keys) {
+            return FirstLook::Established(Established {
+                agent: id.agent,
+                service: id.service,
+                data_centre: id.data_centre,
+            });
+        }
+        match packet {
+            Packet::Initial { .. } => {
+                FirstLook::New { key: flow_key(&self.keys, caller, dcid) }
+            }
+            _ => FirstLook::Unverified,
+        }
+    }
+
+    fn send(
+        &self,
+        received: Received<'_>,
+        key: u64,
+        chain: Chain,
+        to: SocketAddr,
+    ) {
+        let envelope = Envelope {
+            direction: Direction::Forward,
+            service: received.service,
+            caller: received.caller,
+            address: received.address,
+            key,
+            chain,
+            hop: 0,
+        };
+        let datagram = envelope.seal(&self.keys, received.payload);
+        if self.data.try_send_to(&datagram, to).is_err() {
+            self.counters.count("datagram_not_sent");
+        }
+    }
+
+    fn reset(&self, payload: &[u8], packet: &Packet<'_>) -> Option<Vec<u8>> {
+        // A long header belongs to a handshake, for which there is no reset.
+        let Packet::Short { dcid } = packet else {
+            return None;
+        };
+        let reset = stateless_reset(&self.keys, dcid, payload.len(), rand::random())?;
+        self.counters.count("reset_sent");
+        Some(reset)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/balancer/listeners.rs
@@ -0,0 +1,107 @@
+//! Sockets on the service addresses of the document.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use monsoon_model::ServiceId;
+use tokio::net::UdpSocket;
+use tokio::task::AbortHandle;
+
+use super::forward::{Forward, Received};
+use crate::configuration::Configuration;
+use crate::sockets::bind_udp;
+
+/// Largest datagram read, in bytes.
+const MAX_DATAGRAM: usize = 2_048;
+
+/// Open service sockets by service address.
+pub type ServiceSockets = Arc<Mutex<BTreeMap<SocketAddr, Arc<UdpSocket>>>>;
+
+/// Keeps one socket per service address of the document in force.
+#[derive(Debug)]
+pub struct Listeners {
+    binds: BTreeMap<SocketAddr, SocketAddr>,
+    forward: Forward,
+    sockets: ServiceSockets,
+    tasks: BTreeMap<SocketAddr, (ServiceId, AbortHandle)>,
+}
+
+impl Listeners {
+    /// No socket yet; `binds` gives local addresses to bind in place of service addresses.
+    pub fn new(binds: BTreeMap<SocketAddr, SocketAddr>, forward: Forward) -> Self {
+        Self { binds, forward, sockets: ServiceSockets::default(), tasks: BTreeMap::new() }
+    }
+
+    /// Sockets for replies.
+    pub fn sockets(&self) -> ServiceSockets {
+        self.sockets.clone()
+    }
+
+    /// Opens sockets of new addresses and closes those of removed ones.
+    pub async fn follow(&mut self, configuration: &Configuration) {
+        let wanted: BTreeMap<SocketAddr, ServiceId> = configuration
+            .with_document(|document| {
+                let services = document.services.values();
+                services
+                    .flat_map(|service| service.addresses.iter().map(|at| (*at, service.number)))
+                    .collect()
+            })
+            .unwrap_or_default();
+        self.close_unwanted(&wanted);
+        for (address, service) in wanted {
+            if !self.tasks.contains_key(&address) {
+                self.open(address, service).await;
+            }
+        }
+    }
+
+    fn close_unwanted(&mut self, wanted: &BTreeMap<SocketAddr, ServiceId>) {
+        let sockets = self.sockets.clone();
+        self.tasks.retain(|address, (service, task)| {
+            let keep = wanted.get(address) == Some(service);
+            if !keep {
+                task.abort();
+                sockets.lock().expect("no panic while the lock is held").remove(address);
+                log::info!("balancer: {address} is no longer served");
+            }
+            keep
+        });
+    }
+
+    async fn open(&mut self, address: SocketAddr, service: ServiceId) {
+        let bind = self.binds.get(&address).copied().unwrap_or(address);
+        let socket = match bind_udp("service", bind).await {
+            Ok(socket) => Arc::new(socket),
+            // The next change of the document tries again; other addresses are not affected.
+            Err(error) => return log::error!("balancer: {error}"),
+        };
+        let local = socket.local_addr().unwrap_or(bind);
+        log::info!("balancer: {address} is served at {local}");
+        let mut sockets = self.sockets.lock().expect("no panic while the lock is held");
+        sockets.insert(address, socket.clone());
+        let task = tokio::spawn(receive(self.forward.clone(), socket, address, service));
+        self.tasks.insert(address, (service, task.abort_handle()));
+    }
+}
+
+async fn receive(
+    forward: Forward,
+    socket: Arc<UdpSocket>,
+    address: SocketAddr,
+    service: ServiceId,
+) {
+    let mut buffer = [0; MAX_DATAGRAM];
+    loop {
+        // A closed port of a caller is reported on the next receive and concerns nobody else.
+        let Ok((len, caller)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let received = Received { service, address, caller, payload: &buffer[..len] };
+        if let Some(reset) = forward.datagram(received)
+            && socket.try_send_to(&reset, caller).is_err()
+        {
+            forward.counters.count("datagram_not_sent");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/balancer/mod.rs
@@ -0,0 +1,10 @@
+//! Entry instance: forwards datagrams between callers and agents without holding flows.
+
+mod control;
+mod forward;
+mod listeners;
+mod replies;
+mod start;
+mod store_watch;
+
+pub use start::{BalancerError, run};
--- /dev/null
+++ b/crates/daemon/src/balancer/start.rs
@@ -0,0 +1,197 @@
+//! Start and planned stop of a balancer.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use monsoon_membership::{BalancerNode, Event, LocalState, Role, State};
+use monsoon_model::{DataCentreId, ServiceId, hash};
+use monsoon_routing::Router;
+use monsoon_store::Client;
+use tokio::sync::{mpsc, watch};
+
+use super::control::Tables;
+use super::forward::Forward;
+use super::listeners::Listeners;
+use super::store_watch::{self, Object};
+use super::replies;
+use crate::admin;
+use crate::control::{Machine, News};
+use crate::peer::{self, Handlers};
+use crate::settings::Settings;
+use crate::shell::{EVENT_QUEUE, Shell, leave};
+use crate::signals::Signals;
+use crate::sockets::{BindError, Sockets};
+
+/// Number of balancers of a data centre that watch the store.
+const STORE_WATCHERS: usize = 2;
+/// Time for which a leaving balancer still forwards what reaches it.
+const LEAVING_NOTICE: Duration = Duration::from_secs(2);
+/// Salt of the ranking that chooses the store watchers.
+const WATCHER_SALT: u64 = hash::bytes(b"store-watcher");
+
+/// A balancer cannot start.
+#[derive(Debug, Display, Error, From)]
+pub enum BalancerError {
+    /// A socket cannot be opened.
+    #[display("{_0}")]
+    Bind(BindError),
+}
+
+type Node = Arc<Mutex<BalancerNode>>;
+
+/// Runs a balancer until it is told to stop.
+///
+/// # Errors
+/// Returns the reason when the balancer cannot start.
+pub async fn run(
+    settings: Settings,
+    binds: BTreeMap<SocketAddr, SocketAddr>,
+) -> Result<(), BalancerError> {
+    let mut signals = Signals::new();
+    let sockets = Sockets::open(&settings).await?;
+    let shell = Shell::new(settings, &sockets);
+    shell.print_ready();
+    let (node_known, node) = watch::channel::<Option<Node>>(None);
+    spawn_store_watch(&shell, &node);
+    let data_centre = tokio::select! {
+        number = learn_data_centre(&shell) => number,
+        () = signals.stop() => return Ok(()),
+    };
+    let tables = tables(&shell, data_centre);
+    node_known.send_replace(Some(tables.node.clone()));
+    let forward = Forward {
+        router: tables.router.clone(),
+        data: sockets.data.clone(),
+        keys: shell.control.keys.clone(),
+        clock: shell.control.clock,
+        counters: shell.control.counters.clone(),
+    };
+    let mut listeners = Listeners::new(binds, forward.clone());
+    tokio::spawn(replies::run(forward, listeners.sockets()));
+    let (events, inbox) = mpsc::channel(EVENT_QUEUE);
+    let membership = tokio::spawn(follow_members(shell.control.clone(), tables.clone(), inbox));
+    spawn_services(&shell, &tables, sockets);
+    let following = follow_configuration(&shell, &tables, &mut listeners, &events);
+    tokio::select! {
+        () = following => {}
+        () = signals.stop() => {}
+    }
+    log::info!("balancer: stops and forwards for {} s more", LEAVING_NOTICE.as_secs());
+    leave(events, membership).await;
+    tokio::time::sleep(LEAVING_NOTICE).await;
+    Ok(())
+}
+
+async fn learn_data_centre(shell: &Shell) -> DataCentreId {
+    let name = &shell.settings.data_centre;
+    let find = |document: &monsoon_config::Document| {
+        let place = document.data_centre_named(name);
+        place.map(|place| place.number).ok_or_else(|| {
+            format!("the document has no data centre {name}; add it or correct the settings")
+        })
+    };
+    shell.learn(find).await
+}
+
+fn tables(shell: &Shell, data_centre: DataCentreId) -> Tables {
+    let member = shell.member(Role::Balancer, data_centre, ServiceId(0));
+    let seeds = shell.settings.seeds.clone();
+    let now = shell.control.clock.now();
+    Tables {
+        node: Arc::new(Mutex::new(BalancerNode::new(now, member, seeds, rand::random()))),
+        router: Arc::new(Mutex::new(Router::default())),
+        configuration: shell.control.configuration.clone(),
+        data_centre: shell.settings.data_centre.clone(),
+    }
+}
+
+/// Watches the store: alone until the own data centre is known, by rank afterwards.
+fn spawn_store_watch(shell: &Shell, node: &watch::Receiver<Option<Node>>) {
+    if shell.settings.store.is_empty() {
+        return;
+    }
+    for object in [Object::Document, Object::Places] {
+        let node = node.clone();
+        let is_watcher = move || match &*node.borrow() {
+            Some(node) => {
+                let node = node.lock().expect("no panic while the lock is held");
+                node.rank_of_self(WATCHER_SALT) < STORE_WATCHERS
+            }
+            None => true,
+        };
+        tokio::spawn(store_watch::run(
+            Client::new(shell.settings.store.clone()),
+            shell.settings.environment.clone(),
+            object,
+            shell.control.configuration.clone(),
+            is_watcher,
+        ));
+    }
+}
+
+async fn follow_members(
+    control: crate::control::Control,
+    tables: Tables,
+    events: mpsc::Receiver<Event>,
+) {
+    let machine = Machine { handle: BalancerNode::handle, next_tick: BalancerNode::next_tick };
+    let clock = control.clock;
+    let node = tables.node.clone();
+    control
+        .run(node, machine, events, move |news| match news {
+            News::Changed => tables.rebuild(clock.now()),
+            News::Died(member) => tables.mark_dead(clock.now(), &member),
+        })
+        .await;
+}
+
+fn spawn_services(shell: &Shell, tables: &Tables, sockets: Sockets) {
+    let reader = shell.control.configuration.clone();
+    let handlers = Handlers::fetch_only(Arc::new(move |call| reader.newer(call)));
+    let tls = shell.tls.clone();
+    tokio::spawn(async move { peer::serve(sockets.peer, &tls, handlers).await });
+    let (tables, counters) = (tables.clone(), shell.control.counters.clone());
+    tokio::spawn(admin::serve(sockets.admin, move |path| match path {
+        "/status" => Some(status(&tables)),
+        "/counters" => serde_json::to_value(counters.snapshot()).ok(),
+        "/histograms" => Some(serde_json::json!([])),
+        _ => None,
+    }));
+}
+
+fn status(tables: &Tables) -> serde_json::Value {
+    let node = tables.node.lock().expect("no panic while the lock is held");
+    serde_json::json!({
+        "role": "balancer",
+        "versions": tables.configuration.versions(),
+        "balancers": node.balancers().len(),
+        "agents": node.agents().collect::<Vec<_>>(),
+    })
+}
+
+/// Applies each accepted configuration to sockets, tables and membership.
+async fn follow_configuration(
+    shell: &Shell,
+    tables: &Tables,
+    listeners: &mut Listeners,
+    events: &mpsc::Sender<Event>,
+) {
+    let mut changes = tables.configuration.subscribe();
+    changes.mark_changed();
+    while changes.changed().await.is_ok() {
+        tables.rebuild(shell.control.clock.now());
+        listeners.follow(&tables.configuration).await;
+        let local = LocalState {
+            state: State::Ready,
+            load: 0,
+            slots: 0,
+            versions: tables.configuration.versions(),
+        };
+        if events.send(Event::Local(local)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,28 @@
+//! The process's monotonic clock in the units of the decision crates.
+
+use monsoon_model::Instant;
+
+/// Clock that starts when the process does.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: std::time::Instant,
+}
+
+impl Clock {
+    /// Starts the clock.
+    pub fn start() -> Self {
+        Self { start: std::time::Instant::now() }
+    }
+
+    /// The present.
+    pub fn now(&self) -> Instant {
+        let micros = self.start.elapsed().as_micros();
+        Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// The `tokio` instant that corresponds to `at`.
+    pub fn deadline(&self, at: Instant) -> tokio::time::Instant {
+        let offset = std::time::Duration::from_micros(at.as_micros());
+        tokio::time::Instant::from_std(self.start + offset)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,147 @@
+//! Control socket: runs the membership state machine of this process.
+//!
+//! The loop owns the socket and the timer. The node itself sits behind a lock, because routing and
+//! request handling read its tables; it is changed from this loop alone.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+use monsoon_membership::{Action, Event, Member, Message};
+use monsoon_model::Instant;
+use monsoon_wire::{Keyring, control};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+use crate::configuration::Configuration;
+use crate::counters::Counters;
+use crate::peer::Peers;
+
+/// Largest control datagram read, in bytes.
+const MAX_DATAGRAM: usize = 2_048;
+
+/// What the control loop works with.
+#[derive(Clone, Debug)]
+pub struct Control {
+    /// Control socket.
+    pub socket: Arc<UdpSocket>,
+    /// Shared keys.
+    pub keys: Arc<Keyring>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Configuration in force.
+    pub configuration: Configuration,
+    /// Calls to other processes.
+    pub peers: Peers,
+    /// Event counters.
+    pub counters: Arc<Counters>,
+}
+
+/// News for the rest of the process.
+#[derive(Debug)]
+pub enum News {
+    /// The set or the weights of live members changed.
+    Changed,
+    /// A member was declared dead.
+    Died(Member),
+}
+
+/// The functions of a membership node that the loop calls.
+pub struct Machine<N> {
+    /// Handles an event.
+    pub handle: fn(&mut N, Instant, Event) -> Vec<Action>,
+    /// Time of the next tick.
+    pub next_tick: fn(&N) -> Instant,
+}
+
+impl Control {
+    /// Runs `node` until it left or `events` is closed. `news` is called without the node's lock.
+    pub async fn run<N>(
+        self,
+        node: Arc<Mutex<N>>,
+        machine: Machine<N>,
+        mut events: mpsc::Receiver<Event>,
+        mut news: impl FnMut(News),
+    ) {
+        let fetching = Arc::new(AtomicBool::new(false));
+        let mut buffer = [0; MAX_DATAGRAM];
+        loop {
+            let next = (machine.next_tick)(&node.lock().expect("no panic while the lock is held"));
+            let event = tokio::select! {
+                () = tokio::time::sleep_until(self.clock.deadline(next)) => Event::Tick,
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((len, from)) => match self.open(&buffer[..len], from) {
+                        Some(event) => event,
+                        None => continue,
+                    },
+                    // A peer's port is closed; ICMP reports it on the next receive.
+                    Err(_) => continue,
+                },
+                event = events.recv() => match event {
+                    Some(event) => event,
+                    None => return,
+                },
+            };
+            let leaving = matches!(event, Event::Leave);
+            let now = self.clock.now();
+            let actions = {
+                let mut node = node.lock().expect("no panic while the lock is held");
+                (machine.handle)(&mut node, now, event)
+            };
+            for action in actions {
+                self.apply(action, &fetching, &mut news).await;
+            }
+            if leaving {
+                return;
+            }
+        }
+    }
+
+    fn open(&self, datagram: &[u8], from: SocketAddr) -> Option<Event> {
+        let Ok(message) = control::open::<Message>(&self.keys, datagram) else {
+            self.counters.count("control_unverified");
+            return None;
+        };
+        Some(Event::Message { from, message })
+    }
+
+    async fn apply(&self, action: Action, fetching: &Arc<AtomicBool>, news: &mut impl FnMut(News)) {
+        match action {
+            Action::Send { to, message } => match control::seal(&self.keys, &message) {
+                Ok(datagram) => {
+                    if self.socket.send_to(&datagram, to).await.is_err() {
+                        self.counters.count("control_not_sent");
+                    }
+                }
+                Err(error) => log::error!("membership: message cannot be sealed: {error}"),
+            },
+            Action::Changed => news(News::Changed),
+            Action::Died(member) => {
+                log::warn!("membership: {} at {} is dead", member.id, member.control);
+                news(News::Died(member));
+            }
+            Action::Newer { peer, versions } => self.fetch(peer, versions, fetching),
+        }
+    }
+
+    /// Fetches a newer configuration, one call at a time; the next message repeats the news.
+    fn fetch(
+        &self,
+        peer: SocketAddr,
+        versions: monsoon_model::Versions,
+        fetching: &Arc<AtomicBool>,
+    ) {
+        if !versions.is_ahead_of(self.configuration.versions())
+            || fetching.swap(true, Ordering::Relaxed)
+        {
+            return;
+        }
+        let (configuration, peers) = (self.configuration.clone(), self.peers.clone());
+        let fetching = fetching.clone();
+        tokio::spawn(async move {
+            configuration.fetch(&peers, peer).await;
+            fetching.store(false, Ordering::Relaxed);
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/logs.rs
@@ -0,0 +1,14 @@
+//! Log output on standard error, as plain text or JSON lines.
+
+use logforth::layout::{JsonLayout, PlainTextLayout};
+
+/// Starts logging. `RUST_LOG` selects the levels; without it `info` and above are written.
+pub fn init(json: bool) {
+    let filter = logforth::filter::rustlog::RustLogFilterBuilder::from_default_env_or("info").build();
+    let builder = logforth::starter_log::stderr().filter(filter);
+    if json {
+        builder.layout(JsonLayout::default()).apply();
+    } else {
+        builder.layout(PlainTextLayout::default()).apply();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/message.rs
@@ -0,0 +1,98 @@
+//! Messages of the peer service.
+
+use bytes::Bytes;
+use monsoon_model::{ServiceId, Version, Versions};
+use serde::{Deserialize, Serialize};
+
+/// Head of a request that is to run at another target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ExecuteHead {
+    /// Service that the caller addressed.
+    pub service: ServiceId,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Header names and values that go to the target.
+    pub headers: Vec<(String, Bytes)>,
+    /// Time left until the caller's deadline, in milliseconds; `None` for streams.
+    pub deadline_ms: Option<u64>,
+}
+
+/// Frame of a request on its way to another target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum RequestFrame {
+    /// First frame.
+    Head(ExecuteHead),
+    /// Part of the body.
+    Data(Bytes),
+    /// End of the body.
+    End,
+}
+
+/// Status and headers of a target's response.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ResponseHead {
+    /// HTTP status code.
+    pub status: u16,
+    /// Header names and values.
+    pub headers: Vec<(String, Bytes)>,
+}
+
+/// Frame of a response on its way back.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ResponseFrame {
+    /// The request was admitted and its body may follow.
+    Admitted,
+    /// The request was not run and will not be.
+    NotRun,
+    /// The request may have run, and its response is lost.
+    Unknown,
+    /// Status and headers of the target's response.
+    Head(ResponseHead),
+    /// Part of the body.
+    Data(Bytes),
+    /// End of a complete body.
+    End,
+}
+
+/// Question to a claim replica.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClaimCall {
+    /// Service that the key belongs to.
+    pub service: ServiceId,
+    /// Message of the claim protocol, encoded by the crate `execution`.
+    pub message: Bytes,
+}
+
+/// Answer of a claim replica.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClaimReply {
+    /// Message of the claim protocol, encoded by the crate `execution`.
+    pub message: Bytes,
+}
+
+/// Request for configuration texts newer than the caller's.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct FetchCall {
+    /// Versions that the caller has in force.
+    pub have: Versions,
+}
+
+/// Text of a configuration object.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ObjectText {
+    /// Version in the store.
+    pub version: Version,
+    /// TOML text.
+    pub text: String,
+}
+
+/// Configuration texts newer than the caller's.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Fetched {
+    /// Newer document, if there is one.
+    pub document: Option<ObjectText>,
+    /// Newer set of data centres taken out, if there is one.
+    pub places: Option<ObjectText>,
+}
--- /dev/null
+++ b/crates/daemon/src/peer/mod.rs
@@ -0,0 +1,18 @@
+//! Calls between our own processes over `tonic`.
+//!
+//! The service has three methods: `Execute` runs a request at another target of the same service,
+//! `Claim` asks a claim replica about an idempotency key, `Fetch` reads configuration texts. Both
+//! sides authenticate with certificates of the cluster's own authority. Messages are encoded with
+//! `postcard`, so no generated protocol code is needed.
+
+mod client;
+mod codec;
+mod message;
+mod server;
+
+pub use client::Peers;
+pub use message::{
+    ClaimCall, ClaimReply, ExecuteHead, Fetched, FetchCall, ObjectText, RequestFrame,
+    ResponseFrame, ResponseHead,
+};
+pub use server::{Handlers, ResponseFrames, serve};
--- /dev/null
+++ b/crates/daemon/src/tls.rs
@@ -0,0 +1,129 @@
+//! Certificates: one identity for callers and peers, one authority for peers.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use tonic::transport::{Certificate, ClientTlsConfig, Identity, ServerTlsConfig};
+
+use crate::settings::TlsFiles;
+
+/// Name in every certificate of the cluster, which peers check.
+const PEER_NAME: &str = "peer";
+
+/// A certificate file cannot be used.
+#[derive(Debug, Display, Error)]
+pub enum TlsError {
+    /// The file cannot be read.
+    #[display("cannot read {}: {source}; check the path in [tls] and its permissions", path.display())]
+    Read {
+        /// File named in the settings.
+        path: PathBuf,
+        /// Error of the file system.
+        source: std::io::Error,
+    },
+    /// The file holds no usable PEM block.
+    #[display("{} holds no {expected}; write one PEM block into it", path.display())]
+    Empty {
+        /// File named in the settings.
+        path: PathBuf,
+        /// What the file must hold.
+        expected: &'static str,
+    },
+    /// Certificate and key do not fit together or cannot be used.
+    #[display("certificate and key cannot be used together: {source}; create both anew")]
+    Mismatch {
+        /// Error of the TLS library.
+        source: rustls::Error,
+    },
+}
+
+/// Loaded certificates.
+#[derive(Clone)]
+pub struct Tls {
+    chain: Vec<CertificateDer<'static>>,
+    key: Arc<PrivateKeyDer<'static>>,
+    identity: Identity,
+    authority: Certificate,
+}
+
+impl fmt::Debug for Tls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Tls").field("chain", &self.chain.len()).finish_non_exhaustive()
+    }
+}
+
+impl TryFrom<&TlsFiles> for Tls {
+    type Error = TlsError;
+
+    fn try_from(files: &TlsFiles) -> Result<Self, TlsError> {
+        let certificate = read(&files.certificate)?;
+        let key_pem = read(&files.key)?;
+        let authority = read(&files.authority)?;
+        let chain: Vec<_> = CertificateDer::pem_slice_iter(&certificate).flatten().collect();
+        if chain.is_empty() {
+            return Err(empty(&files.certificate, "certificate"));
+        }
+        if CertificateDer::pem_slice_iter(&authority).flatten().next().is_none() {
+            return Err(empty(&files.authority, "certificate of the authority"));
+        }
+        let key = PrivateKeyDer::from_pem_slice(&key_pem)
+            .map_err(|_ignored| empty(&files.key, "private key"))?;
+        let tls = Self {
+            chain,
+            key: Arc::new(key),
+            identity: Identity::from_pem(certificate, key_pem),
+            authority: Certificate::from_pem(authority),
+        };
+        tls.caller_server()?;
+        Ok(tls)
+    }
+}
+
+impl Tls {
+    /// TLS settings towards callers: HTTP/3 only, no early data.
+    ///
+    /// # Errors
+    /// Returns [`TlsError::Mismatch`] when key and certificate do not fit.
+    pub fn caller_server(&self) -> Result<rustls::ServerConfig, TlsError> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut config = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .and_then(|builder| {
+                builder
+                    .with_no_client_auth()
+                    .with_single_cert(self.chain.clone(), self.key.clone_key())
+            })
+            .map_err(|source| TlsError::Mismatch { source })?;
+        config.alpn_protocols = vec![b"h3".to_vec()];
+        // Early data can be replayed, which would run a request twice.
+        config.max_early_data_size = 0;
+        Ok(config)
+    }
+
+    /// TLS settings of the peer server: a certificate of the authority is required.
+    pub fn peer_server(&self) -> ServerTlsConfig {
+        ServerTlsConfig::new()
+            .identity(self.identity.clone())
+            .client_ca_root(self.authority.clone())
+    }
+
+    /// TLS settings of a call to a peer.
+    pub fn peer_client(&self) -> ClientTlsConfig {
+        ClientTlsConfig::new()
+            .domain_name(PEER_NAME)
+            .ca_certificate(self.authority.clone())
+            .identity(self.identity.clone())
+    }
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, TlsError> {
+    std::fs::read(path).map_err(|source| TlsError::Read { path: path.to_owned(), source })
+}
+
+fn empty(path: &Path, expected: &'static str) -> TlsError {
+    TlsError::Empty { path: path.to_owned(), expected }
+}
