Add authenticated formats and connection IDs

Balancers and agents need to route a packet of an established flow without a flow table, and must not act on datagrams that others forged.

The tag of an envelope also covers the version and length bytes in front of the header.

--- /dev/null
+++ b/crates/wire/src/cid.rs
@@ -0,0 +1,98 @@
+//! Connection IDs that name the agent of a flow.
+//!
+//! Layout: key phase (1 byte), then one AES-128 block of IPv4 address 4, port 2, service number 2,
+//! data centre number 1, nonce 3 and check 4. The check is zero before encryption. Changing any
+//! bit of the block changes all of the decrypted block, so a forged ID passes the check once in
+//! 2^32 attempts, and it must also name the right service to be forwarded.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use aes::cipher::{BlockDecrypt, BlockEncrypt, generic_array::GenericArray};
+use monsoon_model::{DataCentreId, ServiceId};
+use subtle::ConstantTimeEq;
+
+use crate::Keyring;
+
+/// Bytes of a connection ID.
+pub const CID_LEN: usize = 17;
+
+/// Bits of [`ConnectionId::nonce`] that are carried.
+pub const NONCE_MASK: u32 = 0x00ff_ffff;
+
+const BLOCK: usize = 16;
+const CHECK: [u8; 4] = [0; 4];
+
+/// Content of a connection ID.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ConnectionId {
+    /// Address of the agent's encapsulation socket.
+    pub agent: SocketAddrV4,
+    /// Service of the flow.
+    pub service: ServiceId,
+    /// Data centre of the agent.
+    pub data_centre: DataCentreId,
+    /// Distinguishes the IDs of one agent; only the low 24 bits are carried.
+    ///
+    /// An agent counts up from a random start, so that IDs do not repeat while a flow of an earlier
+    /// process at the same address may still send.
+    pub nonce: u32,
+}
+
+impl ConnectionId {
+    /// Encrypts the fields under the current key.
+    pub fn seal(&self, keys: &Keyring) -> [u8; CID_LEN] {
+        let keys = keys.current();
+        let mut block = GenericArray::from(self.to_block());
+        keys.cid.encrypt_block(&mut block);
+        let mut out = [keys.phase; CID_LEN];
+        out[1..].copy_from_slice(&block);
+        out
+    }
+
+    /// Decrypts an ID; `None` unless it was sealed under one of the loaded keys.
+    pub fn open(bytes: &[u8], keys: &Keyring) -> Option<Self> {
+        let bytes: &[u8; CID_LEN] = bytes.try_into().ok()?;
+        let keys = keys.of_phase(bytes[0])?;
+        let mut block = GenericArray::clone_from_slice(&bytes[1..]);
+        keys.cid.decrypt_block(&mut block);
+        Self::from_block(&block.into())
+    }
+
+    fn to_block(self) -> [u8; BLOCK] {
+        let mut block = [0; BLOCK];
+        block[..4].copy_from_slice(&self.agent.ip().octets());
+        block[4..6].copy_from_slice(&self.agent.port().to_be_bytes());
+        block[6..8].copy_from_slice(&self.service.0.to_be_bytes());
+        block[8] = self.data_centre.0;
+        block[9..12].copy_from_slice(&self.nonce.to_be_bytes()[1..]);
+        block[12..].copy_from_slice(&CHECK);
+        block
+    }
+
+    fn from_block(block: &[u8; BLOCK]) -> Option<Self> {
+        let [
+            a,
+            b,
+            c,
+            d,
+            p0,
+            p1,
+            s0,
+            s1,
+            data_centre,
+            n0,
+            n1,
+            n2,
+            check @ ..,
+        ] = *block;
+        if !bool::from(check.ct_eq(&CHECK)) {
+            return None;
+        }
+        Some(Self {
+            agent: SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), u16::from_be_bytes([p0, p1])),
+            service: ServiceId(u16::from_be_bytes([s0, s1])),
+            data_centre: DataCentreId(data_centre),
+            nonce: u32::from_be_bytes([0, n0, n1, n2]),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/keys.rs
@@ -0,0 +1,185 @@
+//! Secrets and the keys derived from them.
+//!
+//! A key file holds the secret of the current phase and optionally that of the phase before it.
+//! Both phases verify, only the current one signs. Each use has its own key, derived from the
+//! phase's secret, so that a value made for one use never verifies in another.
+//!
+//! A process that holds only the older phase rejects what the newer one signs. A rotation is
+//! therefore complete only when every instance has loaded the new file, and instances with
+//! different current phases cannot exchange datagrams in both directions until then.
+//!
+//! An agent keeps one keyring for the lifetime of its QUIC endpoint, because the endpoint derives
+//! all reset tokens from the one key it was built with. Connection IDs and tokens of an agent then
+//! belong to the same phase, and [`crate::stateless_reset`] finds the matching key from the phase
+//! byte of the ID. An endpoint that replaces its keyring while it runs would issue new IDs with
+//! tokens of the older phase; resets for these are not recognised and the caller waits for its
+//! idle timeout. An agent restarted under a newer phase can't have flows with IDs of the older
+//! one, so it answers such packets with [`crate::stateless_reset`] and doesn't give them to its
+//! endpoint, whose own resets would carry tokens of the newer phase.
+
+use std::fmt;
+
+use aes::Aes128;
+use aes::cipher::{KeyInit, generic_array::GenericArray};
+use derive_more::{Display, Error};
+use ring::hmac;
+use serde::Deserialize;
+
+/// Number of key phases; phases count modulo this number.
+pub const PHASES: u8 = 8;
+
+/// Bytes of a secret.
+const SECRET_LEN: usize = 32;
+
+/// Key file as written by the operators.
+#[derive(Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawKeys {
+    /// Phase of the current secret, 0 to 7.
+    pub phase: u8,
+    /// Secret that signs and verifies, 64 hex digits.
+    pub current: String,
+    /// Secret of the phase before, which only verifies, 64 hex digits.
+    #[serde(default)]
+    pub previous: Option<String>,
+}
+
+impl fmt::Debug for RawKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RawKeys")
+            .field("phase", &self.phase)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Fault in a key file.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum KeysError {
+    /// The phase is out of range.
+    #[display("key phase {found} is out of range; use 0 to 7")]
+    Phase {
+        /// Phase in the file.
+        found: u8,
+    },
+    /// The current secret is not a 32-byte hex string.
+    #[display("secret `current` is invalid; use 64 hex digits")]
+    Current,
+    /// The previous secret is not a 32-byte hex string.
+    #[display("secret `previous` is invalid; use 64 hex digits or leave it out")]
+    Previous,
+    /// Both secrets are the same.
+    #[display("secrets `current` and `previous` are equal; generate a new `current`")]
+    Equal,
+}
+
+/// Keys of one phase.
+pub(crate) struct PhaseKeys {
+    pub(crate) phase: u8,
+    pub(crate) cid: Aes128,
+    pub(crate) envelope: hmac::Key,
+    pub(crate) control: hmac::Key,
+    pub(crate) flow: hmac::Key,
+    pub(crate) reset: hmac::Key,
+}
+
+impl PhaseKeys {
+    /// Derives the keys with HMAC-SHA256 as the pseudorandom function; the secret has full length,
+    /// so no extraction step is needed.
+    fn derive(phase: u8, secret: &[u8; SECRET_LEN]) -> Self {
+        let root = hmac::Key::new(hmac::HMAC_SHA256, secret);
+        let derive = |label: &str| hmac::sign(&root, label.as_bytes());
+        let signing = |label| hmac::Key::new(hmac::HMAC_SHA256, derive(label).as_ref());
+        let block = derive("monsoonrouter connection id");
+        Self {
+            phase,
+            cid: Aes128::new(GenericArray::from_slice(&block.as_ref()[..16])),
+            envelope: signing("monsoonrouter envelope"),
+            control: signing("monsoonrouter control"),
+            flow: signing("monsoonrouter flow key"),
+            reset: signing("monsoonrouter stateless reset"),
+        }
+    }
+}
+
+/// Keys of the current phase and of the phase before it.
+pub struct Keyring {
+    current: PhaseKeys,
+    previous: Option<PhaseKeys>,
+}
+
+impl Keyring {
+    /// Key for the stateless reset tokens of the endpoint that issues connection IDs of the
+    /// current phase.
+    pub fn reset_key(&self) -> &hmac::Key {
+        &self.current.reset
+    }
+
+    /// Phase that signs.
+    pub fn phase(&self) -> u8 {
+        self.current.phase
+    }
+
+    pub(crate) fn current(&self) -> &PhaseKeys {
+        &self.current
+    }
+
+    /// Keys of `phase`, if loaded.
+    pub(crate) fn of_phase(&self, phase: u8) -> Option<&PhaseKeys> {
+        if phase == self.current.phase {
+            return Some(&self.current);
+        }
+        self.previous.as_ref().filter(|keys| keys.phase == phase)
+    }
+}
+
+impl fmt::Debug for Keyring {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Keyring")
+            .field("phase", &self.current.phase)
+            .field("previous", &self.previous.as_ref().map(|keys| keys.phase))
+            .finish_non_exhaustive()
+    }
+}
+
+impl TryFrom<RawKeys> for Keyring {
+    type Error = KeysError;
+
+    fn try_from(raw: RawKeys) -> Result<Self, KeysError> {
+        if raw.phase >= PHASES {
+            return Err(KeysError::Phase { found: raw.phase });
+        }
+        let current = secret(&raw.current).ok_or(KeysError::Current)?;
+        let previous = match &raw.previous {
+            Some(text) => Some(secret(text).ok_or(KeysError::Previous)?),
+            None => None,
+        };
+        if previous == Some(current) {
+            return Err(KeysError::Equal);
+        }
+        let before = (raw.phase + PHASES - 1) % PHASES;
+        Ok(Self {
+            current: PhaseKeys::derive(raw.phase, &current),
+            previous: previous.map(|secret| PhaseKeys::derive(before, &secret)),
+        })
+    }
+}
+
+/// Decodes 64 hex digits.
+fn secret(text: &str) -> Option<[u8; SECRET_LEN]> {
+    let (pairs, rest) = text.as_bytes().as_chunks::<2>();
+    if pairs.len() != SECRET_LEN || !rest.is_empty() {
+        return None;
+    }
+    let mut out = [0; SECRET_LEN];
+    for (byte, pair) in out.iter_mut().zip(pairs) {
+        *byte = digit(pair[0])? << 4 | digit(pair[1])?;
+    }
+    Some(out)
+}
+
+fn digit(byte: u8) -> Option<u8> {
+    char::from(byte)
+        .to_digit(16)
+        .and_then(|value| u8::try_from(value).ok())
+}
--- /dev/null
+++ b/crates/wire/tests/common/mod.rs
@@ -0,0 +1,121 @@
+//! Seeded generator and key files shared by the tests.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, SocketAddrV4};
+
+use monsoon_model::hash::mix;
+use monsoon_model::{Chain, DataCentreId, Hop, ServiceId};
+use monsoon_wire::{ConnectionId, Direction, Envelope, Keyring, RawKeys};
+
+/// Secret of a phase; the same for every keyring that holds the phase.
+fn secret(phase: u8) -> String {
+    format!("{:02x}", 0xa0 + phase).repeat(32)
+}
+
+/// Keyring of `phase`, with the phase before it if `previous`.
+pub fn keys(phase: u8, previous: bool) -> Keyring {
+    let previous = previous.then(|| secret((phase + 7) % 8));
+    Keyring::try_from(RawKeys {
+        phase,
+        current: secret(phase),
+        previous,
+    })
+    .expect("valid keys")
+}
+
+pub fn hex(bytes: &[u8]) -> String {
+    bytes
+        .iter()
+        .fold(String::new(), |text, byte| text + &format!("{byte:02x}"))
+}
+
+/// Deterministic generator.
+pub struct Rng(pub u64);
+
+impl Rng {
+    pub fn next(&mut self) -> u64 {
+        self.0 += 1;
+        mix(self.0, 0x7769_7265)
+    }
+
+    pub fn below(&mut self, bound: usize) -> usize {
+        (self.next() % bound as u64) as usize
+    }
+
+    pub fn bytes(&mut self, length: usize) -> Vec<u8> {
+        (0..length).map(|_| self.next() as u8).collect()
+    }
+
+    pub fn agent(&mut self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(self.next() as u32), self.next() as u16)
+    }
+
+    fn socket(&mut self) -> SocketAddr {
+        let port = self.next() as u16;
+        if self.below(2) == 0 {
+            return (Ipv4Addr::from(self.next() as u32), port).into();
+        }
+        (
+            Ipv6Addr::from(u128::from(self.next()) << 64 | u128::from(self.next())),
+            port,
+        )
+            .into()
+    }
+
+    pub fn cid(&mut self) -> ConnectionId {
+        let (service, data_centre) = (
+            ServiceId(self.next() as u16),
+            DataCentreId(self.next() as u8),
+        );
+        let nonce = self.next() as u32 & monsoon_wire::NONCE_MASK;
+        ConnectionId {
+            agent: self.agent(),
+            service,
+            data_centre,
+            nonce,
+        }
+    }
+
+    pub fn envelope(&mut self) -> Envelope {
+        let mut chain = Chain::default();
+        for _ in 0..self.below(5) {
+            let hop = Hop {
+                agent: self.agent(),
+                known_only: self.below(2) == 0,
+            };
+            chain.push(hop).expect("at most 4 hops");
+        }
+        let hop = self.below(chain.len().max(1)) as u8;
+        let direction = [Direction::Forward, Direction::Reply][self.below(2)];
+        let (caller, address, key) = (self.socket(), self.socket(), self.next());
+        let service = ServiceId(self.next() as u16);
+        Envelope {
+            direction,
+            service,
+            caller,
+            address,
+            key,
+            chain,
+            hop,
+        }
+    }
+
+    /// Changes one to three bytes, cuts or extends the datagram.
+    pub fn mutate(&mut self, datagram: &[u8]) -> Vec<u8> {
+        let mut out = datagram.to_vec();
+        match self.below(4) {
+            0 => out.truncate(self.below(datagram.len())),
+            1 => {
+                let extra = 1 + self.below(40);
+                out.extend(self.bytes(extra));
+            }
+            _ => {
+                for _ in 0..=self.below(3) {
+                    let at = self.below(out.len());
+                    out[at] ^= 1 + self.below(255) as u8;
+                }
+            }
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/formats.rs
@@ -0,0 +1,179 @@
+//! Connection IDs, envelopes, control datagrams and key files.
+
+mod common;
+
+use common::{Rng, hex, keys};
+use monsoon_model::{Chain, Hop};
+use monsoon_wire::{ConnectionId, Envelope, Keyring, KeysError, RawKeys, WireError};
+use monsoon_wire::{MAX_HEADER, control};
+
+/// Guards against a layout change that running instances would reject.
+#[test]
+fn encodings_are_stable() {
+    let keys = keys(3, false);
+    let mut rng = Rng(1);
+    let cid = rng.cid();
+    let envelope = rng.envelope();
+    let message = control::seal(&keys, &(7u32, "abc")).expect("fits");
+    insta::assert_snapshot!(format!(
+        "{cid:?}\n{}\n\n{envelope:?}\n{}\n\n{}",
+        hex(&cid.seal(&keys)),
+        hex(&envelope.seal(&keys, b"packet")),
+        hex(&message),
+    ));
+}
+
+/// Guards against fields lost in encoding and against keys of a rotation that don't verify.
+#[test]
+fn values_round_trip_under_both_phases() {
+    let mut rng = Rng(2);
+    for round in (0..8).cycle().take(2_000) {
+        let (old, new) = (keys(round % 8, false), keys((round + 1) % 8, true));
+        let cid = rng.cid();
+        let envelope = rng.envelope();
+        let length = rng.below(1_300);
+        let payload = rng.bytes(length);
+        for signer in [&old, &new] {
+            assert_eq!(ConnectionId::open(&cid.seal(signer), &new), Some(cid));
+            let datagram = envelope.seal(signer, &payload);
+            assert_eq!(
+                Envelope::open(&new, &datagram),
+                Ok((envelope.clone(), &payload[..]))
+            );
+            let datagram = control::seal(signer, &cid.nonce).expect("fits");
+            assert_eq!(control::open(&new, &datagram), Ok(cid.nonce));
+        }
+        let newer = envelope.seal(&new, &payload);
+        let phase = new.phase();
+        assert_eq!(
+            Envelope::open(&old, &newer),
+            Err(WireError::Phase { found: phase })
+        );
+        assert_eq!(ConnectionId::open(&cid.seal(&new), &old), None);
+    }
+}
+
+/// Guards against a check that misses some bit or position.
+#[test]
+fn any_flipped_bit_is_rejected() {
+    let keys = keys(0, true);
+    let mut rng = Rng(3);
+    for _ in 0..20 {
+        let cid = rng.cid().seal(&keys);
+        let envelope = rng.envelope().seal(&keys, &[]);
+        let message = control::seal(&keys, &rng.next()).expect("fits");
+        for bit in 0..8 * envelope.len().max(message.len()) {
+            let flip = |bytes: &[u8]| -> Vec<u8> {
+                let mut bytes = bytes.to_vec();
+                let at = bit / 8 % bytes.len();
+                bytes[at] ^= 1 << (bit % 8);
+                bytes
+            };
+            assert_eq!(ConnectionId::open(&flip(&cid), &keys), None, "bit {bit}");
+            assert!(
+                Envelope::open(&keys, &flip(&envelope)).is_err(),
+                "bit {bit}"
+            );
+            assert!(
+                control::open::<u64>(&keys, &flip(&message)).is_err(),
+                "bit {bit}"
+            );
+        }
+    }
+}
+
+/// Guards against a datagram of one format being accepted as another.
+#[test]
+fn formats_use_separate_keys() {
+    let keys = keys(0, false);
+    let envelope = Rng(4).envelope().seal(&keys, &[]);
+    // The tag of an envelope covers the same bytes as that of a control message whose body starts
+    // with the header length, so only the keys tell them apart.
+    let control = [
+        &envelope[..1],
+        &envelope[2..18],
+        &envelope[1..2],
+        &envelope[18..],
+    ]
+    .concat();
+    assert_eq!(
+        control::open::<(u8, u8)>(&keys, &control),
+        Err(WireError::Tag)
+    );
+}
+
+/// Guards against a header bound that is too small, and against messages past the datagram size.
+#[test]
+fn sizes_are_bounded() {
+    let keys = keys(0, false);
+    let mut rng = Rng(5);
+    let mut largest = rng.envelope();
+    (largest.service.0, largest.key, largest.hop) = (u16::MAX, u64::MAX, 3);
+    largest.caller = "[ffff::ffff]:65535".parse().expect("address");
+    largest.address = largest.caller;
+    let agent = "255.255.255.255:65535".parse().expect("address");
+    largest.chain = Chain::default();
+    while largest
+        .chain
+        .push(Hop {
+            agent,
+            known_only: true,
+        })
+        .is_ok()
+    {}
+    assert_eq!(largest.seal(&keys, &[]).len(), 18 + MAX_HEADER);
+    let fits = rng.bytes(control::MAX_MESSAGE - 2);
+    let datagram = control::seal(&keys, &fits).expect("fits");
+    assert_eq!(datagram.len(), control::MAX_DATAGRAM);
+    assert_eq!(control::open(&keys, &datagram), Ok(fits));
+    let long = control::seal(&keys, &rng.bytes(control::MAX_MESSAGE - 1));
+    assert_eq!(
+        long,
+        Err(WireError::TooLong {
+            limit: control::MAX_MESSAGE
+        })
+    );
+}
+
+/// Guards against a key file with a typing error that would be accepted.
+#[test]
+fn faulty_key_files_are_rejected() {
+    let (good, other) = ("0f".repeat(32), "F0".repeat(32));
+    let load = |phase, current: &str, previous: Option<&str>| {
+        let (current, previous) = (current.to_owned(), previous.map(str::to_owned));
+        Keyring::try_from(RawKeys {
+            phase,
+            current,
+            previous,
+        })
+        .map(|_| ())
+    };
+    assert_eq!(load(7, &good, Some(&other)), Ok(()));
+    assert_eq!(load(8, &good, None), Err(KeysError::Phase { found: 8 }));
+    for bad in [
+        &good[1..],
+        &good.replace('f', "g"),
+        &format!("{good}00"),
+        "",
+        &"é".repeat(32),
+    ] {
+        assert_eq!(load(0, bad, None), Err(KeysError::Current), "{bad}");
+        assert_eq!(load(0, &good, Some(bad)), Err(KeysError::Previous), "{bad}");
+    }
+    assert_eq!(
+        load(0, &good, Some(&good.to_uppercase())),
+        Err(KeysError::Equal)
+    );
+}
+
+/// Guards against secrets in logs.
+#[test]
+fn debug_output_holds_no_secret() {
+    let raw = RawKeys {
+        phase: 2,
+        current: "ab".repeat(32),
+        previous: None,
+    };
+    let text = format!("{raw:?} {:?}", Keyring::try_from(raw.clone()));
+    insta::assert_snapshot!(text, @"RawKeys { phase: 2, .. } Ok(Keyring { phase: 2, previous: None, .. })");
+}
