Fix the time of the next tick for hanging requests

next_tick named the latest hanging time of the requests whose class has a baseline, while tick asks whether more than half of all requests hang. With classes without a baseline the named time could pass without effect, and a driver would tick again at once without end.

Both now use the time from which more than half of the requests hang.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -1,23 +1,19 @@
 //! The work of one target.
 
-use monsoon_model::{ClassKey, Duration, Instant};
+mod dispatch;
+
+use monsoon_model::{ClassKey, Instant};
 
 use crate::estimate::{Estimates, Learn};
-use crate::flight::{Flight, Running};
+use crate::flight::{Flight, HANGING, Running};
 use crate::limit::{Limiter, Phase, Sample};
 use crate::pacer::Pacer;
-use crate::queue::{QUEUE_PER_SLOT, Queued, Queues};
+use crate::queue::{Queued, Queues};
 use crate::streams::Streams;
 use crate::types::{
     Action, HealthReport, Limits, Load, Outcome, ReportedState, ShedReason, TargetState, WorkId,
 };
 
-/// Age over baseline above which a request in flight counts as hanging.
-const HANGING: f64 = 8.0;
-
-/// Smallest age of a hanging request. Short baselines would else take scheduling delays for one.
-const HANGING_MIN: Duration = Duration::from_millis(50);
-
 /// Least share of the slots that a cold target is given, so that pauses stay finite.
 const COLD_SHARE_MIN: f64 = 0.001;
 
@@ -115,11 +111,7 @@
 
     /// Advances time: sheds expired work, ends pauses, notices hanging requests.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        let hanging = self
-            .flight
-            .iter()
-            .filter(|r| self.hangs_at(r).is_some_and(|at| at <= now));
-        if hanging.count() * 2 > self.flight.len() {
+        if self.hanging_at().is_some_and(|at| at <= now) {
             self.limiter.suspect(now);
         }
         self.advance(now)
@@ -129,9 +121,7 @@
     pub fn next_tick(&self) -> Option<Instant> {
         let expiry = self.queues.earliest();
         let resume = (self.paused && self.queues.len() > 0).then(|| self.pacer.resume());
-        let hanging = self.flight.iter().filter_map(|r| self.hangs_at(&r)).max();
-        let watched = matches!(self.limiter.phase(), Phase::Ready | Phase::Warming);
-        [expiry, resume, hanging.filter(|_| watched)]
+        [expiry, resume, self.hanging_at()]
             .into_iter()
             .flatten()
             .min()
@@ -178,111 +168,6 @@
         self.leaving || self.draining
     }
 
-    /// Reason to refuse a new request at once, if any.
-    fn refusal(&self, now: Instant, class: usize, deadline: Option<Instant>) -> Option<ShedReason> {
-        if self.queues.class_len(class) >= self.queue_bound() {
-            let cold = self.limiter.is_cold();
-            return Some(if cold {
-                ShedReason::Cold
-            } else {
-                ShedReason::QueueFull
-            });
-        }
-        let idle = self.flight.len() == 0 && self.queues.len() == 0;
-        let wait = if idle {
-            self.pacer.pause(now, self.limiter.limit())
-        } else {
-            self.wait(now, class)
-        };
-        let service = if idle {
-            Duration::ZERO
-        } else {
-            self.estimates.service(class)
-        };
-        let late = deadline.is_some_and(|d| now + wait + service >= d);
-        late.then_some(ShedReason::Deadline)
-    }
-
-    /// Estimated wait of a new request of `class`.
-    fn wait(&self, now: Instant, class: usize) -> Duration {
-        let ahead = self.queues.work_ahead(class, |c| self.estimates.mean(c));
-        let limit = self.limiter.limit();
-        let queued = Duration::from_micros((ahead / limit) as u64);
-        self.pacer.pause(now, limit) + queued
-    }
-
-    /// Queued requests per class under the present limit.
-    fn queue_bound(&self) -> usize {
-        (QUEUE_PER_SLOT as f64 * self.limiter.limit()).ceil() as usize
-    }
-
-    /// Sheds what can no longer run and starts what may start.
-    fn advance(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        self.shed(now, &mut actions);
-        while self.has_room(now) {
-            let Some(work) = self.queues.pop() else {
-                break;
-            };
-            actions.push(self.start(now, work));
-        }
-        self.paused = self.pacer.pause(now, self.limiter.limit()) > Duration::ZERO;
-        actions
-    }
-
-    fn shed(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let (removed, reason) = if self.is_leaving() {
-            (self.queues.truncate(0), ShedReason::Leaving)
-        } else {
-            let cold = self.limiter.is_cold();
-            let reason = if cold {
-                ShedReason::Cold
-            } else {
-                ShedReason::QueueFull
-            };
-            (self.queues.truncate(self.queue_bound()), reason)
-        };
-        actions.extend(removed.iter().map(|w| Action::Shed(w.id, reason)));
-        let expired = self.queues.retain(|w| w.deadline.is_none_or(|d| d > now));
-        actions.extend(
-            expired
-                .iter()
-                .map(|w| Action::Shed(w.id, ShedReason::Deadline)),
-        );
-    }
-
-    /// Starts a request whose turn it is, or sheds it when its deadline cannot be met.
-    fn start(&mut self, now: Instant, work: Queued) -> Action {
-        let service = self.estimates.service(work.class);
-        let late = work.deadline.is_some_and(|d| now + service >= d);
-        // An idle target takes the request all the same: the estimate may be out of date, and only
-        // a completion can correct it.
-        if late && self.flight.len() > 0 {
-            self.queues.refund(work.class);
-            return Action::Shed(work.id, ShedReason::Deadline);
-        }
-        self.flight.insert(
-            work.id,
-            Running {
-                class: work.class,
-                started: now,
-            },
-        );
-        assert!(
-            self.flight.len() <= self.limits.slots.max(1) as usize,
-            "requests exceed the slots"
-        );
-        Action::Start(work.id)
-    }
-
-    fn has_room(&self, now: Instant) -> bool {
-        let limit = self.limiter.limit();
-        if limit < 1.0 {
-            return self.flight.len() == 0 && self.pacer.pause(now, limit) == Duration::ZERO;
-        }
-        self.flight.len() < limit as usize
-    }
-
     /// Passes the end of a request to the estimates and the limiter.
     fn learn(&mut self, now: Instant, running: Running, outcome: Outcome) {
         let latency = now.since(running.started);
@@ -317,20 +202,9 @@
 
     /// Time from which more than half of the requests in flight hang, if the target is watched.
     fn hanging_at(&self) -> Option<Instant> {
-        if !matches!(self.limiter.phase(), Phase::Ready | Phase::Warming) {
-            return None;
+        match self.limiter.phase() {
+            Phase::Ready | Phase::Warming => self.flight.hanging_at(&self.estimates),
+            Phase::Cold | Phase::Suspect { .. } => None,
         }
-        let mut times: Vec<_> = self
-            .flight
-            .iter()
-            .filter_map(|r| self.hangs_at(&r))
-            .collect();
-        times.sort_unstable();
-        times.get(self.flight.len() / 2).copied()
-    }
-
-    fn hangs_at(&self, running: &Running) -> Option<Instant> {
-        let baseline = self.estimates.baseline(running.class)?;
-        Some(running.started + baseline.mul_f64(HANGING).max(HANGING_MIN))
     }
 }
--- a/crates/admission/src/flight.rs
+++ b/crates/admission/src/flight.rs
@@ -2,10 +2,17 @@
 
 use std::collections::BTreeMap;
 
-use monsoon_model::Instant;
+use monsoon_model::{Duration, Instant};
 
+use crate::estimate::Estimates;
 use crate::types::WorkId;
 
+/// Age over baseline above which a request in flight counts as hanging.
+pub(crate) const HANGING: f64 = 8.0;
+
+/// Smallest age of a hanging request. Short baselines would else take scheduling delays for one.
+const HANGING_MIN: Duration = Duration::from_millis(50);
+
 /// One request in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Running {
@@ -33,7 +40,14 @@
         self.works.remove(&id)
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = Running> + '_ {
-        self.works.values().copied()
+    /// Time from which more than half of the requests hang, if their classes have a baseline.
+    pub(crate) fn hanging_at(&self, estimates: &Estimates) -> Option<Instant> {
+        let hangs = |r: &Running| {
+            let baseline = estimates.baseline(r.class)?;
+            Some(r.started + baseline.mul_f64(HANGING).max(HANGING_MIN))
+        };
+        let mut times: Vec<_> = self.works.values().filter_map(hangs).collect();
+        times.sort_unstable();
+        times.get(self.works.len() / 2).copied()
     }
 }
--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -1,5 +1,7 @@
 //! Concurrency limit of the target and the phase it is in.
 
+mod evidence;
+
 use monsoon_model::{Duration, Instant};
 
 /// Shortest time in the cold phase. A target that just failed is given time before the next
@@ -18,43 +20,9 @@
 /// Age after which a report no longer holds the limit down.
 const REPORT_TTL: Duration = Duration::from_secs(10);
 
-/// Successes that a round needs at least.
-const ROUND_MIN: u32 = 5;
-
-/// Shortest time between two rises, so that the target's caches can follow.
-const ROUND_TIME: Duration = Duration::from_millis(500);
-
-/// Factor of one rise in the warming phase.
-const RISE: f64 = 1.5;
-
-/// Mean latency over baseline up to which a round counts as good.
-const GOOD: f64 = 1.5;
-
-/// Mean latency over baseline above which the limit falls in the ready phase.
-const HIGH: f64 = 2.0;
-
-/// Latency over baseline of a target that is taken for cold.
-const FAR: f64 = 4.0;
-
 /// Largest ratio that one sample contributes, so that one outlier alone changes nothing.
 const SAMPLE_MAX: f64 = 8.0;
 
-/// Factor of one decrease.
-const DECREASE: f64 = 0.8;
-
-/// Completions between two decreases: the effect of the first must be seen before the second.
-const DECREASE_GAP: u32 = 8;
-
-/// Good successes after which a suspected target is taken for warm again.
-const CLEARING: u32 = 2;
-
-/// Time at one steady latency after which a cold target that never regained its old baseline is
-/// taken to have a new speed.
-const PLATEAU: Duration = Duration::from_secs(30);
-
-/// Relative change of a round's latency that ends a plateau.
-const PLATEAU_CHANGE: f64 = 0.25;
-
 /// Phase of the target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Phase {
@@ -199,91 +167,6 @@
         None
     }
 
-    fn cold_success(&mut self, now: Instant, ratio: f64) -> Option<f64> {
-        let mean = self.round(now, ratio, ROUND_MIN, Duration::ZERO)?;
-        if self.holds_cold(now) {
-            return None;
-        }
-        if mean <= GOOD || !self.was_ready {
-            self.limit = self.cold;
-            self.enter(now, Phase::Warming);
-            return None;
-        }
-        match self.plateau {
-            Some((level, since)) if (mean / level - 1.0).abs() <= PLATEAU_CHANGE => {
-                if now.since(since) < PLATEAU {
-                    return None;
-                }
-                self.plateau = None;
-                Some(mean)
-            }
-            _ => {
-                self.plateau = Some((mean, now));
-                None
-            }
-        }
-    }
-
-    fn warming_success(&mut self, now: Instant, ratio: f64) {
-        let need = ROUND_MIN.max((2.0 * self.limit) as u32);
-        let Some(mean) = self.round(now, ratio, need, ROUND_TIME) else {
-            return;
-        };
-        if mean >= FAR {
-            self.fall(now);
-        } else if mean <= GOOD
-            && self
-                .full_report
-                .is_none_or(|at| now.since(at) >= REPORT_TTL)
-        {
-            self.limit = (self.limit * RISE).min(self.slots);
-            if self.limit >= self.slots {
-                self.was_ready = true;
-                self.enter(now, Phase::Ready);
-            }
-        }
-    }
-
-    fn suspect_success(&mut self, now: Instant, ratio: f64, good: u32) {
-        if ratio >= FAR {
-            self.fall(now);
-        } else if ratio <= HIGH && good + 1 >= CLEARING {
-            self.limit = (self.limit / 2.0).max(1.0).min(self.slots);
-            self.enter(now, Phase::Ready);
-        } else if ratio <= HIGH {
-            self.phase = Phase::Suspect { good: good + 1 };
-        }
-    }
-
-    fn ready_success(&mut self, now: Instant, ratio: f64, saturated: bool) {
-        self.recent += (ratio - self.recent) / 8.0;
-        self.sudden += (ratio - self.sudden) / 4.0;
-        self.gap = self.gap.saturating_add(1);
-        if self.sudden >= FAR {
-            self.enter(now, Phase::Suspect { good: 0 });
-        } else if self.recent >= HIGH && self.gap >= DECREASE_GAP {
-            self.limit = (self.limit * DECREASE).max(1.0).min(self.slots);
-            self.gap = 0;
-        } else if saturated && self.recent <= GOOD && !self.reports_full(now) {
-            self.limit = (self.limit + 1.0 / self.limit).min(self.slots);
-        }
-        if now.since(self.since) >= SETTLED {
-            self.dwell = DWELL_MIN;
-        }
-    }
-
-    /// Adds a success to the round and returns its mean when it is complete.
-    fn round(&mut self, now: Instant, ratio: f64, need: u32, time: Duration) -> Option<f64> {
-        self.round.count += 1;
-        self.round.sum += ratio;
-        if self.round.count < need || now.since(self.round.since) < time {
-            return None;
-        }
-        let mean = self.round.sum / f64::from(self.round.count);
-        self.restart(now);
-        Some(mean)
-    }
-
     fn restart(&mut self, now: Instant) {
         self.round = Round {
             since: now,
--- /dev/null
+++ b/crates/admission/src/limit/evidence.rs
@@ -0,0 +1,126 @@
+//! What a success means in each phase.
+
+use monsoon_model::{Duration, Instant};
+
+use super::{DWELL_MIN, Limiter, Phase, REPORT_TTL, SETTLED};
+
+/// Successes that a round needs at least.
+const ROUND_MIN: u32 = 5;
+
+/// Shortest time between two rises, so that the target's caches can follow.
+const ROUND_TIME: Duration = Duration::from_millis(500);
+
+/// Factor of one rise in the warming phase.
+const RISE: f64 = 1.5;
+
+/// Mean latency over baseline up to which a round counts as good.
+const GOOD: f64 = 1.5;
+
+/// Mean latency over baseline above which the limit falls in the ready phase.
+const HIGH: f64 = 2.0;
+
+/// Latency over baseline of a target that is taken for cold.
+const FAR: f64 = 4.0;
+
+/// Factor of one decrease.
+const DECREASE: f64 = 0.8;
+
+/// Completions between two decreases: the effect of the first must be seen before the second.
+const DECREASE_GAP: u32 = 8;
+
+/// Good successes after which a suspected target is taken for warm again.
+const CLEARING: u32 = 2;
+
+/// Time at one steady latency after which a cold target that never regained its old baseline is
+/// taken to have a new speed.
+const PLATEAU: Duration = Duration::from_secs(30);
+
+/// Relative change of a round's latency that ends a plateau.
+const PLATEAU_CHANGE: f64 = 0.25;
+
+impl Limiter {
+    pub(super) fn cold_success(&mut self, now: Instant, ratio: f64) -> Option<f64> {
+        let mean = self.round(now, ratio, ROUND_MIN, Duration::ZERO)?;
+        if self.holds_cold(now) {
+            return None;
+        }
+        if mean <= GOOD || !self.was_ready {
+            self.limit = self.cold;
+            self.enter(now, Phase::Warming);
+            return None;
+        }
+        match self.plateau {
+            Some((level, since)) if (mean / level - 1.0).abs() <= PLATEAU_CHANGE => {
+                if now.since(since) < PLATEAU {
+                    return None;
+                }
+                self.plateau = None;
+                Some(mean)
+            }
+            _ => {
+                self.plateau = Some((mean, now));
+                None
+            }
+        }
+    }
+
+    pub(super) fn warming_success(&mut self, now: Instant, ratio: f64) {
+        let need = ROUND_MIN.max((2.0 * self.limit) as u32);
+        let Some(mean) = self.round(now, ratio, need, ROUND_TIME) else {
+            return;
+        };
+        if mean >= FAR {
+            self.fall(now);
+        } else if mean <= GOOD
+            && self
+                .full_report
+                .is_none_or(|at| now.since(at) >= REPORT_TTL)
+        {
+            self.limit = (self.limit * RISE).min(self.slots);
+            if self.limit >= self.slots {
+                self.was_ready = true;
+                self.enter(now, Phase::Ready);
+            }
+        }
+    }
+
+    pub(super) fn suspect_success(&mut self, now: Instant, ratio: f64, good: u32) {
+        if ratio >= FAR {
+            self.fall(now);
+        } else if ratio <= HIGH && good + 1 >= CLEARING {
+            self.limit = (self.limit / 2.0).max(1.0).min(self.slots);
+            self.enter(now, Phase::Ready);
+        } else if ratio <= HIGH {
+            self.phase = Phase::Suspect { good: good + 1 };
+        }
+    }
+
+    pub(super) fn ready_success(&mut self, now: Instant, ratio: f64, saturated: bool) {
+        self.recent += (ratio - self.recent) / 8.0;
+        self.sudden += (ratio - self.sudden) / 4.0;
+        self.gap = self.gap.saturating_add(1);
+        if self.sudden >= FAR {
+            self.enter(now, Phase::Suspect { good: 0 });
+        } else if self.recent >= HIGH && self.gap >= DECREASE_GAP {
+            self.limit = (self.limit * DECREASE).max(1.0).min(self.slots);
+            self.gap = 0;
+        } else if saturated && self.recent <= GOOD && !self.reports_full(now) {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.slots);
+        }
+        if now.since(self.since) >= SETTLED {
+            self.dwell = DWELL_MIN;
+        }
+    }
+
+    /// Adds a success to the round and returns its mean when it is complete.
+    fn round(&mut self, now: Instant, ratio: f64, need: u32, time: Duration) -> Option<f64> {
+        self.round.count += 1;
+        self.round.sum += ratio;
+        if self.round.count < need || now.since(self.round.since) < time {
+            return None;
+        }
+        let mean = self.round.sum / f64::from(self.round.count);
+        self.restart(now);
+        Some(mean)
+    }
+}
