Add execution of requests, claims and the choice of place

Requests must be retried only after a truthful refusal, and a non-idempotent one must run at most once although its caller may send it again to any agent.

Adds Execution (attempt numbers, deadline, cancellation, retry budget), pick_place, the replica table Claims and the claimer's ClaimRound.

--- /dev/null
+++ b/crates/execution/src/execution/attempt.rs
@@ -0,0 +1,133 @@
+//! Events of claims and attempts.
+
+use super::{ATTEMPTS_MAX, Execution, Phase};
+use crate::budget::RetryBudget;
+use crate::claim::ClaimResult;
+use crate::place::Place;
+use crate::request::{Action, Reply};
+
+impl Execution {
+    pub(super) fn on_claimed(&mut self, result: ClaimResult, actions: &mut Vec<Action>) {
+        match (self.phase, result) {
+            (Phase::Claiming, ClaimResult::Run) => {
+                self.claimed = true;
+                self.phase = Phase::Picking;
+                actions.push(Action::Pick);
+            }
+            (Phase::Claiming, ClaimResult::Replay(status)) => {
+                self.finish(Reply::Replay(status), actions);
+            }
+            (Phase::Claiming, ClaimResult::Unknown) => self.finish(Reply::Unknown, actions),
+            (Phase::Claiming, ClaimResult::NotRun) => self.finish(Reply::NotRun, actions),
+            (Phase::DoneClaiming, ClaimResult::Run) => {
+                self.phase = Phase::Done;
+                actions.push(Action::Release);
+            }
+            (Phase::DoneClaiming, _) => self.phase = Phase::Done,
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_picked(&mut self, place: Option<Place>, actions: &mut Vec<Action>) {
+        if self.phase != Phase::Picking {
+            return;
+        }
+        match place {
+            Some(Place::Local) => self.enqueue(actions),
+            Some(Place::Peer(index)) => {
+                self.attempt += 1;
+                self.mark_sent();
+                actions.push(Action::Forward(self.attempt, index));
+            }
+            None => self.finish_not_run(actions),
+        }
+    }
+
+    pub(super) fn enqueue(&mut self, actions: &mut Vec<Action>) {
+        self.attempt += 1;
+        self.phase = Phase::Queued;
+        actions.push(Action::Enqueue(self.attempt));
+    }
+
+    pub(super) fn on_started(&mut self, attempt: u32, actions: &mut Vec<Action>) {
+        if attempt == self.attempt && self.phase == Phase::Queued {
+            self.mark_sent();
+            actions.push(Action::Send(attempt));
+        } else if attempt != self.attempt || !self.is_open() {
+            // The attempt is over for this request; admission must get its slot back.
+            actions.push(Action::Cancel(attempt));
+        }
+    }
+
+    fn mark_sent(&mut self) {
+        assert!(
+            matches!(self.phase, Phase::Picking | Phase::Queued),
+            "attempt {} sent while an earlier one may have run",
+            self.attempt
+        );
+        assert!(
+            self.request.idempotent || self.request.from_peer || self.claimed,
+            "non-idempotent request sent without a claim"
+        );
+        assert!(
+            self.attempt <= ATTEMPTS_MAX,
+            "more than {ATTEMPTS_MAX} attempts"
+        );
+        self.phase = Phase::Sent;
+    }
+
+    pub(super) fn on_not_run(
+        &mut self,
+        attempt: u32,
+        budget: &mut RetryBudget,
+        actions: &mut Vec<Action>,
+    ) {
+        if attempt != self.attempt {
+            return;
+        }
+        match self.phase {
+            Phase::Queued | Phase::Sent => {
+                let retry = !self.request.from_peer && self.attempt < ATTEMPTS_MAX;
+                if retry && budget.take() {
+                    self.phase = Phase::Picking;
+                    actions.push(Action::Pick);
+                } else {
+                    self.finish_not_run(actions);
+                }
+            }
+            Phase::DoneSent => {
+                self.phase = Phase::Done;
+                self.release(actions);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_response(&mut self, attempt: u32, status: u16, actions: &mut Vec<Action>) {
+        if attempt != self.attempt {
+            return;
+        }
+        match self.phase {
+            Phase::Sent => {
+                self.store(status, actions);
+                self.finish(Reply::Response(attempt), actions);
+            }
+            Phase::DoneSent => {
+                self.phase = Phase::Done;
+                self.store(status, actions);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_lost(&mut self, attempt: u32, actions: &mut Vec<Action>) {
+        if attempt != self.attempt {
+            return;
+        }
+        match self.phase {
+            Phase::Sent => self.finish(Reply::Unknown, actions),
+            Phase::DoneSent => self.phase = Phase::Done,
+            _ => {}
+        }
+    }
+}
--- a/crates/execution/src/lib.rs
+++ b/crates/execution/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Execution of one request: where it runs, when it is retried and what its caller is told.
+//!
+//! - [`Execution`] is the state machine of one request at one agent.
+//! - [`pick_place`] chooses between the local target and the peers.
+//! - [`RetryBudget`] bounds the retries of one agent.
+//! - [`claim`] keeps non-idempotent requests from running twice when a caller sends one again.
+//!
+//! Everything is sans-I/O: time, random numbers and the results of I/O are arguments.
+
+mod budget;
+pub mod claim;
+mod execution;
+mod place;
+mod request;
+
+pub use budget::{RETRY_BURST, RETRY_SHARE, RetryBudget};
+pub use execution::{ATTEMPTS_MAX, Execution, RUN_WITHIN};
+pub use place::{PeerLoad, Place, pick_place};
+pub use request::{Action, Event, Reply, Request};
--- /dev/null
+++ b/crates/execution/src/place.rs
@@ -0,0 +1,91 @@
+//! Choice between the local target and the targets of peers.
+
+use monsoon_admission::{Load, TargetState};
+use monsoon_model::hash::mix;
+
+/// Load of the local target below which it always runs the request itself: it has free slots, and
+/// the hop to a peer would only add latency.
+const LOCAL_ENOUGH: f64 = 0.75;
+
+/// A peer's load over the local one up to which the local target counts as much slower.
+const MUCH_SLOWER: f64 = 0.5;
+
+/// Load of a peer's target as last reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// Reported load. Reports lag by the announcement interval and the sampling.
+    pub load: Load,
+    /// Requests that this agent sent to the peer since the report was made.
+    pub sent: u32,
+}
+
+impl PeerLoad {
+    /// Reported load plus what this agent sent since.
+    fn present(self) -> Load {
+        Load {
+            busy: self.load.busy.saturating_add(self.sent),
+            ..self.load
+        }
+    }
+}
+
+/// Where a request runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// At the local target.
+    Local,
+    /// At the peer with this index.
+    Peer(usize),
+}
+
+/// Chooses the place of a request.
+///
+/// The local target is preferred. A peer is chosen, as the less loaded of two random ones, when
+/// the local target is leaving, is full (for a cold one: bears no more at present), or is loaded
+/// at least twice as much as the peer. `noise` supplies the random numbers.
+pub fn pick_place(local: Load, peers: &[PeerLoad], leaving: bool, noise: u64) -> Place {
+    let leaving = leaving || local.leaving;
+    let enough = !leaving && !local.is_full() && local.share() < LOCAL_ENOUGH;
+    let cold = local.state == TargetState::Cold;
+    if enough || (cold && !leaving && !local.is_full()) {
+        return Place::Local;
+    }
+    let Some((index, peer)) = two_choices(peers, noise) else {
+        return Place::Local;
+    };
+    let relieves = leaving || (local.is_full() && !peer.is_full());
+    let better = relieves || peer.share() <= local.share() * MUCH_SLOWER;
+    if better {
+        Place::Peer(index)
+    } else {
+        Place::Local
+    }
+}
+
+/// The less loaded of two random usable peers.
+fn two_choices(peers: &[PeerLoad], noise: u64) -> Option<(usize, Load)> {
+    let usable: Vec<_> = peers
+        .iter()
+        .map(|p| p.present())
+        .enumerate()
+        .filter(|(_, load)| is_usable(*load))
+        .collect();
+    let count = usable.len() as u64;
+    if count == 0 {
+        return None;
+    }
+    let first = mix(noise, 1) % count;
+    let second = (first + 1 + mix(noise, 2) % (count - 1).max(1)) % count;
+    let pair = [usable[first as usize], usable[second as usize]];
+    pair.into_iter()
+        .min_by(|a, b| a.1.share().total_cmp(&b.1.share()))
+}
+
+/// Whether a peer's target may get a request: never a leaving one, a cold one only with room.
+fn is_usable(load: Load) -> bool {
+    match load.state {
+        TargetState::Leaving => false,
+        TargetState::Cold => !load.leaving && !load.is_full(),
+        TargetState::Ready => !load.leaving,
+    }
+}
