Add latency histograms that merge across processes

Percentiles of several processes cannot be averaged, so a row carries the recorded values. The serialization feature of hdrhistogram is not enabled in the workspace; rows use a list of value distances and counts in hexadecimal instead.

--- /dev/null
+++ b/crates/metrics/src/histograms.rs
@@ -0,0 +1,130 @@
+//! Recording and merging.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use monsoon_model::Duration;
+
+use crate::row::{OTHER, Row, RowError, decode, encode};
+
+/// Most pairs of tenant and class. Further ones share the row [`OTHER`], so that names from the
+/// network cannot fill the memory.
+pub const KEYS_MAX: usize = 64;
+
+/// Longest latency that is told apart; longer ones are recorded as this.
+pub const LATENCY_MAX: Duration = Duration::from_secs(600);
+
+/// Significant decimal digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target's response was passed on.
+    Answered,
+    /// The request was refused and did not run.
+    Refused,
+    /// Whether the request ran is unknown.
+    Unknown,
+    /// The caller cancelled the request.
+    Cancelled,
+}
+
+#[derive(Clone, Debug)]
+struct Series {
+    latency: Histogram<u64>,
+    answered: u64,
+    refused: u64,
+    unknown: u64,
+    cancelled: u64,
+}
+
+/// Histograms of one process.
+#[derive(Clone, Debug, Default)]
+pub struct Histograms {
+    series: BTreeMap<(String, String), Series>,
+}
+
+impl Histograms {
+    /// Records the latency of one request.
+    pub fn record(&mut self, tenant: &str, class: &str, latency: Duration) {
+        let micros = latency.min(LATENCY_MAX).as_micros().max(1);
+        self.series(tenant, class).latency.saturating_record(micros);
+    }
+
+    /// Counts the outcome of one request.
+    pub fn count(&mut self, tenant: &str, class: &str, outcome: Outcome) {
+        let series = self.series(tenant, class);
+        let counter = match outcome {
+            Outcome::Answered => &mut series.answered,
+            Outcome::Refused => &mut series.refused,
+            Outcome::Unknown => &mut series.unknown,
+            Outcome::Cancelled => &mut series.cancelled,
+        };
+        *counter += 1;
+    }
+
+    /// All rows, ordered by tenant and class.
+    pub fn snapshot(&self) -> Vec<Row> {
+        let row = |((tenant, class), s): (&(String, String), &Series)| Row {
+            tenant: tenant.clone(),
+            class: class.clone(),
+            count: s.latency.len(),
+            p50: s.latency.value_at_quantile(0.5),
+            p90: s.latency.value_at_quantile(0.9),
+            p99: s.latency.value_at_quantile(0.99),
+            max: s.latency.max(),
+            answered: s.answered,
+            refused: s.refused,
+            unknown: s.unknown,
+            cancelled: s.cancelled,
+            histogram: encode(&s.latency),
+        };
+        self.series.iter().map(row).collect()
+    }
+
+    /// Adds a row of another process.
+    ///
+    /// # Errors
+    /// Returns [`RowError`] when the histogram of the row cannot be decoded; nothing is added then.
+    pub fn merge(&mut self, row: &Row) -> Result<(), RowError> {
+        let latency = decode(&row.histogram)?;
+        let series = self.series(&row.tenant, &row.class);
+        for (value, count) in latency {
+            series.latency.saturating_record_n(value, count);
+        }
+        series.answered = series.answered.saturating_add(row.answered);
+        series.refused = series.refused.saturating_add(row.refused);
+        series.unknown = series.unknown.saturating_add(row.unknown);
+        series.cancelled = series.cancelled.saturating_add(row.cancelled);
+        Ok(())
+    }
+
+    fn series(&mut self, tenant: &str, class: &str) -> &mut Series {
+        let mut key = (tenant.to_owned(), class.to_owned());
+        let other = (OTHER.to_owned(), OTHER.to_owned());
+        // One key is reserved for the shared row.
+        if !self.series.contains_key(&key) && self.series.len() >= KEYS_MAX - 1 {
+            key = other;
+        }
+        let series = self.series.entry(key).or_insert_with(Series::new);
+        debug_assert!(
+            series.latency.high() >= LATENCY_MAX.as_micros(),
+            "histogram range changed"
+        );
+        series
+    }
+}
+
+impl Series {
+    fn new() -> Self {
+        let latency = Histogram::new_with_bounds(1, LATENCY_MAX.as_micros(), DIGITS);
+        Self {
+            latency: latency.expect("the bounds are constants that the library accepts"),
+            answered: 0,
+            refused: 0,
+            unknown: 0,
+            cancelled: 0,
+        }
+    }
+}
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Latency histograms and outcome counters per tenant and class.
+//!
+//! Each process records its own [`Histograms`] and exports [`Row`]s. A row holds the percentiles
+//! and the encoded histogram, so that the rows of several processes can be merged without loss of
+//! precision.
+
+mod histograms;
+mod row;
+
+pub use histograms::{Histograms, KEYS_MAX, LATENCY_MAX, Outcome};
+pub use row::{OTHER, Row, RowError};
--- /dev/null
+++ b/crates/metrics/tests/histograms.rs
@@ -0,0 +1,74 @@
+//! Recording, merging and the bound on keys.
+
+use monsoon_metrics::{Histograms, KEYS_MAX, LATENCY_MAX, OTHER, Outcome, RowError};
+use monsoon_model::{Duration, hash::mix};
+
+fn filled(seed: u64, count: u64) -> Histograms {
+    let mut histograms = Histograms::default();
+    for i in 0..count {
+        let micros = 500 + mix(seed, i) % 20_000;
+        histograms.record("karavanex", "hold", Duration::from_micros(micros));
+        histograms.count("karavanex", "hold", Outcome::Answered);
+    }
+    histograms
+}
+
+/// Guards against averaging percentiles: merged rows must equal one process that saw everything.
+#[test]
+fn merged_rows_equal_one_recorder() {
+    let mut merged = filled(1, 1_000);
+    for row in filled(2, 5_000).snapshot() {
+        merged.merge(&row).expect("own rows decode");
+    }
+    let mut whole = filled(1, 1_000);
+    for i in 0..5_000 {
+        let micros = 500 + mix(2, i) % 20_000;
+        whole.record("karavanex", "hold", Duration::from_micros(micros));
+        whole.count("karavanex", "hold", Outcome::Answered);
+    }
+    assert_eq!(merged.snapshot()[0], whole.snapshot()[0]);
+    let row = &whole.snapshot()[0];
+    insta::assert_snapshot!(format!(
+        "count {} p50 {} p90 {} p99 {} max {} answered {}",
+        row.count, row.p50, row.p90, row.p99, row.max, row.answered
+    ));
+}
+
+/// Guards against unbounded memory when names come from the network.
+#[test]
+fn keys_beyond_the_bound_share_one_row() {
+    let mut histograms = Histograms::default();
+    for i in 0..1_000 {
+        histograms.record(&format!("tenant-{i}"), "upload", Duration::from_millis(i));
+    }
+    let rows = histograms.snapshot();
+    assert_eq!(rows.len(), KEYS_MAX);
+    let other = rows.iter().find(|r| r.tenant == OTHER).expect("shared row");
+    assert_eq!(other.count, 1_000 - (KEYS_MAX as u64 - 1));
+}
+
+/// Guards against a panic or a lost count on a latency outside the range.
+#[test]
+fn extreme_latencies_are_clipped() {
+    let mut histograms = Histograms::default();
+    histograms.record("t", "c", Duration::ZERO);
+    histograms.record("t", "c", LATENCY_MAX + LATENCY_MAX);
+    let row = &histograms.snapshot()[0];
+    assert_eq!(row.count, 2);
+    assert!(row.max >= LATENCY_MAX.as_micros());
+}
+
+/// Guards against trusting the encoding of a row from the network.
+#[test]
+fn damaged_rows_are_refused() {
+    let mut row = filled(3, 10).snapshot().remove(0);
+    let mut histograms = Histograms::default();
+    row.histogram.replace_range(0..2, "zz");
+    assert_eq!(histograms.merge(&row), Err(RowError::Hex));
+    // A number without an end, and one that is too long.
+    row.histogram = "01ff".to_owned();
+    assert_eq!(histograms.merge(&row), Err(RowError::Encoding));
+    row.histogram = "ff".repeat(11);
+    assert_eq!(histograms.merge(&row), Err(RowError::Encoding));
+    assert!(histograms.snapshot().is_empty());
+}
