membership: add nodes, detector, gossip and a fake network

Cause: routing, the daemon and the claims need to know who is alive, in which state and with how many slots.

Change: sans-I/O BalancerNode and AgentNode with announcements to three watchers, shared votes, gossip, bucket digests, beats between data centres, list pages for agents, and a fake network behind the feature `simulation`.

--- /dev/null
+++ b/crates/membership/src/agent.rs
@@ -0,0 +1,268 @@
+//! State machine of an agent.
+
+mod lists;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use monsoon_model::hash::mix;
+use monsoon_model::{AgentId, Duration, Instant};
+
+pub use lists::{Peer, ServiceMember};
+
+use crate::bounds::{ANNOUNCE_EVERY, FREEZE_GAP, Rule, SUSPECT_AFTER, WATCHERS};
+use crate::freshness::Freshness;
+use crate::rng::Rng;
+use crate::{Action, Body, Event, Head, LocalState, Member, Message, Role, rank};
+
+use lists::Lists;
+
+/// Shortest time between two announcements, also when the own state changes often.
+const ANNOUNCE_GAP: Duration = Duration::from_millis(100);
+
+/// Membership of one agent.
+#[derive(Debug)]
+pub struct AgentNode {
+    me: Member,
+    rule: Rule,
+    seeds: Vec<SocketAddr>,
+    rng: Rng,
+    fresh: Freshness,
+    lists: Lists,
+    /// Since when announcements to a watcher are unanswered.
+    unanswered: BTreeMap<AgentId, Instant>,
+    due: Instant,
+    announced: Option<Instant>,
+    last: Instant,
+    left: bool,
+    out: Vec<Action>,
+}
+
+impl AgentNode {
+    /// Starts without any knowledge. `seeds` are control addresses of balancers.
+    pub fn new(now: Instant, me: Member, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        Self::with_rule(now, me, seeds, seed, Rule::SHARED)
+    }
+
+    /// Like [`Self::new`] with another rule of failure detection, for measurements.
+    pub fn with_rule(
+        now: Instant,
+        me: Member,
+        seeds: Vec<SocketAddr>,
+        seed: u64,
+        rule: Rule,
+    ) -> Self {
+        debug_assert_eq!(me.role, Role::Agent, "an agent node needs an agent");
+        Self {
+            me,
+            rule,
+            seeds,
+            rng: Rng::new(mix(seed, me.id.0)),
+            fresh: Freshness::new(me.versions),
+            lists: Lists::new(now, me.id),
+            unanswered: BTreeMap::new(),
+            due: now,
+            announced: None,
+            last: now,
+            left: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// Handles one event.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        if self.left {
+            return Vec::new();
+        }
+        if now.since(self.last) >= FREEZE_GAP {
+            self.unanswered.clear();
+        }
+        self.last = now;
+        match event {
+            Event::Tick => {}
+            Event::Message { from, message } => self.receive(now, from, message),
+            Event::Local(local) => self.local(now, local),
+            Event::Leave => {
+                self.announce(now, true);
+                self.left = true;
+            }
+        }
+        if now >= self.due && !self.left {
+            self.announce(now, false);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// When the next [`Event::Tick`] is due.
+    pub fn next_tick(&self) -> Instant {
+        self.due
+    }
+
+    /// Live balancers of the own data centre.
+    pub fn balancers(&self, now: Instant) -> Vec<crate::BalancerInfo> {
+        let answers = |id| !self.is_silent(now, id);
+        let list = self.lists.balancers();
+        let live = list
+            .iter()
+            .filter(|b| answers(b.id))
+            .copied()
+            .collect::<Vec<_>>();
+        if live.is_empty() { list.to_vec() } else { live }
+    }
+
+    /// Targets of the own service whose loads were sampled lately.
+    pub fn peers(&self, now: Instant) -> Vec<Peer> {
+        self.lists.peers(now)
+    }
+
+    /// All members of the own service, this one and recently departed ones included.
+    pub fn service_members(&self, now: Instant) -> Vec<ServiceMember> {
+        self.lists.service(now, &self.me)
+    }
+
+    /// This agent as it announces itself.
+    pub fn member(&self) -> &Member {
+        &self.me
+    }
+
+    fn local(&mut self, now: Instant, local: LocalState) {
+        let before = self.me;
+        self.me.state = local.state;
+        self.me.slots = local.slots;
+        self.me.load = local.load;
+        self.fresh.set(local.versions);
+        self.me.versions = self.fresh.local();
+        if self.me.differs(&before) {
+            self.hasten(now);
+        }
+    }
+
+    /// Announces a changed state soon.
+    fn hasten(&mut self, now: Instant) {
+        let earliest = self.announced.map_or(now, |at| at + ANNOUNCE_GAP);
+        self.due = self.due.min(earliest.max(now));
+    }
+
+    fn receive(&mut self, now: Instant, from: SocketAddr, message: Message) {
+        let Message { head, body } = message;
+        self.out.extend(self.fresh.see(now, &head));
+        match body {
+            Body::Reply {
+                dead: Some(incarnation),
+                ..
+            } => self.refute(now, incarnation),
+            Body::Reply {
+                dead: None,
+                balancers,
+                service,
+                sample,
+            } => {
+                self.unanswered.remove(&head.id);
+                self.lists.sample(now, sample);
+                if let Some(body) = self.lists.ask(now, balancers, service) {
+                    self.send(from, body);
+                }
+            }
+            Body::Balancers {
+                hash,
+                page,
+                pages,
+                list,
+            } => {
+                let complete = self.lists.add_balancers(hash, (page, pages), list);
+                self.listed(complete);
+            }
+            Body::Service {
+                hash,
+                page,
+                pages,
+                list,
+            } => {
+                let complete = self.lists.add_service(now, hash, (page, pages), list);
+                self.listed(complete);
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers a wrong death of this process with a higher incarnation.
+    fn refute(&mut self, now: Instant, incarnation: u64) {
+        if incarnation >= self.me.incarnation {
+            self.me.incarnation = incarnation + 1;
+            self.hasten(now);
+        }
+    }
+
+    fn listed(&mut self, complete: bool) {
+        if complete {
+            self.forget_departed();
+            self.out.push(Action::Changed);
+        }
+    }
+
+    fn forget_departed(&mut self) {
+        let list = self.lists.balancers();
+        self.unanswered
+            .retain(|id, _| list.iter().any(|b| b.id == *id));
+    }
+
+    fn is_silent(&self, now: Instant, id: AgentId) -> bool {
+        self.unanswered
+            .get(&id)
+            .is_some_and(|&at| now.since(at) >= SUSPECT_AFTER)
+    }
+
+    fn announce(&mut self, now: Instant, left: bool) {
+        self.due = now + ANNOUNCE_EVERY;
+        self.announced = Some(now);
+        self.me.sequence += 1;
+        for to in self.watchers(now) {
+            self.send(
+                to,
+                Body::Announce {
+                    member: self.me,
+                    left,
+                },
+            );
+        }
+    }
+
+    /// Addresses to announce to. A silent watcher is replaced but still addressed, because it
+    /// remains a watcher for the others until it is declared dead.
+    fn watchers(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let list = self.lists.balancers();
+        let mut ids = rank::top(self.me.id.0, list.iter().map(|b| b.id), self.rule.watchers);
+        let answering = list
+            .iter()
+            .map(|b| b.id)
+            .filter(|&id| !self.is_silent(now, id));
+        for id in rank::top(self.me.id.0, answering, self.rule.watchers) {
+            if !ids.contains(&id) {
+                ids.push(id);
+            }
+        }
+        let chosen = list.iter().filter(|b| ids.contains(&b.id));
+        let mut to = chosen.map(|b| b.control).collect::<Vec<_>>();
+        for &id in &ids {
+            self.unanswered.entry(id).or_insert(now);
+        }
+        if ids.iter().all(|&id| self.is_silent(now, id)) {
+            to.extend(self.rng.pick(&self.seeds, WATCHERS));
+        }
+        to
+    }
+
+    fn send(&mut self, to: SocketAddr, body: Body) {
+        let head = Head {
+            id: self.me.id,
+            peer: self.me.peer,
+            versions: self.fresh.local(),
+        };
+        let message = Message { head, body };
+        debug_assert!(
+            crate::message::size(&message) <= crate::bounds::MAX_MESSAGE,
+            "a message fits into a datagram"
+        );
+        self.out.push(Action::Send { to, message });
+    }
+}
--- /dev/null
+++ b/crates/membership/src/balancer/receive.rs
@@ -0,0 +1,214 @@
+//! Received messages.
+
+use std::net::SocketAddr;
+
+use monsoon_model::{AgentId, Duration, Instant};
+
+use super::{BalancerNode, Client};
+use crate::bounds::{LOAD_STEP, MAX_MEMBERS};
+use crate::watcher::Opinion;
+use crate::{Body, Entry, LoadRecord, Member, Message, Role, Status};
+
+impl BalancerNode {
+    pub(super) fn receive(&mut self, now: Instant, from: SocketAddr, message: Message) {
+        let Message { head, body } = message;
+        self.pending.out.extend(self.fresh.see(now, &head));
+        match body {
+            Body::Announce { member, left } => self.announced(now, from, member, left),
+            Body::Reply {
+                dead: Some(incarnation),
+                ..
+            } => self.refute_death(now, incarnation),
+            Body::Ask { balancers, service } => self.asked(now, from, head.id, balancers, service),
+            Body::Gossip {
+                beats,
+                entries,
+                loads,
+            } => {
+                self.gossiped(now, &beats, &entries, &loads);
+            }
+            Body::Digest { answer, buckets } => self.digested(now, from, answer, &buckets),
+            Body::Entries { entries } => self.learn_all(now, &entries),
+            Body::Suspect { id, incarnation } => self.voted(now, from, head.id, (id, incarnation)),
+            Body::Heard {
+                id,
+                incarnation,
+                age,
+            } => self.heard(now, id, incarnation, age),
+            Body::Reply { .. } | Body::Balancers { .. } | Body::Service { .. } | Body::Notice => {}
+        }
+    }
+
+    fn announced(&mut self, now: Instant, from: SocketAddr, member: Member, left: bool) {
+        let id = member.id;
+        if id == self.me.id {
+            return;
+        }
+        if member.data_centre != self.me.data_centre {
+            self.introduced(now, from, &member);
+            return;
+        }
+        let known = self.members.get(id).copied();
+        if left {
+            self.learn(
+                now,
+                &Entry {
+                    member,
+                    status: Status::Left,
+                    age: 0,
+                },
+                true,
+            );
+            return;
+        }
+        let dead = known.filter(|row| {
+            row.status != Status::Alive && row.member.incarnation >= member.incarnation
+        });
+        if let Some(row) = dead {
+            let dead = Some(row.member.incarnation);
+            let body = Body::Reply {
+                dead,
+                balancers: 0,
+                service: 0,
+                sample: Vec::new(),
+            };
+            self.send(from, body);
+            return;
+        }
+        let age = known.map_or(0, |row| row.entry(now).age);
+        let same = known.is_some_and(|row| row.member.incarnation == member.incarnation);
+        let entry = Entry {
+            member,
+            status: Status::Alive,
+            age: if same { age } else { 0 },
+        };
+        self.learn(now, &entry, true);
+        self.settle_watch(now, &member);
+        self.note_client(now, from, &member);
+        self.reply(now, id);
+    }
+
+    /// Meets a balancer of another data centre that has this one as a seed. Agents of other data
+    /// centres would take this one's balancers for their own and get no answer.
+    fn introduced(&mut self, now: Instant, from: SocketAddr, member: &Member) {
+        if member.role == Role::Balancer {
+            self.learn(
+                now,
+                &Entry {
+                    member: *member,
+                    status: Status::Alive,
+                    age: 0,
+                },
+                true,
+            );
+            let buckets = self.members.digest();
+            self.send(
+                from,
+                Body::Digest {
+                    answer: false,
+                    buckets,
+                },
+            );
+        }
+    }
+
+    /// Notes the announcement with the detector, which may have to learn of the member first.
+    fn settle_watch(&mut self, now: Instant, member: &Member) {
+        if self.pending.regroup {
+            self.pending.regroup = false;
+            self.regroup(now);
+        }
+        if std::mem::take(&mut self.pending.reassign)
+            && self.watchers(member.id).contains(&self.me.id)
+        {
+            self.watcher.watch(now, member.id, member.incarnation);
+        }
+        self.watcher.heard(now, member.id, member.incarnation);
+    }
+
+    fn note_client(&mut self, now: Instant, from: SocketAddr, member: &Member) {
+        if self.clients.len() >= MAX_MEMBERS && !self.clients.contains_key(&member.id) {
+            return;
+        }
+        let client = Client {
+            control: from,
+            heard: now,
+            load: member.load,
+        };
+        let client = self.clients.entry(member.id).or_insert(client);
+        client.control = from;
+        client.heard = now;
+        if client.load.abs_diff(member.load) < LOAD_STEP {
+            return;
+        }
+        client.load = member.load;
+        let record = LoadRecord {
+            id: member.id,
+            sequence: member.sequence,
+            load: member.load,
+        };
+        self.gossip.load(record);
+    }
+
+    fn gossiped(
+        &mut self,
+        now: Instant,
+        beats: &[(monsoon_model::DataCentreId, u64)],
+        entries: &[Entry],
+        loads: &[LoadRecord],
+    ) {
+        if self.beats.merge(now, beats) {
+            self.pending.changed = true;
+        }
+        for entry in entries {
+            self.learn(now, entry, true);
+        }
+        for record in loads {
+            if self.members.load(record.id, record.sequence, record.load) {
+                self.gossip.load(*record);
+            }
+        }
+    }
+
+    fn voted(&mut self, now: Instant, from: SocketAddr, voter: AgentId, vote: (AgentId, u64)) {
+        let (id, incarnation) = vote;
+        if let Opinion::Heard(age, incarnation) = self.watcher.vote(now, voter, id, incarnation) {
+            let age = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+            self.send(
+                from,
+                Body::Heard {
+                    id,
+                    incarnation,
+                    age,
+                },
+            );
+        }
+        self.bury(now);
+    }
+
+    fn heard(&mut self, now: Instant, id: AgentId, incarnation: u64, age: u32) {
+        let age = Duration::from_millis(u64::from(age));
+        let at = now.as_micros().saturating_sub(age.as_micros());
+        self.watcher
+            .heard(Instant::from_micros(at), id, incarnation);
+    }
+
+    /// Declares members dead that a quorum suspects.
+    pub(super) fn bury(&mut self, now: Instant) {
+        let mut watcher = std::mem::take(&mut self.watcher);
+        let rule = self.rule;
+        let dead = watcher.dead(now, |id| rule.quorum.min(self.watchers(id).len()).max(1));
+        self.watcher = watcher;
+        for id in dead {
+            let Some(row) = self.members.get(id) else {
+                continue;
+            };
+            let entry = Entry {
+                member: row.member,
+                status: Status::Dead,
+                age: 0,
+            };
+            self.learn(now, &entry, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/bounds.rs
@@ -0,0 +1,90 @@
+//! Intervals and bounds.
+
+use monsoon_model::Duration;
+
+/// Interval of announcements.
+pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
+/// Interval of gossip rounds.
+pub const GOSSIP_EVERY: Duration = Duration::from_millis(250);
+/// Interval of bucket digests to one balancer of the own data centre.
+pub const DIGEST_EVERY: Duration = Duration::from_secs(2);
+/// Interval of bucket digests to one other data centre; also limits catching up after a join.
+pub const CATCH_UP_EVERY: Duration = Duration::from_millis(200);
+/// Interval of timer checks. Adds to every detection time, so it is small against the 3 s bound.
+pub const TICK_EVERY: Duration = Duration::from_millis(50);
+/// Silence after which a watcher suspects a member: four announcements.
+pub const SUSPECT_AFTER: Duration = Duration::from_secs(2);
+/// Interval at which a watcher repeats a vote, so that a lost vote costs little of the 3 s bound.
+pub const VOTE_EVERY: Duration = Duration::from_millis(200);
+/// Age at which a vote no longer counts.
+pub const VOTE_TTL: Duration = Duration::from_secs(1);
+/// Gap between two events after which a node takes itself for frozen and thawed. Its timers then
+/// measure its own pause and not the silence of others, so they restart.
+pub const FREEZE_GAP: Duration = Duration::from_secs(1);
+/// Silence of another data centre after which its members leave the tables.
+pub const REMOTE_AFTER: Duration = Duration::from_secs(2);
+/// Silence of another data centre after which balancers that are no speakers contact it too. Covers
+/// the loss of both speakers before [`REMOTE_AFTER`] expires.
+pub const REMOTE_DOUBT: Duration = Duration::from_millis(900);
+/// Lifetime of dead entries. A cut of one hour must not bring back members that died meanwhile.
+pub const TOMBSTONE_TTL: Duration = Duration::from_secs(2 * 3600);
+/// Time during which departed members are reported to the claim ranking (the claim window).
+pub const DEPARTED_FOR: Duration = Duration::from_secs(120);
+/// Age at which a sampled load is no longer used.
+pub const SAMPLE_TTL: Duration = Duration::from_secs(5);
+/// Interval at which a node asks again for a list or a configuration.
+pub const ASK_EVERY: Duration = Duration::from_millis(300);
+
+/// Watchers of a member.
+pub const WATCHERS: usize = 3;
+/// Speakers of a data centre.
+pub const SPEAKERS: usize = 2;
+/// Balancers that one gossip round reaches.
+pub const FANOUT: usize = 3;
+/// Gossip rounds that carry a change.
+pub const REPEATS: u8 = 4;
+/// Gossip rounds that carry a load. Loads are refreshed often, so a lost one needs no repair.
+pub const LOAD_REPEATS: u8 = 2;
+/// Buckets of a digest.
+pub const BUCKETS: usize = 64;
+/// Messages sent in answer to one digest. The rest follows with the next digest.
+pub const ANSWER_PAGES: usize = 8;
+/// Targets in the load sample of a reply.
+pub const SAMPLES: usize = 4;
+/// Load records in one gossip message. Bounds the load traffic whatever the number of members.
+pub const LOADS_PER_MESSAGE: usize = 10;
+/// Change of load, in percent points, that is worth gossiping.
+pub const LOAD_STEP: u16 = 10;
+/// Queued load records. At the bound a new record is dropped; a later announcement queues it again.
+pub const MAX_LOADS: usize = 1_024;
+/// Queued changes. At the bound a change is dropped; digests repair it.
+pub const MAX_CHANGES: usize = 8_192;
+/// Entries of the table, tombstones included. At the bound new members are refused.
+pub const MAX_MEMBERS: usize = 16_384;
+/// Members of one service that an agent keeps. At the bound the rest is ignored.
+pub const MAX_SERVICE: usize = 4_096;
+/// Data centres known to a node. At the bound further ones are ignored.
+pub const MAX_PLACES: usize = 32;
+/// Largest encoded message, in bytes. A control datagram has 1,200 bytes with its envelope.
+pub const MAX_MESSAGE: usize = 1_150;
+/// Bytes of entries in one message; the rest is left to the header and the beats.
+pub const PAGE_BYTES: usize = 850;
+/// UDP, IP and control envelope around each message, in bytes.
+pub const OVERHEAD: usize = 46;
+
+/// Rule of failure detection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// Watchers that each member announces to.
+    pub watchers: usize,
+    /// Watchers that must suspect a member before it is dead.
+    pub quorum: usize,
+}
+
+impl Rule {
+    /// Two of three watchers.
+    pub const SHARED: Self = Self {
+        watchers: WATCHERS,
+        quorum: 2,
+    };
+}
--- /dev/null
+++ b/crates/membership/src/member.rs
@@ -0,0 +1,218 @@
+//! Members and table entries, with their compact encoding.
+
+use std::net::{IpAddr, SocketAddr, SocketAddrV4};
+
+use monsoon_model::hash::mix;
+use monsoon_model::{AgentId, DataCentreId, ServiceId, Versions};
+use serde::{Deserialize, Serialize};
+
+/// What a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Role {
+    /// Entry instance.
+    Balancer,
+    /// Process beside a target.
+    Agent,
+}
+
+/// Whether a member takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum State {
+    /// Carries only a small share of its load.
+    Cold,
+    /// Carries its full load.
+    Ready,
+    /// Takes no new work.
+    Leaving,
+}
+
+/// A process as it describes itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Packed", into = "Packed")]
+pub struct Member {
+    /// Identity, unique per start.
+    pub id: AgentId,
+    /// Raised by the member to refute a wrong death.
+    pub incarnation: u64,
+    /// Raised by the member with every announcement.
+    pub sequence: u64,
+    /// Balancer or agent.
+    pub role: Role,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Service, zero for balancers.
+    pub service: ServiceId,
+    /// Address of the control socket.
+    pub control: SocketAddr,
+    /// Address of the encapsulation socket.
+    pub data: SocketAddrV4,
+    /// Address of the tonic server.
+    pub peer: SocketAddr,
+    /// Whether the member takes work.
+    pub state: State,
+    /// Concurrent requests when warm.
+    pub slots: u16,
+    /// Percent of the concurrency limit in use.
+    pub load: u16,
+    /// Configuration in force.
+    pub versions: Versions,
+}
+
+impl Member {
+    /// Whether routing or the claim ranking depends on a difference to `other`.
+    pub(crate) fn differs(&self, other: &Self) -> bool {
+        self.signature() != other.signature()
+    }
+
+    /// Hash of the fields that other members depend on.
+    pub(crate) fn signature(&self) -> u64 {
+        let kind = (self.state as u64) << 32 | u64::from(self.slots) << 8 | self.role as u64;
+        let place = u64::from(self.service.0) << 8 | u64::from(self.data_centre.0);
+        let mut hash = mix(self.id.0, self.incarnation);
+        for word in [
+            kind,
+            place,
+            address(self.control),
+            address(self.data.into()),
+        ] {
+            hash = mix(hash, word);
+        }
+        mix(hash, address(self.peer))
+    }
+}
+
+fn address(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        IpAddr::V6(ip) => monsoon_model::hash::bytes(&ip.octets()),
+    };
+    mix(ip, u64::from(address.port()))
+}
+
+/// Address that usually shares the IP of the encapsulation address; saves four bytes each.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+enum Near {
+    Port(u16),
+    Full(SocketAddr),
+}
+
+impl Near {
+    fn pack(address: SocketAddr, data: SocketAddrV4) -> Self {
+        if address.ip() == IpAddr::V4(*data.ip()) {
+            Self::Port(address.port())
+        } else {
+            Self::Full(address)
+        }
+    }
+
+    fn unpack(self, data: SocketAddrV4) -> SocketAddr {
+        match self {
+            Self::Port(port) => SocketAddrV4::new(*data.ip(), port).into(),
+            Self::Full(address) => address,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Packed {
+    id: AgentId,
+    incarnation: u64,
+    sequence: u64,
+    kind: u8,
+    data_centre: DataCentreId,
+    service: ServiceId,
+    data: SocketAddrV4,
+    control: Near,
+    peer: Near,
+    slots: u16,
+    load: u16,
+    versions: Versions,
+}
+
+impl From<Member> for Packed {
+    fn from(m: Member) -> Self {
+        Self {
+            id: m.id,
+            incarnation: m.incarnation,
+            sequence: m.sequence,
+            kind: (m.role as u8) << 2 | m.state as u8,
+            data_centre: m.data_centre,
+            service: m.service,
+            data: m.data,
+            control: Near::pack(m.control, m.data),
+            peer: Near::pack(m.peer, m.data),
+            slots: m.slots,
+            load: m.load,
+            versions: m.versions,
+        }
+    }
+}
+
+impl From<Packed> for Member {
+    fn from(p: Packed) -> Self {
+        Self {
+            id: p.id,
+            incarnation: p.incarnation,
+            sequence: p.sequence,
+            role: if p.kind >> 2 == 0 {
+                Role::Balancer
+            } else {
+                Role::Agent
+            },
+            data_centre: p.data_centre,
+            service: p.service,
+            control: p.control.unpack(p.data),
+            data: p.data,
+            peer: p.peer.unpack(p.data),
+            state: match p.kind & 3 {
+                0 => State::Cold,
+                1 => State::Ready,
+                _ => State::Leaving,
+            },
+            slots: p.slots,
+            load: p.load,
+            versions: p.versions,
+        }
+    }
+}
+
+/// What the members know about a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Status {
+    /// Announces itself.
+    Alive,
+    /// Declared dead by its watchers. A higher incarnation refutes it.
+    Dead,
+    /// Left by its own announcement. Final, because a restart has a new identity.
+    Left,
+}
+
+/// A member with its status, as gossip and digests carry it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The member.
+    pub member: Member,
+    /// Its status.
+    pub status: Status,
+    /// Seconds since it joined (alive) or departed (dead, left).
+    pub age: u32,
+}
+
+impl Entry {
+    /// Order of news about one identity. A departure stands against every announcement of the same
+    /// incarnation, because an announcement delayed beyond the detection must not revive the member.
+    pub(crate) fn order(&self) -> (bool, u64, Status, u64) {
+        let member = &self.member;
+        (
+            self.status == Status::Left,
+            member.incarnation,
+            self.status,
+            member.sequence,
+        )
+    }
+
+    /// Hash for bucket digests. Sequence and load change with every announcement and are left out.
+    pub(crate) fn signature(&self) -> u64 {
+        mix(self.member.signature(), self.status as u64)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/simulation/link.rs
@@ -0,0 +1,130 @@
+//! Loss, delay, duplication and cuts between nodes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use monsoon_model::{DataCentreId, Duration, Instant};
+
+use crate::Member;
+use crate::rng::Rng;
+
+/// Model of message loss.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Loss {
+    /// Each message is lost with this probability.
+    Independent(f64),
+    /// Gilbert model for each directed pair of nodes: a share of the time is lost, in bursts of a
+    /// mean length in seconds.
+    PairBursts(f64, f64),
+    /// Gilbert model for each sender: a burst loses everything that it sends.
+    SenderBursts(f64, f64),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Burst {
+    bad: bool,
+    at: Instant,
+}
+
+/// Properties of all links.
+#[derive(Debug)]
+pub struct Links {
+    /// Loss.
+    pub loss: Loss,
+    /// Share of messages that arrive twice.
+    pub duplicates: f64,
+    /// Share of messages that are delayed by up to 300 ms and so overtaken by others.
+    pub stragglers: f64,
+    /// Directed cuts between data centres.
+    pub cuts: BTreeSet<(DataCentreId, DataCentreId)>,
+    /// Directed cuts between nodes.
+    pub node_cuts: BTreeSet<(usize, usize)>,
+    rng: Rng,
+    bursts: BTreeMap<(usize, usize), Burst>,
+}
+
+impl Links {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            loss: Loss::Independent(0.0),
+            duplicates: 0.0,
+            stragglers: 0.0,
+            cuts: BTreeSet::new(),
+            node_cuts: BTreeSet::new(),
+            rng: Rng::new(monsoon_model::hash::mix(seed, 0x11_4b)),
+            bursts: BTreeMap::new(),
+        }
+    }
+
+    /// Cuts two data centres off each other, or heals the cut.
+    pub fn cut(&mut self, a: u8, b: u8, cut: bool) {
+        for pair in [(a, b), (b, a)] {
+            self.cut_one_way(pair.0, pair.1, cut);
+        }
+    }
+
+    /// Cuts one direction between two data centres, or heals it.
+    pub fn cut_one_way(&mut self, from: u8, to: u8, cut: bool) {
+        let pair = (DataCentreId(from), DataCentreId(to));
+        if cut {
+            self.cuts.insert(pair);
+        } else {
+            self.cuts.remove(&pair);
+        }
+    }
+
+    /// Delays of the copies of a message that arrive.
+    pub(crate) fn transmit(
+        &mut self,
+        now: Instant,
+        from: (usize, Member),
+        to: (usize, &Member),
+    ) -> Vec<Duration> {
+        let places = (from.1.data_centre, to.1.data_centre);
+        let cut = self.cuts.contains(&places) || self.node_cuts.contains(&(from.0, to.0));
+        if cut || self.lost(now, from.0, to.0) {
+            return Vec::new();
+        }
+        let copies = if self.chance(self.duplicates) { 2 } else { 1 };
+        let base = if places.0 == places.1 { 100 } else { 1_500 };
+        (0..copies).map(|_| self.delay(base)).collect()
+    }
+
+    fn delay(&mut self, base: u64) -> Duration {
+        let spread = if self.chance(self.stragglers) {
+            300_000
+        } else {
+            400
+        };
+        Duration::from_micros(base + self.rng.below(spread) as u64)
+    }
+
+    fn lost(&mut self, now: Instant, from: usize, to: usize) -> bool {
+        match self.loss {
+            Loss::Independent(share) => self.chance(share),
+            Loss::PairBursts(share, mean) => self.burst(now, (from, to), share, mean),
+            Loss::SenderBursts(share, mean) => self.burst(now, (from, from), share, mean),
+        }
+    }
+
+    /// Two-state Markov chain in continuous time, sampled when a message passes.
+    fn burst(&mut self, now: Instant, key: (usize, usize), share: f64, mean: f64) -> bool {
+        let draw = self.unit();
+        let rate = 1.0 / mean / (1.0 - share);
+        let old = self.bursts.get(&key).copied();
+        let bad = old.map_or(share, |old| {
+            let kept = (-rate * now.since(old.at).as_secs_f64()).exp();
+            share + (f64::from(u8::from(old.bad)) - share) * kept
+        });
+        let bad = draw < bad;
+        self.bursts.insert(key, Burst { bad, at: now });
+        bad
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.unit() < share
+    }
+
+    fn unit(&mut self) -> f64 {
+        self.rng.below(1 << 53) as f64 / (1_u64 << 53) as f64
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/nodes/main.rs
@@ -0,0 +1,4 @@
+//! Nodes on the fake network.
+
+mod common;
+mod lifecycle;
