Add the platform and certificate stand-ins

Cause: the daemon and its process tests need a store and TLS material without any outside service.

`monsoon-standin certs` writes a CA, a certificate for both ends of a link and a keys file.

--- /dev/null
+++ b/crates/standin/src/error.rs
@@ -0,0 +1,66 @@
+//! Errors of the stand-ins.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use derive_more::{Display, Error};
+
+/// Reason why a stand-in could not start or go on.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// A socket could not be opened or used.
+    #[display("{what}: {source}; choose another address or port 0")]
+    Socket {
+        /// Operation that failed.
+        what: &'static str,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+    /// A file could not be read or written.
+    #[display("{}: {source}; check the path and its permissions", path.display())]
+    File {
+        /// File in question.
+        path: PathBuf,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+    /// Certificates could not be made, read or used.
+    #[display("{what}; make new ones with `monsoon-standin certs --dir DIR`")]
+    Certificate {
+        /// What is wrong with them.
+        #[error(not(source))]
+        what: String,
+    },
+    /// An argument has no usable value.
+    #[display("{what}; see `monsoon-standin --help`")]
+    Argument {
+        /// Argument and what it needs.
+        #[error(not(source))]
+        what: String,
+    },
+}
+
+impl Error {
+    /// Converter for socket errors.
+    pub fn socket(what: &'static str) -> impl FnOnce(io::Error) -> Self {
+        move |source| Self::Socket { what, source }
+    }
+
+    /// Converter for file errors.
+    pub fn file(path: &Path) -> impl FnOnce(io::Error) -> Self {
+        let path = path.to_path_buf();
+        move |source| Self::File { path, source }
+    }
+
+    /// Converter for certificate errors of any library.
+    pub fn certificate<E: std::fmt::Display>(what: &'static str) -> impl FnOnce(E) -> Self {
+        move |cause| Self::Certificate {
+            what: format!("{what}: {cause}"),
+        }
+    }
+
+    /// Unusable argument.
+    pub fn argument(what: impl Into<String>) -> Self {
+        Self::Argument { what: what.into() }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,17 @@
+//! Stand-in for the platform's object API (the store), with controls that inject faults.
+//!
+//! | request | effect |
+//! |---|---|
+//! | `GET /objects/NAME` | the object, its version in `ETag` |
+//! | `GET /objects/NAME?watch=N` | waits for a version above N, 304 after 30 s |
+//! | `PUT /objects/NAME` | conditional write (`If-Match: "N"` or `If-None-Match: *`) |
+//! | `POST /faults` | replaces the injected faults |
+//! | `GET /calls` | counts of reads, writes and open watches |
+//!
+//! While the store is down, object requests and pending watches end without a reply.
+
+mod objects;
+mod service;
+
+pub use objects::{MAX_NAME_BYTES, MAX_OBJECTS, MAX_VALUE_BYTES, Objects, Refusal, Value};
+pub use service::{Calls, Faults, Platform, WATCH_TIME};
--- /dev/null
+++ b/crates/standin/src/platform/objects.rs
@@ -0,0 +1,89 @@
+//! Objects and their versions, without I/O.
+
+use std::collections::BTreeMap;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Largest value of an object, as on the platform.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Longest object name.
+pub const MAX_NAME_BYTES: usize = 256;
+/// Most objects; a write that would create a further one is refused.
+pub const MAX_OBJECTS: usize = 4096;
+
+/// Value of an object.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Value {
+    /// Unique identifier of the write, which resolves a lost response.
+    pub change: String,
+    /// Who wrote it.
+    pub author: String,
+    /// Content.
+    pub text: String,
+}
+
+/// Condition of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// The object has this version.
+    Version(u64),
+    /// The object does not exist.
+    Absent,
+}
+
+/// Reason why a write had no effect.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Refusal {
+    /// The condition does not hold.
+    #[display("the object is at version {present:?}; read it again before writing")]
+    Conflict {
+        /// Version of the object, none when it does not exist.
+        present: Option<u64>,
+    },
+    /// There are [`MAX_OBJECTS`] objects.
+    #[display("the store holds {MAX_OBJECTS} objects; reuse a name")]
+    Full,
+}
+
+/// All objects. One counter gives the versions, so that no version is ever used twice.
+#[derive(Debug, Default)]
+pub struct Objects {
+    entries: BTreeMap<String, (u64, Value)>,
+    last: u64,
+}
+
+impl Objects {
+    /// Version and value of an object.
+    pub fn get(&self, name: &str) -> Option<(u64, &Value)> {
+        self.entries
+            .get(name)
+            .map(|(version, value)| (*version, value))
+    }
+
+    /// Writes an object when `condition` holds and returns its new version.
+    ///
+    /// # Errors
+    /// Returns the reason when the write had no effect.
+    pub fn put(&mut self, name: &str, condition: Condition, value: Value) -> Result<u64, Refusal> {
+        let present = self.get(name).map(|(version, _)| version);
+        let holds = match condition {
+            Condition::Version(version) => present == Some(version),
+            Condition::Absent => present.is_none(),
+        };
+        if !holds {
+            return Err(Refusal::Conflict { present });
+        }
+        if present.is_none() && self.entries.len() >= MAX_OBJECTS {
+            return Err(Refusal::Full);
+        }
+        self.last += 1;
+        debug_assert!(
+            present.is_none_or(|old| old < self.last),
+            "versions only grow"
+        );
+        self.entries.insert(name.to_owned(), (self.last, value));
+        Ok(self.last)
+    }
+}
