--- /dev/null
+++ b/crates/daemon/src/agent/attempt.rs
@@ -0,0 +1,80 @@
+//! One try of a request at one target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::StreamExt;
+use monsoon_model::ClassKey;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::{Agent, local};
+use crate::peer::{ExecuteHead, RequestFrame, ResponseFrame};
+
+/// Most frames of one request or response that wait between two tasks.
+const FRAME_QUEUE: usize = 8;
+
+/// Channels of a try. Dropping it cancels the try.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Number of the try.
+    pub number: u32,
+    /// Frames of the target's response.
+    pub replies: mpsc::Receiver<ResponseFrame>,
+    body: Option<mpsc::Sender<RequestFrame>>,
+}
+
+impl Attempt {
+    /// Offers the request to the local target.
+    pub fn local(agent: &Arc<Agent>, number: u32, class: ClassKey, head: ExecuteHead) -> Self {
+        let (attempt, body, replies) = Self::channels(number);
+        let body = ReceiverStream::new(body).boxed();
+        tokio::spawn(local::run(agent.clone(), class, head, body, replies));
+        attempt
+    }
+
+    /// Sends the request to the target behind `peer`.
+    pub fn peer(agent: &Arc<Agent>, number: u32, peer: SocketAddr, head: ExecuteHead) -> Self {
+        let (attempt, body, replies) = Self::channels(number);
+        let first = futures::stream::once(std::future::ready(RequestFrame::Head(head)));
+        let frames = first.chain(ReceiverStream::new(body));
+        let peers = agent.peers.clone();
+        tokio::spawn(async move {
+            let call = async {
+                let mut received = match peers.execute(peer, frames).await {
+                    Ok(received) => received,
+                    Err(status) => return log::debug!("peer: {peer} took no request: {status}"),
+                };
+                while let Ok(Some(frame)) = received.message().await {
+                    if replies.send(frame).await.is_err() {
+                        return;
+                    }
+                }
+            };
+            tokio::select! {
+                () = call => {}
+                () = replies.closed() => {}
+            }
+        });
+        attempt
+    }
+
+    fn channels(
+        number: u32,
+    ) -> (Self, mpsc::Receiver<RequestFrame>, mpsc::Sender<ResponseFrame>) {
+        let (body, frames) = mpsc::channel(FRAME_QUEUE);
+        let (sender, replies) = mpsc::channel(FRAME_QUEUE);
+        (Self { number, replies, body: Some(body) }, frames, sender)
+    }
+
+    /// Takes the sender for the body, which lets the target see the request; `None` the second
+    /// time.
+    pub fn take_body(&mut self) -> Option<mpsc::Sender<RequestFrame>> {
+        self.body.take()
+    }
+
+    /// Whether the target can have seen nothing of the request yet.
+    pub fn is_unsent(&self) -> bool {
+        self.body.is_some()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/claims.rs
@@ -0,0 +1,168 @@
+//! Claims of idempotency keys: the messages between agents.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use monsoon_execution::claim::{
+    Answer, ClaimId, ClaimResult, ClaimRound, KeyHash, Member, RoundAction,
+};
+use monsoon_membership::State;
+use monsoon_model::{AgentId, ServiceId};
+use ring::digest;
+use tokio::sync::mpsc;
+use tonic::Status;
+
+use super::Agent;
+use crate::peer::{ClaimCall, ClaimMessage, ClaimReply};
+
+/// Most answers that wait for the round.
+const ANSWER_QUEUE: usize = 8;
+
+/// Hash of a service's idempotency key.
+pub fn key_hash(service: ServiceId, key: &[u8]) -> KeyHash {
+    let mut context = digest::Context::new(&digest::SHA256);
+    context.update(&service.0.to_be_bytes());
+    context.update(key);
+    let digest = context.finish();
+    let mut half = [0; 16];
+    half.copy_from_slice(&digest.as_ref()[..16]);
+    KeyHash(u128::from_be_bytes(half))
+}
+
+/// A finished round and the addresses of the members that may hold its claim.
+#[derive(Debug)]
+pub struct Held {
+    round: ClaimRound,
+    addresses: BTreeMap<AgentId, SocketAddr>,
+}
+
+struct Answered {
+    from: AgentId,
+    answer: Option<Answer>,
+}
+
+/// Claims `key` at the members of the service.
+pub async fn claim(agent: &Arc<Agent>, key: KeyHash) -> (ClaimResult, Held) {
+    let members = agent.members();
+    let addresses = members.iter().map(|member| (member.id, member.peer)).collect();
+    let ranked = members.iter().map(|member| Member {
+        id: member.id,
+        departed: matches!(member.state, None | Some(State::Leaving)),
+    });
+    let claim = ClaimId { agent: agent.id, serial: agent.next_serial() };
+    let mut held = Held { round: ClaimRound::new(key, claim, ranked), addresses };
+    let (sender, mut answers) = mpsc::channel(ANSWER_QUEUE);
+    let mut actions = held.round.start(agent.clock.now());
+    loop {
+        for action in actions {
+            match action {
+                RoundAction::Ask(member) => ask(agent, &held, member, sender.clone()),
+                RoundAction::Release(member) => {
+                    tell(agent, &held, member, ClaimMessage::Release(key, claim));
+                }
+                RoundAction::Done(result) => return (result, held),
+            }
+        }
+        actions = next(agent, &mut held.round, &mut answers).await;
+    }
+}
+
+async fn next(
+    agent: &Agent,
+    round: &mut ClaimRound,
+    answers: &mut mpsc::Receiver<Answered>,
+) -> Vec<RoundAction> {
+    let tick = async {
+        match round.next_tick() {
+            Some(at) => tokio::time::sleep_until(agent.clock.deadline(at)).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = tick => round.tick(agent.clock.now()),
+        Some(answered) = answers.recv() => match answered.answer {
+            Some(answer) => round.answer(agent.clock.now(), answered.from, answer),
+            None => round.unreachable(agent.clock.now(), answered.from),
+        },
+    }
+}
+
+fn ask(agent: &Arc<Agent>, held: &Held, member: AgentId, answers: mpsc::Sender<Answered>) {
+    let (key, claim) = held.round.identity();
+    let message = ClaimMessage::Claim(key, claim);
+    let sent = send(agent, held, member, message);
+    tokio::spawn(async move {
+        let answer = match sent.await {
+            Some(ClaimReply::Answer(answer)) => Some(answer),
+            _ => None,
+        };
+        // A closed channel means that the round is over.
+        let _ = answers.send(Answered { from: member, answer }).await;
+    });
+}
+
+fn tell(agent: &Arc<Agent>, held: &Held, member: AgentId, message: ClaimMessage) {
+    tokio::spawn(send(agent, held, member, message));
+}
+
+/// Sends one message, also to this agent itself; `None` when the member cannot be reached.
+fn send(
+    agent: &Arc<Agent>,
+    held: &Held,
+    member: AgentId,
+    message: ClaimMessage,
+) -> impl Future<Output = Option<ClaimReply>> + Send + 'static {
+    let address = held.addresses.get(&member).copied();
+    let agent = agent.clone();
+    let call = ClaimCall { service: agent.service, message };
+    async move {
+        if member == agent.id {
+            return answer(&agent, call).ok();
+        }
+        agent.peers.claim(address?, call).await.ok()
+    }
+}
+
+impl Held {
+    /// Stores the response status at the members that hold the claim.
+    pub fn store(&self, agent: &Arc<Agent>, status: u16) {
+        let (key, claim) = self.round.identity();
+        for member in self.round.asked() {
+            tell(agent, self, *member, ClaimMessage::Store(key, claim, status));
+        }
+    }
+
+    /// Releases the claim of a request that was not run.
+    pub fn release(&self, agent: &Arc<Agent>) {
+        let (key, claim) = self.round.identity();
+        for member in self.round.asked() {
+            tell(agent, self, *member, ClaimMessage::Release(key, claim));
+        }
+    }
+}
+
+/// Answers a message of a claimer.
+///
+/// # Errors
+/// Refuses a message for another service.
+pub fn answer(agent: &Agent, call: ClaimCall) -> Result<ClaimReply, Status> {
+    agent.check_service(call.service)?;
+    let mut claims = agent.claims.lock().expect("no panic while the lock is held");
+    let now = agent.clock.now();
+    Ok(match call.message {
+        ClaimMessage::Claim(key, claim) => ClaimReply::Answer(claims.claim(now, key, claim)),
+        ClaimMessage::Store(key, claim, status) => {
+            claims.store(key, claim, status);
+            ClaimReply::Done
+        }
+        ClaimMessage::Release(key, claim) => {
+            claims.release(key, claim);
+            ClaimReply::Done
+        }
+        ClaimMessage::Adopt(handed) => {
+            let mut adopted = handed.into_iter().map(|claim| claims.adopt(now, claim));
+            if adopted.all(|done| done) { ClaimReply::Done } else { ClaimReply::Full }
+        }
+    })
+}
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use monsoon_admission::TargetState;
-use monsoon_membership::{AgentNode, Event, LocalState, Member, State};
+use monsoon_membership::{AgentNode, Event, LocalState, State};
 use tokio::sync::mpsc;
 
 use super::Agent;
@@ -23,11 +23,11 @@
     events: mpsc::Receiver<Event>,
 ) {
     let machine = Machine { handle: AgentNode::handle, next_tick: AgentNode::next_tick };
-    let reader = node.clone();
+    let (reader, clock) = (node.clone(), control.clock);
     control
         .run(node, machine, events, move |_| {
             let node = reader.lock().expect("no panic while the lock is held");
-            socket.set_balancers(node.balancers().into_iter().map(|balancer| balancer.data));
+            socket.set_balancers(node.balancers(clock.now()).into_iter().map(|balancer| balancer.data));
         })
         .await;
 }
@@ -64,8 +64,3 @@
         versions: agent.configuration.versions(),
     }
 }
-
-/// Member entry of an agent before its first announcement.
-pub fn member(base: Member, local: LocalState) -> Member {
-    Member { state: local.state, load: local.load, slots: local.slots, versions: local.versions, ..base }
-}
--- /dev/null
+++ b/crates/daemon/src/agent/drive.rs
@@ -0,0 +1,281 @@
+//! Carries out the decisions of one request's state machine.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use monsoon_admission::{Load, TargetState};
+use monsoon_config::Class;
+use monsoon_execution::claim::{ClaimResult, KeyHash};
+use monsoon_execution::{Action, Event, Execution, PeerLoad, Place, Reply, Request, pick_place};
+use monsoon_membership::{Peer, State};
+use monsoon_metrics::Outcome;
+use monsoon_model::{ClassKey, Instant};
+use quinn::Connection;
+
+use super::attempt::Attempt;
+use super::claims::{self, Held};
+use super::request::{self, Receiver};
+use super::respond::{self, Refusal, Sender};
+use super::Agent;
+use super::flows::Phase;
+use crate::peer::{ExecuteHead, ResponseFrame, ResponseHead};
+
+/// A caller's request with what its execution needs.
+pub struct Work {
+    /// Agent that received it.
+    pub agent: Arc<Agent>,
+    /// Flow that it came on.
+    pub connection: Connection,
+    /// Class within the service.
+    pub key: ClassKey,
+    /// Parameters of the class.
+    pub class: Class,
+    /// Method, path and headers; the deadline is set for each attempt.
+    pub head: ExecuteHead,
+    /// Hash of the idempotency key of a non-idempotent request.
+    pub claim: Option<KeyHash>,
+    /// Sending half of the stream.
+    pub sender: Sender,
+    /// Receiving half of the stream.
+    pub receiver: Receiver,
+}
+
+/// Runs the request to its end.
+pub async fn drive(work: Work) {
+    let started = work.agent.clock.now();
+    let request = Request {
+        idempotent: work.class.idempotent,
+        from_peer: false,
+        deadline: work.class.deadline.map(|span| started + span),
+    };
+    let driver = Driver {
+        execution: Execution::new(started, request),
+        agent: work.agent,
+        connection: work.connection,
+        key: work.key,
+        class: work.class,
+        head: work.head,
+        claim: work.claim,
+        sender: Some(work.sender),
+        receiver: Some(work.receiver),
+        started,
+        events: VecDeque::from([Event::Begin]),
+        attempt: None,
+        response: None,
+        held: None,
+        peers: Vec::new(),
+    };
+    driver.run().await;
+}
+
+struct Driver {
+    agent: Arc<Agent>,
+    connection: Connection,
+    execution: Execution,
+    key: ClassKey,
+    class: Class,
+    head: ExecuteHead,
+    claim: Option<KeyHash>,
+    sender: Option<Sender>,
+    receiver: Option<Receiver>,
+    started: Instant,
+    events: VecDeque<Event>,
+    attempt: Option<Attempt>,
+    response: Option<ResponseHead>,
+    held: Option<Held>,
+    peers: Vec<Peer>,
+}
+
+impl Driver {
+    async fn run(mut self) {
+        while !self.execution.is_done() || !self.events.is_empty() {
+            let event = match self.events.pop_front() {
+                Some(event) => event,
+                None => self.wait().await,
+            };
+            let now = self.agent.clock.now();
+            let actions = {
+                let mut budget = self.agent.budget.lock().expect("no panic while the lock is held");
+                self.execution.handle(now, event, &mut budget)
+            };
+            for action in actions {
+                self.carry_out(action).await;
+            }
+        }
+        if self.sender.is_some() {
+            self.agent.record(&self.class.name, Outcome::Cancelled, None);
+        }
+    }
+
+    /// Waits for the next thing that happens to the request.
+    async fn wait(&mut self) -> Event {
+        let deadline = self.execution.deadline().filter(|_| self.sender.is_some());
+        let clock = self.agent.clock;
+        let expired = async {
+            match deadline {
+                Some(at) => tokio::time::sleep_until(clock.deadline(at)).await,
+                None => std::future::pending().await,
+            }
+        };
+        let caller_waits = self.sender.is_some();
+        let Some(attempt) = &mut self.attempt else {
+            return Event::Lost(self.execution.attempt());
+        };
+        tokio::select! {
+            frame = attempt.replies.recv() => self.on_frame(frame),
+            () = expired => Event::Tick,
+            _ = self.connection.closed(), if caller_waits => {
+                self.sender = None;
+                self.agent.record(&self.class.name, Outcome::Cancelled, None);
+                Event::Cancelled
+            }
+        }
+    }
+
+    fn on_frame(&mut self, frame: Option<ResponseFrame>) -> Event {
+        let Some(attempt) = &mut self.attempt else {
+            return Event::Tick;
+        };
+        let number = attempt.number;
+        match frame {
+            Some(ResponseFrame::Admitted) if attempt.is_unsent() => Event::Started(number),
+            Some(ResponseFrame::Head(head)) => {
+                let status = head.status;
+                self.response = Some(head);
+                Event::Response(number, status)
+            }
+            Some(ResponseFrame::NotRun) => Event::NotRun(number),
+            // The connection ended before the target could see the request.
+            None if attempt.is_unsent() => Event::NotRun(number),
+            _ => Event::Lost(number),
+        }
+    }
+
+    async fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Claim => {
+                let result = self.run_claim().await;
+                self.events.push_back(Event::Claimed(result));
+            }
+            Action::Pick => {
+                let place = self.pick();
+                self.events.push_back(Event::Picked(place));
+            }
+            Action::Enqueue(number) => {
+                let head = self.head_now();
+                self.attempt = Some(Attempt::local(&self.agent, number, self.key, head));
+            }
+            Action::Forward(number, index) => self.forward(number, index).await,
+            Action::Send(_) => self.send_body(),
+            Action::Cancel(number) => {
+                self.attempt = None;
+                self.events.push_back(Event::Lost(number));
+            }
+            Action::Store(status) => {
+                if let Some(held) = &self.held {
+                    held.store(&self.agent, status);
+                }
+            }
+            Action::Release => {
+                if let Some(held) = &self.held {
+                    held.release(&self.agent);
+                }
+            }
+            Action::Reply(reply) => self.reply(reply).await,
+        }
+    }
+
+    async fn run_claim(&mut self) -> ClaimResult {
+        let Some(key) = self.claim else {
+            return ClaimResult::NotRun;
+        };
+        let (result, held) = claims::claim(&self.agent, key).await;
+        self.held = Some(held);
+        result
+    }
+
+    /// Chooses where the next attempt runs; nowhere once the body has been read.
+    fn pick(&mut self) -> Option<Place> {
+        self.receiver.as_ref()?;
+        let now = self.agent.clock.now();
+        self.peers = {
+            let node = self.agent.node.lock().expect("no panic while the lock is held");
+            node.peers(now)
+        };
+        let loads: Vec<_> = self.peers.iter().map(peer_load).collect();
+        let leaving = *self.agent.phase.borrow() != Phase::Serving;
+        let local = self.agent.gate.load();
+        Some(pick_place(local, &loads, leaving, rand::random()))
+    }
+
+    async fn forward(&mut self, number: u32, index: usize) {
+        let Some(peer) = self.peers.get(index).copied() else {
+            return self.events.push_back(Event::NotRun(number));
+        };
+        self.agent.counters.count("request_passed_on");
+        let head = self.head_now();
+        let mut attempt = Attempt::peer(&self.agent, number, peer.peer, head);
+        let admitted = attempt.replies.recv().await;
+        self.attempt = Some(attempt);
+        match admitted {
+            Some(ResponseFrame::Admitted) => self.send_body(),
+            _ => self.events.push_back(Event::NotRun(number)),
+        }
+    }
+
+    /// Lets the target see the request.
+    fn send_body(&mut self) {
+        let body = self.attempt.as_mut().and_then(Attempt::take_body);
+        if let (Some(body), Some(receiver)) = (body, self.receiver.take()) {
+            tokio::spawn(request::pump_body(receiver, body));
+        }
+    }
+
+    fn head_now(&self) -> ExecuteHead {
+        let now = self.agent.clock.now();
+        let left = self.execution.deadline().map(|at| at.since(now).as_millis());
+        ExecuteHead { deadline_ms: left, ..self.head.clone() }
+    }
+
+    async fn reply(&mut self, reply: Reply) {
+        let Some(sender) = self.sender.take() else {
+            return;
+        };
+        let outcome = match reply {
+            Reply::Response(_) => self.deliver(sender).await,
+            Reply::Replay(status) => respond::replay(sender, status).await,
+            Reply::NotRun => respond::refuse(sender, Refusal::NotRun).await,
+            Reply::Unknown => respond::refuse(sender, Refusal::Unknown).await,
+        };
+        let latency = self.agent.clock.now().since(self.started);
+        let answered = outcome == Outcome::Answered && !self.class.stream;
+        self.agent.record(&self.class.name, outcome, answered.then_some(latency));
+    }
+
+    async fn deliver(&mut self, sender: Sender) -> Outcome {
+        match (self.response.take(), &mut self.attempt) {
+            (Some(head), Some(attempt)) => {
+                respond::deliver(sender, &head, &mut attempt.replies).await
+            }
+            _ => respond::refuse(sender, Refusal::Unknown).await,
+        }
+    }
+}
+
+/// Load of a peer in the terms of the choice of place.
+fn peer_load(peer: &Peer) -> PeerLoad {
+    let state = match peer.state {
+        State::Cold => TargetState::Cold,
+        State::Ready => TargetState::Ready,
+        State::Leaving => TargetState::Leaving,
+    };
+    // Announced loads are percentages of the limit, so the limit stands for 100 slots.
+    let load = Load {
+        busy: u32::from(peer.load),
+        queued: 0,
+        limit: 100_000,
+        state,
+        leaving: peer.state == State::Leaving,
+    };
+    PeerLoad { load, sent: 0 }
+}
--- a/crates/daemon/src/agent/flows.rs
+++ b/crates/daemon/src/agent/flows.rs
@@ -97,7 +97,8 @@
         tokio::select! {
             accepted = h3.accept() => match accepted {
                 Ok(Some(resolver)) => {
-                    tokio::spawn(request::serve(agent.clone(), resolver));
+                    let flow = connection.clone();
+                    tokio::spawn(request::serve(agent.clone(), flow, resolver));
                 }
                 Ok(None) => break,
                 Err(error) => {
--- a/crates/daemon/src/agent/local.rs
+++ b/crates/daemon/src/agent/local.rs
@@ -67,14 +67,15 @@
             return reply(&replies, ResponseFrame::NotRun).await;
         }
     };
-    reply(&replies, ResponseFrame::Admitted).await?;
-    let Some(first) = body.next().await else {
-        return Ok(());
-    };
+    // Connecting before the answer keeps a dead target's requests free to run elsewhere.
     let mut exchange = match agent.target.connect().await {
         Ok(exchange) => exchange,
         Err(error) => return give_up(&mut permit, &replies, &error).await,
     };
+    reply(&replies, ResponseFrame::Admitted).await?;
+    let Some(first) = body.next().await else {
+        return Ok(());
+    };
     let request = match build(head, deadline, agent.clock.now(), first, body) {
         Ok(request) => request,
         Err(reason) => {
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,7 +1,10 @@
 //! The process beside a target: ends QUIC flows and runs their requests.
 
+mod attempt;
 mod cid;
+mod claims;
 mod control;
+mod drive;
 mod flows;
 mod forwarders;
 mod gate;
@@ -14,12 +17,17 @@
 mod start;
 mod target;
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use monsoon_config::Class;
-use monsoon_metrics::Histograms;
-use monsoon_model::{ClassKey, Duration, ServiceId};
+use monsoon_execution::RetryBudget;
+use monsoon_execution::claim::Claims;
+use monsoon_membership::{AgentNode, ServiceMember};
+use monsoon_metrics::{Histograms, Outcome};
+use monsoon_model::{AgentId, ClassKey, Duration, ServiceId};
 use tokio::sync::watch;
+use tonic::Status;
 
 pub use start::{AgentError, run};
 
@@ -35,12 +43,17 @@
 #[derive(Debug)]
 pub struct Agent {
     clock: Clock,
+    id: AgentId,
     service: ServiceId,
     tenant: String,
     configuration: Configuration,
     gate: Gate,
     target: Target,
     peers: Peers,
+    node: Arc<Mutex<AgentNode>>,
+    claims: Mutex<Claims>,
+    budget: Mutex<RetryBudget>,
+    serial: AtomicU64,
     histograms: Mutex<Histograms>,
     counters: Arc<Counters>,
     phase: watch::Sender<Phase>,
@@ -59,8 +72,35 @@
             .flatten()
     }
 
-    fn record(&self, class: &str, latency: Duration) {
+    /// Other members of the service and this one, with those that departed recently.
+    fn members(&self) -> Vec<ServiceMember> {
+        let node = self.node.lock().expect("no panic while the lock is held");
+        node.service_members(self.clock.now())
+    }
+
+    /// Number of an attempt to claim, never used again by this process.
+    fn next_serial(&self) -> u64 {
+        self.serial.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A request must never reach a target of another service.
+    fn check_service(&self, service: ServiceId) -> Result<(), Status> {
+        if service == self.service {
+            return Ok(());
+        }
+        self.counters.count("request_other_service");
+        Err(Status::failed_precondition(format!(
+            "this agent serves service {}, not {service}; refresh the membership",
+            self.service
+        )))
+    }
+
+    /// Records the end of a request.
+    fn record(&self, class: &str, outcome: Outcome, latency: Option<Duration>) {
         let mut histograms = self.histograms.lock().expect("no panic while the lock is held");
-        histograms.record(&self.tenant, class, latency);
+        histograms.count(&self.tenant, class, outcome);
+        if let Some(latency) = latency {
+            histograms.record(&self.tenant, class, latency);
+        }
     }
 }
--- a/crates/daemon/src/agent/respond.rs
+++ b/crates/daemon/src/agent/respond.rs
@@ -3,7 +3,11 @@
 use bytes::Bytes;
 use h3::error::Code;
 use h3::server::RequestStream;
-use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use monsoon_metrics::Outcome;
+use tokio::sync::mpsc;
+
+use crate::peer::{ResponseFrame, ResponseHead};
 
 /// Sending half of a request's stream.
 pub type Sender = RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
@@ -71,16 +75,31 @@
 }
 
 /// Sends a refusal; a caller that has gone away needs none.
-pub async fn refuse(mut sender: Sender, refusal: Refusal) {
+pub async fn refuse(sender: Sender, refusal: Refusal) -> Outcome {
+    send_text(sender, refusal.status(), refusal.outcome(), refusal.text()).await;
+    match refusal {
+        Refusal::Unknown => Outcome::Unknown,
+        _ => Outcome::Refused,
+    }
+}
+
+/// Answers a resent request whose first run was answered with `status`.
+pub async fn replay(sender: Sender, status: u16) -> Outcome {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    send_text(sender, status, "replayed", "").await;
+    Outcome::Answered
+}
+
+async fn send_text(mut sender: Sender, status: StatusCode, outcome: &'static str, text: &'static str) {
     let mut response = Response::new(());
-    *response.status_mut() = refusal.status();
+    *response.status_mut() = status;
     let headers = response.headers_mut();
-    headers.insert(OUTCOME, HeaderValue::from_static(refusal.outcome()));
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome));
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     if sender.send_response(response).await.is_err() {
         return;
     }
-    if sender.send_data(Bytes::from_static(refusal.text().as_bytes())).await.is_err() {
+    if sender.send_data(Bytes::from_static(text.as_bytes())).await.is_err() {
         return;
     }
     if let Err(error) = sender.finish().await {
@@ -88,19 +107,46 @@
     }
 }
 
-/// Head of a target's response, without the headers that concern only its connection.
-pub fn head(status: StatusCode, headers: &HeaderMap) -> Response<()> {
-    let mut response = Response::new(());
-    *response.status_mut() = status;
-    for (name, value) in headers {
-        if !is_hop_by_hop(name.as_str()) {
-            response.headers_mut().append(name, value.clone());
+/// Passes a target's response on.
+pub async fn deliver(
+    mut sender: Sender,
+    head: &ResponseHead,
+    replies: &mut mpsc::Receiver<ResponseFrame>,
+) -> Outcome {
+    let Ok(response) = response_head(head) else {
+        return refuse(sender, Refusal::Unknown).await;
+    };
+    if sender.send_response(response).await.is_err() {
+        return Outcome::Cancelled;
+    }
+    loop {
+        match replies.recv().await {
+            Some(ResponseFrame::Data(data)) => {
+                if sender.send_data(data).await.is_err() {
+                    return Outcome::Cancelled;
+                }
+            }
+            Some(ResponseFrame::End) => break,
+            _ => {
+                // The caller must not take a part of the response for the whole.
+                sender.stop_stream(Code::H3_INTERNAL_ERROR);
+                return Outcome::Unknown;
+            }
         }
     }
-    response
+    match sender.finish().await {
+        Ok(()) => Outcome::Answered,
+        Err(_) => Outcome::Cancelled,
+    }
 }
 
-/// Aborts a response whose rest is lost, so that the caller does not take it for whole.
-pub fn abort(mut sender: Sender) {
-    sender.stop_stream(Code::H3_INTERNAL_ERROR);
+fn response_head(head: &ResponseHead) -> Result<Response<()>, http::Error> {
+    let mut response = Response::new(());
+    *response.status_mut() = StatusCode::from_u16(head.status)?;
+    for (name, value) in &head.headers {
+        let name = HeaderName::from_bytes(name.as_bytes())?;
+        let value = HeaderValue::from_bytes(value)?;
+        response.headers_mut().append(name, value);
+    }
+    Ok(response)
 }
--- a/crates/daemon/src/agent/serve_peer.rs
+++ b/crates/daemon/src/agent/serve_peer.rs
@@ -4,13 +4,12 @@
 
 use futures::StreamExt;
 use futures::future::FutureExt;
-use monsoon_model::ServiceId;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Status, Streaming};
 
 use super::flows::Phase;
-use super::{Agent, local};
+use super::{Agent, claims, local};
 use crate::peer::{ExecuteHead, Handlers, RequestFrame, ResponseFrame, ResponseFrames};
 
 /// Most response frames that wait for the connection.
@@ -18,10 +17,10 @@
 
 /// Handlers of the peer service.
 pub fn handlers(agent: &Arc<Agent>) -> Handlers {
-    let (executor, reader) = (agent.clone(), agent.clone());
+    let (executor, replica, reader) = (agent.clone(), agent.clone(), agent.clone());
     Handlers {
         execute: Arc::new(move |frames| execute(executor.clone(), frames).boxed()),
-        claim: Arc::new(|_| Err(Status::unimplemented("claims are not served yet"))),
+        claim: Arc::new(move |call| claims::answer(&replica, call)),
         fetch: Arc::new(move |call| reader.configuration.newer(call)),
     }
 }
@@ -33,7 +32,7 @@
     let Some(RequestFrame::Head(head)) = frames.message().await? else {
         return Err(Status::invalid_argument("the first frame must be the head"));
     };
-    check_service(&agent, head.service)?;
+    agent.check_service(head.service)?;
     let (sender, replies) = mpsc::channel(FRAME_QUEUE);
     match class(&agent, &head) {
         Some(key) if *agent.phase.borrow() != Phase::Out => {
@@ -48,18 +47,6 @@
     Ok(ReceiverStream::new(replies).map(Ok).boxed())
 }
 
-/// A request must never reach a target of another service.
-fn check_service(agent: &Agent, service: ServiceId) -> Result<(), Status> {
-    if service == agent.service {
-        return Ok(());
-    }
-    agent.counters.count("request_other_service");
-    Err(Status::failed_precondition(format!(
-        "this agent serves service {}, not {service}; refresh the membership",
-        agent.service
-    )))
-}
-
 fn class(agent: &Agent, head: &ExecuteHead) -> Option<monsoon_model::ClassKey> {
     let path = head.path.split('?').next().unwrap_or("/");
     agent.class_of(&head.method, path).map(|(key, _)| key)
--- a/crates/daemon/src/agent/socket.rs
+++ b/crates/daemon/src/agent/socket.rs
@@ -11,7 +11,7 @@
 use std::task::{Context, Poll, ready};
 
 use monsoon_model::{Chain, Instant, ServiceId};
-use monsoon_routing::{Decision, Handoff, Load};
+use monsoon_routing::{Decision, Handoff, Load, redirect};
 use monsoon_wire::{ConnectionId, Direction, Envelope, Keyring, quic};
 use quinn::udp::{RecvMeta, Transmit};
 use quinn::{AsyncUdpSocket, UdpPoller};
@@ -129,6 +129,11 @@
         let load = (self.parts.load)();
         let hop = usize::from(envelope.hop);
         match state.handoff.decide(now, envelope.key, &envelope.chain, hop, load) {
+            Decision::Redirect(agent) => {
+                let (chain, last) = redirect(&envelope.chain, hop, agent);
+                self.pass_on(Envelope { chain, ..envelope }, last, payload);
+                None
+            }
             // The accept loop refuses new flows of a leaving agent, which tells the caller.
             Decision::Accept | Decision::Refuse => Some((envelope, payload)),
             Decision::Pass(next) => {
--- a/crates/daemon/src/agent/start.rs
+++ b/crates/daemon/src/agent/start.rs
@@ -1,14 +1,15 @@
 //! Start and planned stop of an agent.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
 use monsoon_admission::{ClassLimits, Limits};
 use monsoon_config::{Document, Service};
+use monsoon_execution::claim::Claims;
 use monsoon_membership::{AgentNode, Event, Role};
-use monsoon_metrics::Histograms;
 use monsoon_model::DataCentreId;
 use monsoon_routing::Load;
 use quinn::{Endpoint, EndpointConfig, ServerConfig, TransportConfig};
@@ -161,20 +162,13 @@
 }
 
 impl Builder {
-    fn node(&self) -> AgentNode {
-        let place = &self.placement;
-        let member = self.shell.member(Role::Agent, place.data_centre, place.service.number);
-        let seeds = self.shell.settings.seeds.clone();
-        AgentNode::new(self.shell.control.clock.now(), member, seeds, rand::random())
-    }
-
     /// Starts the membership node and the reports of the own state to it.
     fn join(
         &self,
         agent: &Arc<Agent>,
         socket: Arc<AgentSocket>,
     ) -> (mpsc::Sender<Event>, JoinHandle<()>) {
-        let node = Arc::new(Mutex::new(self.node()));
+        let node = agent.node.clone();
         let (events, inbox) = mpsc::channel(EVENT_QUEUE);
         let membership = tokio::spawn(control::run(self.shell.control.clone(), node, socket, inbox));
         let slots = u16::try_from(self.placement.service.slots).unwrap_or(u16::MAX);
@@ -196,15 +190,24 @@
     fn agent(&self, target: SocketAddr) -> Arc<Agent> {
         let (phase, _) = watch::channel(Phase::Serving);
         let (control, placement) = (&self.shell.control, &self.placement);
+        let service = placement.service.number;
+        let member = self.shell.member(Role::Agent, placement.data_centre, service);
+        let (now, seeds) = (control.clock.now(), self.shell.settings.seeds.clone());
+        let node = AgentNode::new(now, member, seeds, rand::random());
         Arc::new(Agent {
             clock: control.clock,
-            service: placement.service.number,
+            id: member.id,
+            service,
             tenant: placement.tenant.clone(),
             configuration: control.configuration.clone(),
             gate: Gate::new(control.clock, limits(&placement.service)),
             target: Target::new(target),
             peers: control.peers.clone(),
-            histograms: Mutex::new(Histograms::default()),
+            node: Arc::new(Mutex::new(node)),
+            claims: Mutex::new(Claims::new(now)),
+            budget: Mutex::default(),
+            serial: AtomicU64::new(0),
+            histograms: Mutex::default(),
             counters: control.counters.clone(),
             phase,
             flows: FlowCount::default(),
@@ -250,8 +253,7 @@
 fn flow_load(agent: &Agent) -> Load {
     let load = agent.gate.load();
     Load {
-        busy: load.busy,
-        queued: load.queued,
+        used: load.busy + load.queued,
         limit: load.limit.div_ceil(1_000),
         leaving: load.leaving || *agent.phase.borrow() != Phase::Serving,
     }
--- a/crates/daemon/src/balancer/forward.rs
+++ b/crates/daemon/src/balancer/forward.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use monsoon_model::{Chain, ServiceId};
-use monsoon_routing::{Established, FirstLook, Route, Router};
+use monsoon_routing::{Destination, FirstLook, Route, Router};
 use monsoon_wire::quic::{self, Packet};
 use monsoon_wire::{ConnectionId, Direction, Envelope, Keyring, flow_key, stateless_reset};
 use tokio::net::UdpSocket;
@@ -63,10 +63,7 @@
                 None
             }
             Route::Reset => self.reset(received.payload, &packet),
-            Route::Drop(reason) => {
-                self.counters.count(reason.name());
-                None
-            }
+            Route::Drop(_) => None,
         }
     }
 
@@ -76,7 +73,7 @@
             return FirstLook::Unverified;
         };
         if let Some(id) = ConnectionId::open(dcid, &self.keys) {
-            return FirstLook::Established(Established {
+            return FirstLook::Established(Destination {
                 agent: id.agent,
                 service: id.service,
                 data_centre: id.data_centre,
--- a/crates/daemon/src/balancer/start.rs
+++ b/crates/daemon/src/balancer/start.rs
@@ -113,6 +113,10 @@
     if shell.settings.store.is_empty() {
         return;
     }
+    let client = match Client::new(shell.settings.store.clone()) {
+        Ok(client) => client,
+        Err(error) => return log::error!("store: {error}"),
+    };
     for object in [Object::Document, Object::Places] {
         let node = node.clone();
         let is_watcher = move || match &*node.borrow() {
@@ -123,7 +127,7 @@
             None => true,
         };
         tokio::spawn(store_watch::run(
-            Client::new(shell.settings.store.clone()),
+            client.clone(),
             shell.settings.environment.clone(),
             object,
             shell.control.configuration.clone(),
@@ -163,12 +167,17 @@
 }
 
 fn status(tables: &Tables) -> serde_json::Value {
+    let routing = {
+        let router = tables.router.lock().expect("no panic while the lock is held");
+        format!("{:?}", router.counters())
+    };
     let node = tables.node.lock().expect("no panic while the lock is held");
     serde_json::json!({
         "role": "balancer",
         "versions": tables.configuration.versions(),
         "balancers": node.balancers().len(),
         "agents": node.agents().collect::<Vec<_>>(),
+        "routing": routing,
     })
 }
 
--- a/crates/daemon/src/balancer/store_watch.rs
+++ b/crates/daemon/src/balancer/store_watch.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use monsoon_store::Client;
+use monsoon_store::{Client, Watch};
 
 use crate::configuration::Configuration;
 
@@ -14,6 +14,8 @@
 const RETRY_FIRST: Duration = Duration::from_millis(200);
 /// Longest delay after failed calls.
 const RETRY_MOST: Duration = Duration::from_secs(5);
+/// Pause while the store has nothing newer than what is in force and cannot wait for it.
+const BEHIND_PAUSE: Duration = Duration::from_secs(1);
 /// Time between two looks whether this balancer is to watch.
 const RANK_POLL: Duration = Duration::from_millis(500);
 
@@ -67,7 +69,7 @@
         }
         let after = object.version(&configuration);
         match client.watch(&name, after).await {
-            Ok(Some((version, stored))) => {
+            Ok(Watch::Newer(version, stored)) => {
                 delay = RETRY_FIRST;
                 object.offer(&configuration, version, &stored.text);
                 if object.version(&configuration) < version {
@@ -75,7 +77,9 @@
                     tokio::time::sleep(RETRY_MOST).await;
                 }
             }
-            Ok(None) => delay = RETRY_FIRST,
+            Ok(Watch::Unchanged) => delay = RETRY_FIRST,
+            // The object does not exist yet or was lost; what is in force stays in force.
+            Ok(Watch::Behind(_)) => tokio::time::sleep(BEHIND_PAUSE).await,
             Err(error) => {
                 log::warn!("store: {error}; trying again in {} ms", delay.as_millis());
                 tokio::time::sleep(delay).await;
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -1,6 +1,7 @@
 //! Messages of the peer service.
 
 use bytes::Bytes;
+use monsoon_execution::claim::{Answer, ClaimId, Handed, KeyHash};
 use monsoon_model::{ServiceId, Version, Versions};
 use serde::{Deserialize, Serialize};
 
@@ -56,20 +57,37 @@
     End,
 }
 
-/// Question to a claim replica.
+/// Message to a claim replica.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ClaimCall {
     /// Service that the key belongs to.
     pub service: ServiceId,
-    /// Message of the claim protocol, encoded by the crate `execution`.
-    pub message: Bytes,
+    /// What to do.
+    pub message: ClaimMessage,
 }
 
-/// Answer of a claim replica.
+/// What a claim replica is to do.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ClaimReply {
-    /// Message of the claim protocol, encoded by the crate `execution`.
-    pub message: Bytes,
+pub enum ClaimMessage {
+    /// Record a claim.
+    Claim(KeyHash, ClaimId),
+    /// Store the response status of the attempt that holds the key.
+    Store(KeyHash, ClaimId, u16),
+    /// Release the claim of an attempt that was not run.
+    Release(KeyHash, ClaimId),
+    /// Take over claims of a leaving replica.
+    Adopt(Vec<Handed>),
+}
+
+/// Answer of a claim replica.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub enum ClaimReply {
+    /// Answer to a claim.
+    Answer(Answer),
+    /// The message was carried out.
+    Done,
+    /// Some of the claims found no room.
+    Full,
 }
 
 /// Request for configuration texts newer than the caller's.
