Keep removed numbers taken and test the document checks

A check against the previous document alone lets a number be removed in one document and given to another name in the next. Removed names and numbers therefore stay in the document as [[retired_data_centre]] and [[retired_service]], and check_successor reports a dropped number.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -9,7 +9,7 @@
 use crate::document::{DataCentre, Document, Service};
 use crate::fault::{Fault, FaultKind, Faults};
 use crate::list::Unique;
-use crate::raw::{RawDataCentre, RawDocument, RawService};
+use crate::raw::{RawDataCentre, RawDocument, RawRetired, RawService};
 use crate::read::Located;
 use crate::rule;
 
@@ -32,6 +32,8 @@
             .map(|p| check.data_centre(p))
             .collect();
         let services: Vec<_> = raw.services.into_iter().map(|s| check.service(s)).collect();
+        let old_places = check.retired(List::DataCentre, raw.retired_data_centres);
+        let old_services = check.retired(List::Service, raw.retired_services);
         if let Some(faults) = Faults::collect(check.faults) {
             return Err(faults);
         }
@@ -43,38 +45,74 @@
             .into_iter()
             .flatten()
             .map(|service| (service.number, service));
-        let (data_centres, services) = (places.collect(), services.collect());
+        let old_places = old_places
+            .into_iter()
+            .filter_map(|(n, name)| Some((place_id(n)?, name)));
+        let old_services = old_services
+            .into_iter()
+            .map(|(n, name)| (ServiceId(n), name));
         Ok(Self {
             tenant: tenant.unwrap_or_default(),
-            data_centres,
-            services,
+            data_centres: places.collect(),
+            services: services.collect(),
+            retired_data_centres: old_places.collect(),
+            retired_services: old_services.collect(),
         })
     }
 }
 
+fn place_id(number: u16) -> Option<DataCentreId> {
+    u8::try_from(number).ok().map(DataCentreId)
+}
+
+/// List that a name and a number belong to.
+#[derive(Clone, Copy, Debug)]
+enum List {
+    DataCentre,
+    Service,
+}
+
+/// Names and numbers of one list, including the retired ones.
+#[derive(Debug)]
+struct Identities {
+    names: Unique<String>,
+    numbers: Unique<i64>,
+}
+
+impl Identities {
+    fn new() -> Self {
+        Self {
+            names: Unique::new("name"),
+            numbers: Unique::new("number"),
+        }
+    }
+}
+
 /// Faults and values seen so far.
 #[derive(Debug)]
 pub(crate) struct Check {
-    pub(crate) faults: Vec<Fault>,
-    place_names: Unique<String>,
-    place_numbers: Unique<i64>,
-    service_names: Unique<String>,
-    service_numbers: Unique<i64>,
+    faults: Vec<Fault>,
+    places: Identities,
+    services: Identities,
     addresses: Unique<SocketAddr>,
 }
 
 impl Check {
     fn new(faults: Vec<Fault>) -> Self {
+        let (places, services) = (Identities::new(), Identities::new());
         Self {
             faults,
-            place_names: Unique::new("name"),
-            place_numbers: Unique::new("number"),
-            service_names: Unique::new("name"),
-            service_numbers: Unique::new("number"),
+            places,
+            services,
             addresses: Unique::new("address"),
         }
     }
 
+    /// Faults so far.
+    pub(crate) fn faults(&mut self) -> &mut Vec<Fault> {
+        &mut self.faults
+    }
+
     pub(crate) fn fault(&mut self, key: impl Into<String>, line: usize, kind: FaultKind) {
         self.faults.push(Fault {
             key: key.into(),
@@ -135,24 +173,56 @@
         u32::try_from(value).ok()
     }
 
-    fn data_centre(&mut self, raw: RawDataCentre) -> Option<DataCentre> {
-        let prefix = &raw.prefix;
-        if let Some(name) = &raw.name {
-            let key = format!("{prefix}name");
-            self.place_names
-                .add(name.value.clone(), key, name.line, &mut self.faults);
+    /// Checks form and uniqueness of a name and a number.
+    fn identity(
+        &mut self,
+        list: List,
+        prefix: &str,
+        name: Option<Located<String>>,
+        number: Option<Located<i64>>,
+    ) -> Option<(String, u16)> {
+        let (name_key, number_key) = (format!("{prefix}name"), format!("{prefix}number"));
+        let (seen, max) = match list {
+            List::DataCentre => (&mut self.places, 255),
+            List::Service => (&mut self.services, 65_535),
+        };
+        if let Some(name) = &name {
+            seen.names.add(
+                name.value.clone(),
+                name_key.clone(),
+                name.line,
+                &mut self.faults,
+            );
+        }
+        if let Some(number) = &number {
+            seen.numbers.add(
+                number.value,
+                number_key.clone(),
+                number.line,
+                &mut self.faults,
+            );
         }
-        if let Some(number) = &raw.number {
-            let key = format!("{prefix}number");
-            self.place_numbers
-                .add(number.value, key, number.line, &mut self.faults);
+        let name = self.name(name_key, name);
+        let number = self.range(number_key, number, &(1..=max));
+        Some((name?, u16::try_from(number?).ok()?))
+    }
+
+    fn retired(&mut self, list: List, raws: Vec<RawRetired>) -> Vec<(u16, String)> {
+        let mut retired = Vec::new();
+        for raw in raws {
+            let identity = self.identity(list, &raw.prefix, raw.name, raw.number);
+            retired.extend(identity.map(|(name, number)| (number, name)));
         }
-        let name = self.name(format!("{prefix}name"), raw.name);
-        let number = self.range(format!("{prefix}number"), raw.number, &(1..=255));
-        let region = self.name(format!("{prefix}region"), raw.region);
-        let number = DataCentreId(u8::try_from(number?).ok()?);
+        retired
+    }
+
+    fn data_centre(&mut self, raw: RawDataCentre) -> Option<DataCentre> {
+        let identity = self.identity(List::DataCentre, &raw.prefix, raw.name, raw.number);
+        let region = self.name(format!("{}region", raw.prefix), raw.region);
+        let (name, number) = identity?;
+        let number = place_id(number)?;
         Some(DataCentre {
-            name: name?,
+            name,
             number,
             region: region?,
         })
@@ -160,26 +230,16 @@
 
     fn service(&mut self, raw: RawService) -> Option<Service> {
         let prefix = &raw.prefix;
-        if let Some(name) = &raw.name {
-            let key = format!("{prefix}name");
-            self.service_names
-                .add(name.value.clone(), key, name.line, &mut self.faults);
-        }
-        if let Some(number) = &raw.number {
-            let key = format!("{prefix}number");
-            self.service_numbers
-                .add(number.value, key, number.line, &mut self.faults);
-        }
-        let name = self.name(format!("{prefix}name"), raw.name);
-        let number = self.range(format!("{prefix}number"), raw.number, &(1..=65_535));
+        let identity = self.identity(List::Service, prefix, raw.name, raw.number);
         let addresses = self.addresses(prefix, raw.addresses);
         let slots = self.count(prefix, raw.slots, "slots", MAX_SLOTS);
         let connections = self.count(prefix, raw.connections, "connections", MAX_CONNECTIONS);
         let cold_share = self.share(format!("{prefix}cold_share"), raw.cold_share);
         let classes = self.classes(prefix, raw.line, raw.classes);
+        let (name, number) = identity?;
         Some(Service {
-            name: name?,
-            number: ServiceId(u16::try_from(number?).ok()?),
+            name,
+            number: ServiceId(number),
             addresses: addresses?,
             slots: slots?,
             connections: connections?,
--- a/crates/config/src/class.rs
+++ b/crates/config/src/class.rs
@@ -36,7 +36,7 @@
         for raw in raws {
             if let Some(name) = &raw.name {
                 let key = format!("{}name", raw.prefix);
-                names.add(name.value.clone(), key, name.line, &mut self.faults);
+                names.add(name.value.clone(), key, name.line, self.faults());
             }
             if let (Some(method), Some(path)) = (&raw.method, &raw.path) {
                 let route = format!("{} {}", method.value, path.value);
@@ -44,7 +44,7 @@
                     route,
                     format!("{}path", raw.prefix),
                     path.line,
-                    &mut self.faults,
+                    self.faults(),
                 );
             }
             classes.push(self.class(raw));
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -41,15 +41,14 @@
         &[("", old.tenant.clone(), new.tenant.clone())],
         &mut changes,
     );
-    let places = |document: &'_ Document| -> BTreeMap<u16, DataCentre> {
-        document
-            .data_centres
-            .iter()
-            .map(|(key, place)| (u16::from(key.0), place.clone()))
-            .collect()
-    };
     let title = |place: &DataCentre| format!("data centre {}", place.name);
-    compare(&places(old), &places(new), title, place_diff, &mut changes);
+    compare(
+        &old.data_centres,
+        &new.data_centres,
+        title,
+        place_diff,
+        &mut changes,
+    );
     let title = |service: &Service| format!("service {}", service.name);
     compare(
         &old.services,
@@ -58,6 +57,22 @@
         service_diff,
         &mut changes,
     );
+    let (before, after) = (&old.retired_data_centres, &new.retired_data_centres);
+    compare(
+        before,
+        after,
+        |name| format!("retired data centre {name}"),
+        rename,
+        &mut changes,
+    );
+    let (before, after) = (&old.retired_services, &new.retired_services);
+    compare(
+        before,
+        after,
+        |name| format!("retired service {name}"),
+        rename,
+        &mut changes,
+    );
     changes
 }
 
@@ -97,6 +112,11 @@
     values(&format!("data centre {}", old.name), &pairs, changes);
 }
 
+#[expect(clippy::ptr_arg, reason = "the caller compares the values of a map")]
+fn rename(old: &String, new: &String, changes: &mut Vec<Change>) {
+    values("retired", &[("name", old.clone(), new.clone())], changes);
+}
+
 fn service_diff(old: &Service, new: &Service, changes: &mut Vec<Change>) {
     let title = format!("service {}", old.name);
     let pairs = [
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -21,6 +21,10 @@
     pub data_centres: BTreeMap<DataCentreId, DataCentre>,
     /// Services by number.
     pub services: BTreeMap<ServiceId, Service>,
+    /// Names of removed data centres; their numbers stay taken.
+    pub retired_data_centres: BTreeMap<DataCentreId, String>,
+    /// Names of removed services; their numbers stay taken.
+    pub retired_services: BTreeMap<ServiceId, String>,
 }
 
 /// Data centre of the document.
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -128,6 +128,16 @@
         /// Number in force.
         previous: u16,
     },
+    /// Number of the document in force is absent.
+    #[display("number {number} of \"{name}\" is dropped; list both under [[retired_{list}]]")]
+    NumberDropped {
+        /// List that the number belongs to.
+        list: &'static str,
+        /// Dropped number.
+        number: u16,
+        /// Its name.
+        name: String,
+    },
     /// Further faults were found.
     #[display("{count} more faults are not shown; correct these first")]
     More {
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -9,9 +9,19 @@
     pub(crate) tenant: Option<Located<String>>,
     pub(crate) data_centres: Vec<RawDataCentre>,
     pub(crate) services: Vec<RawService>,
+    pub(crate) retired_data_centres: Vec<RawRetired>,
+    pub(crate) retired_services: Vec<RawRetired>,
     pub(crate) faults: Vec<Fault>,
 }
 
+/// Name and number of a removed data centre or service.
+#[derive(Debug)]
+pub(crate) struct RawRetired {
+    pub(crate) prefix: String,
+    pub(crate) name: Option<Located<String>>,
+    pub(crate) number: Option<Located<i64>>,
+}
+
 #[derive(Debug)]
 pub(crate) struct RawDataCentre {
     pub(crate) prefix: String,
@@ -57,10 +67,14 @@
 }
 
 fn read_root(reader: &mut Reader<'_>, root: &Section<'_>) -> RawDocument {
-    reader.only(root, &["tenant", "data_centre", "service"]);
+    let retired = ["retired_data_centre", "retired_service"];
+    reader.only(
+        root,
+        &["tenant", "data_centre", "service", retired[0], retired[1]],
+    );
     let tenant = reader.string(root, "tenant");
-    let places = reader.tables(root, "data_centre", Some("at least one [[data_centre]]"));
-    let services = reader.tables(root, "service", Some("at least one [[service]]"));
+    let places = reader.tables(root, "data_centre", Some("[[data_centre]]"));
+    let services = reader.tables(root, "service", Some("[[service]]"));
     RawDocument {
         tenant,
         data_centres: places
@@ -71,10 +85,25 @@
             .iter()
             .map(|section| read_service(reader, section))
             .collect(),
+        retired_data_centres: read_retired(reader, root, retired[0]),
+        retired_services: read_retired(reader, root, retired[1]),
         faults: Vec::new(),
     }
 }
 
+fn read_retired(reader: &mut Reader<'_>, root: &Section<'_>, key: &str) -> Vec<RawRetired> {
+    let sections = reader.tables(root, key, None);
+    let read = |section: &Section<'_>| {
+        reader.only(section, &["name", "number"]);
+        RawRetired {
+            prefix: section.prefix.clone(),
+            name: reader.string(section, "name"),
+            number: reader.integer(section, "number"),
+        }
+    };
+    sections.iter().map(read).collect()
+}
+
 fn read_data_centre(reader: &mut Reader<'_>, section: &Section<'_>) -> RawDataCentre {
     reader.only(section, &["name", "number", "region"]);
     RawDataCentre {
@@ -96,7 +125,7 @@
         "class",
     ];
     reader.only(section, &known);
-    let classes = reader.tables(section, "class", Some("at least one [[service.class]]"));
+    let classes = reader.tables(section, "class", Some("[[service.class]]"));
     RawService {
         prefix: section.prefix.clone(),
         name: reader.string(section, "name"),
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -224,6 +224,9 @@
             );
             return Vec::new();
         };
+        if let Some(entry) = needed.filter(|_| entries.is_empty()) {
+            self.fault(path.clone(), line, FaultKind::EmptyList { entry });
+        }
         let mut sections = Vec::new();
         for (index, entry) in entries.iter().enumerate() {
             let line = self.line(entry.span().start);
--- a/crates/config/src/successor.rs
+++ b/crates/config/src/successor.rs
@@ -1,6 +1,6 @@
 //! Rules between a document and the one it replaces.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::document::Document;
 use crate::fault::{Fault, FaultKind, Faults};
@@ -11,10 +11,13 @@
     /// Numbers travel inside connection IDs and in the peers' tables, so a number that changes its
     /// meaning would send packets of an open flow to another service or data centre.
     ///
+    /// A removed number has to stay in the document as retired, because a check against the
+    /// previous document alone would permit its reuse two documents later.
+    ///
     /// # Errors
     /// Returns a fault for each number that has another name in `previous`, each name that has
-    /// another number there, and a changed tenant. Lines are 1, because a checked document has no
-    /// positions.
+    /// another number there, each number that is dropped, and a changed tenant. Lines are 1,
+    /// because a checked document has no positions.
     pub fn check_successor(&self, previous: &Self) -> Result<(), Faults> {
         let mut faults = Vec::new();
         if self.tenant != previous.tenant {
@@ -33,43 +36,82 @@
     }
 }
 
+/// Names by number, with the retired ones.
 fn places(document: &Document) -> BTreeMap<u16, &str> {
-    let places = document.data_centres.values();
-    places
-        .map(|place| (u16::from(place.number.0), place.name.as_str()))
+    let listed = document
+        .data_centres
+        .iter()
+        .map(|(id, place)| (id, place.name.as_str()));
+    let retired = document
+        .retired_data_centres
+        .iter()
+        .map(|(id, name)| (id, name.as_str()));
+    listed
+        .chain(retired)
+        .map(|(id, name)| (u16::from(id.0), name))
         .collect()
 }
 
+/// Names by number, with the retired ones.
 fn services(document: &Document) -> BTreeMap<u16, &str> {
-    let services = document.services.values();
-    services
-        .map(|service| (service.number.0, service.name.as_str()))
+    let listed = document
+        .services
+        .iter()
+        .map(|(id, service)| (id, service.name.as_str()));
+    let retired = document
+        .retired_services
+        .iter()
+        .map(|(id, name)| (id, name.as_str()));
+    listed
+        .chain(retired)
+        .map(|(id, name)| (id.0, name))
         .collect()
 }
 
 fn check(
-    list: &str,
+    list: &'static str,
     present: &BTreeMap<u16, &str>,
     previous: &BTreeMap<u16, &str>,
     faults: &mut Vec<Fault>,
 ) {
-    let numbers: BTreeMap<&str, u16> = previous.iter().map(|(&n, &name)| (name, n)).collect();
-    for (&number, &name) in present {
+    let old: BTreeMap<&str, u16> = previous.iter().map(|(&n, &name)| (name, n)).collect();
+    let names: BTreeSet<&str> = present.values().copied().collect();
+    let mut push = |name: &str, kind| {
         let key = format!("{list} \"{name}\".number");
+        faults.push(Fault { key, line: 1, kind });
+    };
+    for (&number, &name) in present {
         if let Some(&before) = previous.get(&number).filter(|&&before| before != name) {
-            let (previous, name) = (before.to_owned(), name.to_owned());
-            let kind = FaultKind::NumberReused {
-                number,
-                previous,
+            let (previous, owned) = (before.to_owned(), name.to_owned());
+            push(
                 name,
-            };
-            faults.push(Fault { key, line: 1, kind });
-        } else if let Some(&before) = numbers.get(name).filter(|&&before| before != number) {
-            let kind = FaultKind::NumberChanged {
-                name: name.to_owned(),
-                previous: before,
-            };
-            faults.push(Fault { key, line: 1, kind });
+                FaultKind::NumberReused {
+                    number,
+                    previous,
+                    name: owned,
+                },
+            );
+        } else if let Some(&previous) = old.get(name).filter(|&&before| before != number) {
+            push(
+                name,
+                FaultKind::NumberChanged {
+                    name: name.to_owned(),
+                    previous,
+                },
+            );
         }
     }
+    let dropped = previous
+        .iter()
+        .filter(|(number, _)| !present.contains_key(number));
+    for (&number, &name) in dropped.filter(|(_, name)| !names.contains(*name)) {
+        push(
+            name,
+            FaultKind::NumberDropped {
+                list,
+                number,
+                name: name.to_owned(),
+            },
+        );
+    }
 }
--- /dev/null
+++ b/crates/config/tests/state.rs
@@ -0,0 +1,105 @@
+//! State in force and differences.
+
+use monsoon_config::{ConfigState, Document, Offer, Places, diff};
+use monsoon_model::{ClassKey, DataCentreId, Version, hash};
+
+const GOOD: &str = include_str!("../../../examples/karavanex.toml");
+
+/// Guards against going back after repeated, reordered or faulty texts, and against a faulty text
+/// that changes anything. Seeds 1 to 64, 200 offers each.
+#[test]
+fn versions_never_go_back() {
+    for seed in 1..=64 {
+        let mut state = ConfigState::default();
+        let mut offers = 0;
+        for step in 0..200 {
+            let word = hash::mix(seed, step);
+            let version = Version(word % 40);
+            let before = state.clone();
+            let good = word & (1 << 20) != 0;
+            let offer = if word & (1 << 21) == 0 {
+                let text = GOOD.replace("slots = 4", &format!("slots = {}", version.0 + 1));
+                state.offer_document(version, if good { &text } else { "slots =" })
+            } else {
+                state.offer_places(version, if good { "out = [\"brno-b\"]" } else { "in = 1" })
+            };
+            offers += 1;
+            assert!(
+                !before.versions().is_ahead_of(state.versions()),
+                "seed {seed} step {step}"
+            );
+            if offer != Offer::Accepted {
+                assert_eq!(
+                    before.versions(),
+                    state.versions(),
+                    "seed {seed} step {step}"
+                );
+                assert_eq!(before.document_text(), state.document_text());
+                assert_eq!(before.places_text(), state.places_text());
+            }
+            if let Some(document) = state.document() {
+                let service = document
+                    .service_named("prodejna")
+                    .expect("service is listed");
+                assert_eq!(u64::from(service.slots), state.versions().document.0 + 1);
+            }
+        }
+        let counters = state.counters();
+        let counted = counters.accepted + counters.same + counters.stale + counters.rejected;
+        assert_eq!(counted, offers);
+    }
+}
+
+/// Guards against names that are resolved before the document that lists them arrives.
+#[test]
+fn out_follows_the_document_and_the_places() {
+    let mut state = ConfigState::default();
+    let places = Places {
+        out: ["brno-b".to_owned(), "praha".to_owned()].into(),
+    };
+    assert_eq!(
+        state.offer_places(Version(4), &places.to_text()),
+        Offer::Accepted
+    );
+    assert!(state.out().is_empty());
+    assert_eq!(state.offer_document(Version(9), GOOD), Offer::Accepted);
+    assert_eq!(state.out(), [DataCentreId(2)].into());
+    assert_eq!(state.offer_places(Version(4), "out = []"), Offer::Same);
+    assert_eq!(state.offer_places(Version(3), "out = []"), Offer::Stale);
+    assert_eq!(state.out(), [DataCentreId(2)].into());
+}
+
+/// Guards against a shorter prefix, or the order of the list, deciding the class.
+#[test]
+fn longest_prefix_of_the_method_wins() {
+    let long = GOOD
+        .replace("path = \"/holds\"", "path = \"/board/holds\"")
+        .replace("POST", "GET");
+    let document = Document::parse(&long).expect("text parses");
+    let service = document
+        .service_named("prodejna")
+        .expect("service is listed");
+    assert_eq!(service.class_of("GET", "/board/holds/7"), Some(ClassKey(1)));
+    assert_eq!(service.class_of("GET", "/board/7"), Some(ClassKey(0)));
+    assert_eq!(service.class_of("PUT", "/board/7"), None);
+}
+
+/// Guards against a difference that operators are not shown before they apply a document.
+#[test]
+fn diff_shows_every_difference() {
+    let old = Document::parse(GOOD).expect("example parses");
+    assert!(diff(&old, &old).is_empty());
+    let start = GOOD
+        .find("[[service]]\nname = \"dilna\"")
+        .expect("example lists dilna");
+    let text = GOOD[..start]
+        .replace("slots = 4", "slots = 6")
+        .replace("192.0.2.2", "192.0.2.9")
+        .replace("region = \"morava\"", "region = \"cechy\"")
+        .replace("name = \"upload\"", "name = \"photo\"")
+        .replace("deadline_ms = 2000", "deadline_ms = 1500")
+        + "[[retired_service]]\nname = \"dilna\"\nnumber = 2\n";
+    let new = Document::parse(&text).expect("text parses");
+    let lines: Vec<_> = diff(&old, &new).iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
