--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Client of the object API: versions, conditional updates and watches over HTTP/1.1 and JSON.
+//!
+//! The store has long outages, and a response may be lost after a write took effect. Every call
+//! therefore has a timeout, and [`PutError`] separates a write that surely did not take effect
+//! from one whose outcome is unknown. [`settle`] resolves the latter with
+//! [`monsoon_lease::Write`].
+
+mod client;
+mod connection;
+mod error;
+mod object;
+mod settle;
+
+pub use client::{Client, MAX_ADDRESSES, Watch};
+pub use connection::{CONNECT_TIMEOUT, MAX_BODY};
+pub use error::{PutError, StoreError};
+pub use object::{Condition, MAX_OBJECT, Stored, is_object_name};
+pub use settle::{Performed, Settled, perform, settle};
--- /dev/null
+++ b/crates/store/tests/stand_in/mod.rs
@@ -0,0 +1,235 @@
+//! Object API on loopback that fails on request.
+
+#![allow(dead_code, reason = "each test binary uses another part of this file")]
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+
+/// Time that a watch waits; short, so that tests need not.
+const WATCH_WAIT: Duration = Duration::from_millis(200);
+
+/// Behaviour of one write, in the order of arrival.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// Takes effect, then the connection breaks.
+    LoseAnswer,
+    /// Connection breaks without effect.
+    LoseRequest,
+    /// Another writer stores this text first.
+    Before(String),
+    /// Takes effect, the connection breaks, and another writer stores this text.
+    After(String),
+    /// Answers with this status, without effect.
+    Status(u16),
+}
+
+#[derive(Debug, Default)]
+pub struct State {
+    pub objects: BTreeMap<String, (u64, Bytes)>,
+    pub faults: VecDeque<Fault>,
+    /// Number of writes that took effect.
+    pub writes: u64,
+    /// Plain text answered at `/histograms`.
+    pub histograms: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct StandIn {
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+}
+
+impl StandIn {
+    /// Serves on a free port until the test process ends.
+    pub fn start() -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback is usable");
+        listener
+            .set_nonblocking(true)
+            .expect("socket can be made non-blocking");
+        let address = listener.local_addr().expect("socket is bound");
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = Arc::clone(&state);
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
+            runtime
+                .expect("runtime starts")
+                .block_on(serve(listener, shared));
+        });
+        Self { address, state }
+    }
+
+    /// Object as another operator or process writes it.
+    pub fn set(&self, name: &str, text: &str) {
+        store(
+            &mut self.state.lock().expect("state is usable"),
+            name,
+            other(text),
+        );
+    }
+
+    /// Text of an object.
+    pub fn text(&self, name: &str) -> Option<String> {
+        let state = self.state.lock().expect("state is usable");
+        let (_, body) = state.objects.get(name)?;
+        let value: serde_json::Value = serde_json::from_slice(body).expect("object is JSON");
+        value["text"].as_str().map(str::to_owned)
+    }
+
+    pub fn fail(&self, fault: Fault) {
+        self.state
+            .lock()
+            .expect("state is usable")
+            .faults
+            .push_back(fault);
+    }
+
+    pub fn writes(&self) -> u64 {
+        self.state.lock().expect("state is usable").writes
+    }
+}
+
+fn other(text: &str) -> Bytes {
+    let value = serde_json::json!({"change": "other-1", "author": "eva", "text": text});
+    Bytes::from(value.to_string())
+}
+
+fn store(state: &mut State, name: &str, body: Bytes) -> u64 {
+    state.writes += 1;
+    let version = state.writes;
+    state.objects.insert(name.to_owned(), (version, body));
+    version
+}
+
+async fn serve(listener: std::net::TcpListener, state: Arc<Mutex<State>>) {
+    let listener = tokio::net::TcpListener::from_std(listener).expect("socket joins the runtime");
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let service = service_fn(|request| answer(Arc::clone(&state), request));
+            let connection = hyper::server::conn::http1::Builder::new();
+            // An error is a connection that a test breaks on purpose.
+            drop(
+                connection
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await,
+            );
+        });
+    }
+}
+
+type Answer = Result<Response<Full<Bytes>>, std::io::Error>;
+
+async fn answer(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    if path == "/histograms" {
+        let text = state.lock().expect("state is usable").histograms.clone();
+        return Ok(Response::new(Full::new(text.into())));
+    }
+    let name = path
+        .strip_prefix("/objects/")
+        .unwrap_or_default()
+        .to_owned();
+    if request.method() == Method::PUT {
+        return put(&state, &name, request).await;
+    }
+    let watch = request
+        .uri()
+        .query()
+        .and_then(|query| query.strip_prefix("watch="));
+    if let Some(after) = watch.and_then(|after| after.parse::<u64>().ok()) {
+        let newer = || {
+            state
+                .lock()
+                .expect("state is usable")
+                .objects
+                .get(&name)
+                .map(|o| o.0 > after)
+        };
+        let end = tokio::time::Instant::now() + WATCH_WAIT;
+        while newer() == Some(false) && tokio::time::Instant::now() < end {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        if newer() == Some(false) {
+            return Ok(reply(304, None, Bytes::new()));
+        }
+    }
+    let found = state
+        .lock()
+        .expect("state is usable")
+        .objects
+        .get(&name)
+        .cloned();
+    Ok(found.map_or_else(
+        || reply(404, None, Bytes::new()),
+        |(version, body)| reply(200, Some(version), body),
+    ))
+}
+
+async fn put(state: &Mutex<State>, name: &str, request: Request<Incoming>) -> Answer {
+    let header = |name| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let (at, absent) = (
+        header(IF_MATCH).map(str::to_owned),
+        header(IF_NONE_MATCH).is_some(),
+    );
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .map_err(std::io::Error::other)?
+        .to_bytes();
+    let mut state = state.lock().expect("state is usable");
+    let fault = state.faults.pop_front();
+    match &fault {
+        Some(Fault::LoseRequest) => return Err(std::io::Error::other("request lost")),
+        Some(Fault::Status(status)) => return Ok(reply(*status, None, Bytes::new())),
+        Some(Fault::Before(text)) => {
+            store(&mut state, name, other(text));
+        }
+        _ => {}
+    }
+    let present = state.objects.get(name).map(|object| object.0);
+    let matches = present.map(|version| format!("\"{version}\"")) == at;
+    if !matches || (absent && present.is_some()) || (!absent && at.is_none()) {
+        return Ok(reply(412, present, Bytes::new()));
+    }
+    let version = store(&mut state, name, body);
+    if let Some(Fault::After(text)) = &fault {
+        store(&mut state, name, other(text));
+    }
+    if matches!(fault, Some(Fault::LoseAnswer | Fault::After(_))) {
+        return Err(std::io::Error::other("answer lost"));
+    }
+    Ok(reply(200, Some(version), Bytes::new()))
+}
+
+fn reply(status: u16, version: Option<u64>, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = StatusCode::from_u16(status).expect("status is valid");
+    if let Some(version) = version {
+        let tag = format!("\"{version}\"")
+            .parse()
+            .expect("digits make a header");
+        response.headers_mut().insert(ETAG, tag);
+    }
+    response
+}
