Add the target stand-in

Cause: agents and process tests need a service that drains, starts cold, sheds load, honours deadlines and cancellation, and records what ran.

Change: `monsoon-standin target` serves endless boards, executions with an idempotency key and digested uploads. A cold target carries cold_share x slots in average concurrency; a request above that fails everything in flight and restarts the cold start. Executions are recorded when they start, so cancelled and failed ones count. The health endpoint can lag.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod error;
 pub mod lifetime;
 pub mod platform;
+pub mod target;
 pub mod web;
--- /dev/null
+++ b/crates/standin/src/target/mod.rs
@@ -0,0 +1,26 @@
+//! Stand-in for a target: a plain HTTP/1.1 service with slots, a cold start and a drain.
+//!
+//! | request | effect |
+//! |---|---|
+//! | `GET /board`, `GET /catalogue` | `tick N` lines from 0, then `end N` after a drain |
+//! | `POST /holds`, `POST /checks` | one execution of `idempotency-key`, recorded when it starts |
+//! | `PUT` or `POST` below `/uploads/`, `/photos/`, `/reports/`, `/sheets/` | length and SHA-256 of the body |
+//! | `GET /health` | state, busy slots and slots, optionally out of date |
+//! | `POST /control/drain`, `/control/cold`, `/control/ready` | changes the state; `{"seconds": n}` gives the time |
+//! | `GET /control/record` | what ran here |
+//!
+//! A response with `x-outcome: not-run` says that the request had no effect. A cold target carries
+//! `cold_share` of its slots in average concurrency. Above that it fails all requests in flight and
+//! its cold start begins again.
+
+mod board;
+mod capacity;
+mod control;
+mod record;
+mod service;
+mod work;
+
+pub use capacity::{Capacity, Phase};
+pub use record::{AfterDrain, MAX_EXECUTIONS, Record, Upload};
+pub use service::{Settings, Target};
+pub use work::{MAX_UPLOAD_BYTES, QUEUE_PER_SLOT, SERVICE_TIME};
--- /dev/null
+++ b/crates/standin/src/target/service.rs
@@ -0,0 +1,217 @@
+//! Shared state of a target and the dispatch of its requests.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::header::HeaderValue;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{Instant, sleep};
+
+use super::capacity::Capacity;
+use super::control::{self, Health};
+use super::record::Record;
+use super::{board, work};
+use crate::error::Error;
+use crate::web::{self, Reply, Server};
+
+/// Most slots, so that a mistyped argument does not exhaust the machine.
+const MAX_SLOTS: u32 = 1024;
+
+/// Time that open work gets to finish when the process ends.
+const END_GRACE: Duration = Duration::from_secs(3);
+
+/// Parameters of a target.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Port on 127.0.0.1, 0 for a free one.
+    pub port: u16,
+    /// Name in the record and in responses.
+    pub name: String,
+    /// Concurrent requests when warm, at least 1.
+    pub slots: u32,
+    /// Concurrent streams.
+    pub connections: u32,
+    /// Speed relative to a target whose service time is [`SERVICE_TIME`](work::SERVICE_TIME).
+    pub speed: f64,
+    /// Time in cold start; zero starts warm.
+    pub cold_time: Duration,
+    /// Share of the slots that a cold target carries.
+    pub cold_share: f64,
+    /// Time between two lines of a stream.
+    pub tick: Duration,
+    /// Age of the state that the health endpoint shows.
+    pub health_lag: Duration,
+    /// Time from a drain to the end of the streams.
+    pub drain_time: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            port: 0,
+            name: "target".to_owned(),
+            slots: 4,
+            connections: 2000,
+            speed: 1.0,
+            cold_time: Duration::ZERO,
+            cold_share: 0.1,
+            tick: Duration::from_millis(100),
+            health_lag: Duration::ZERO,
+            drain_time: Duration::from_secs(20),
+        }
+    }
+}
+
+impl Settings {
+    fn check(&self) -> Result<(), Error> {
+        if self.slots == 0 || self.slots > MAX_SLOTS {
+            return Err(Error::argument(format!("--slots must be 1 to {MAX_SLOTS}")));
+        }
+        if !(0.001..=1000.0).contains(&self.speed) {
+            return Err(Error::argument("--speed must be 0.001 to 1000"));
+        }
+        if !(0.0..=1.0).contains(&self.cold_share) {
+            return Err(Error::argument("--cold-share must be 0 to 1"));
+        }
+        if self.tick.is_zero() {
+            return Err(Error::argument("--tick-ms must be at least 1"));
+        }
+        Ok(())
+    }
+}
+
+/// Mutable state of a target.
+#[derive(Debug)]
+pub(super) struct State {
+    pub capacity: Capacity,
+    pub record: Record,
+    /// Requests that run.
+    pub busy: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+    /// Open streams.
+    pub streams: u32,
+    /// Past health, oldest first.
+    pub history: VecDeque<(Instant, Health)>,
+}
+
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub settings: Settings,
+    pub slots: Semaphore,
+    /// Fails the requests in flight when it changes.
+    pub overrun: watch::Sender<()>,
+    state: Mutex<State>,
+}
+
+impl Shared {
+    fn new(settings: Settings) -> Self {
+        let share = settings.cold_share * f64::from(settings.slots);
+        let state = State {
+            capacity: Capacity::new(Instant::now(), share, settings.cold_time),
+            record: Record {
+                name: settings.name.clone(),
+                ..Record::default()
+            },
+            busy: 0,
+            queued: 0,
+            streams: 0,
+            history: VecDeque::new(),
+        };
+        Self {
+            slots: Semaphore::new(settings.slots as usize),
+            overrun: watch::Sender::new(()),
+            state: Mutex::new(state),
+            settings,
+        }
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts new work that comes after the start of a drain.
+    pub fn note_arrival(&self) {
+        let mut state = self.lock();
+        if let Some(age) = state.capacity.drained_for(Instant::now()) {
+            state.record.after_drain.count += 1;
+            state.record.after_drain.last_ms = age.as_millis() as u64;
+        }
+    }
+}
+
+/// Running target. Dropping it ends the target like a crash.
+#[derive(Debug)]
+pub struct Target {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl Target {
+    /// Starts a target on 127.0.0.1.
+    ///
+    /// # Errors
+    /// Returns an error when a setting is out of range or the port is taken.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        settings.check()?;
+        let port = settings.port;
+        let shared = Arc::new(Shared::new(settings));
+        let state = Arc::clone(&shared);
+        let handler = move |request| handle(Arc::clone(&state), request);
+        let server = Server::start(port, handler).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Address of the service and its controls.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// What ran so far.
+    pub fn record(&self) -> Record {
+        self.shared.lock().record.clone()
+    }
+
+    /// Ends the streams and waits a bounded time until no work is open.
+    pub async fn finish(self) {
+        let end = Instant::now() + END_GRACE;
+        self.shared
+            .lock()
+            .capacity
+            .drain(Instant::now(), Duration::ZERO);
+        while Instant::now() < end && self.has_work() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn has_work(&self) -> bool {
+        let state = self.shared.lock();
+        state.busy + state.queued + state.streams > 0
+    }
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let mut reply = match (&method, path.as_str()) {
+        (&Method::GET, "/board" | "/catalogue") => board::open(&shared),
+        (&Method::POST, "/holds" | "/checks") => work::execute(&shared, request).await,
+        (&Method::GET | &Method::POST, "/health") => control::health(&shared),
+        (&Method::GET, "/control/record") => control::record(&shared),
+        (&Method::POST, control) if control.starts_with("/control/") => {
+            control::change(&shared, control, request).await
+        }
+        (&Method::PUT | &Method::POST, upload) if work::is_upload(upload) => {
+            work::upload(&shared, request).await
+        }
+        _ => web::status(StatusCode::NOT_FOUND),
+    };
+    if let Ok(name) = HeaderValue::from_str(&shared.settings.name) {
+        reply.headers_mut().insert("x-target", name);
+    }
+    Ok(reply)
+}
