--- a/crates/daemon/src/agent/cid.rs
+++ b/crates/daemon/src/agent/cid.rs
@@ -6,7 +6,7 @@
 
 use monsoon_model::{DataCentreId, ServiceId};
 use monsoon_wire::{CID_LEN, ConnectionId, Keyring};
-use quinn::{ConnectionIdGenerator, InvalidCid};
+use quinn_proto::{ConnectionIdGenerator, InvalidCid};
 
 /// Issues and recognises the connection IDs of one agent.
 pub struct CidGenerator {
@@ -31,7 +31,7 @@
 }
 
 impl ConnectionIdGenerator for CidGenerator {
-    fn generate_cid(&mut self) -> quinn::ConnectionId {
+    fn generate_cid(&mut self) -> quinn_proto::ConnectionId {
         self.nonce = self.nonce.wrapping_add(1);
         let id = ConnectionId {
             agent: self.agent,
@@ -39,10 +39,10 @@
             data_centre: self.data_centre,
             nonce: self.nonce,
         };
-        quinn::ConnectionId::new(&id.seal(&self.keys))
+        quinn_proto::ConnectionId::new(&id.seal(&self.keys))
     }
 
-    fn validate(&self, cid: &quinn::ConnectionId) -> Result<(), InvalidCid> {
+    fn validate(&self, cid: &quinn_proto::ConnectionId) -> Result<(), InvalidCid> {
         ConnectionId::open(cid, &self.keys)
             .filter(|id| id.service == self.service && id.agent == self.agent)
             .map(|_| ())
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -29,7 +29,7 @@
 use tokio::sync::watch;
 use tonic::Status;
 
-pub use start::{AgentError, run};
+pub use start::run;
 
 use crate::clock::Clock;
 use crate::configuration::Configuration;
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -31,7 +31,7 @@
     pub fn rebuild(&self, now: Instant) {
         let agents: Vec<Member> = {
             let node = self.node.lock().expect("no panic while the lock is held");
-            node.agents().into_iter().collect()
+            node.agents().copied().collect()
         };
         let out = self.configuration.out();
         let tables = self
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -7,4 +7,4 @@
 mod start;
 mod store_watch;
 
-pub use start::{BalancerError, run};
+pub use start::run;
--- a/crates/daemon/src/balancer/start.rs
+++ b/crates/daemon/src/balancer/start.rs
@@ -113,11 +113,11 @@
     if shell.settings.store.is_empty() {
         return;
     }
-    let client = match Client::new(shell.settings.store.clone()) {
-        Ok(client) => client,
-        Err(error) => return log::error!("store: {error}"),
-    };
     for object in [Object::Document, Object::Places] {
+        let client = match Client::new(shell.settings.store.clone()) {
+            Ok(client) => client,
+            Err(error) => return log::error!("store: {error}"),
+        };
         let node = node.clone();
         let is_watcher = move || match &*node.borrow() {
             Some(node) => {
@@ -127,7 +127,7 @@
             None => true,
         };
         tokio::spawn(store_watch::run(
-            client.clone(),
+            client,
             shell.settings.environment.clone(),
             object,
             shell.control.configuration.clone(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use derive_more::{Display, Error};
 use monsoon_wire::{Keyring, RawKeys};
@@ -161,9 +162,9 @@
     /// Addresses of the platform's store.
     pub store: Vec<SocketAddr>,
     /// Shared keys.
-    pub keys: Keyring,
+    pub keys: Arc<Keyring>,
     /// Certificates.
-    pub tls: Tls,
+    pub tls: Arc<Tls>,
 }
 
 impl Settings {
@@ -191,8 +192,8 @@
         };
         Ok(Self {
             role,
-            keys: load_keys(&raw.keys)?,
-            tls: Tls::try_from(&raw.tls).map_err(|source| SettingsError::Tls { source })?,
+            keys: Arc::new(load_keys(&raw.keys)?),
+            tls: load_tls(&raw.tls)?,
             environment: raw.environment,
             data_centre: raw.data_centre,
             advertise: raw.advertise,
@@ -257,6 +258,11 @@
     }
 }
 
+fn load_tls(files: &TlsFiles) -> Result<Arc<Tls>, SettingsError> {
+    let tls = Tls::try_from(files).map_err(|source| SettingsError::Tls { source })?;
+    Ok(Arc::new(tls))
+}
+
 fn load_keys(path: &Path) -> Result<Keyring, SettingsError> {
     let raw: RawKeys = read_toml(path)?;
     Keyring::try_from(raw)
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -36,10 +36,10 @@
 impl Shell {
     /// Parts for a process with open sockets.
     pub fn new(settings: Settings, sockets: &Sockets) -> Self {
-        let tls = Arc::new(settings.tls.clone());
+        let tls = settings.tls.clone();
         let control = Control {
             socket: sockets.control.clone(),
-            keys: Arc::new(settings.keys.clone()),
+            keys: settings.keys.clone(),
             clock: Clock::start(),
             configuration: Configuration::new(),
             peers: Peers::new(tls.clone()),
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -42,10 +42,9 @@
 }
 
 /// Loaded certificates.
-#[derive(Clone)]
 pub struct Tls {
     chain: Vec<CertificateDer<'static>>,
-    key: Arc<PrivateKeyDer<'static>>,
+    key: PrivateKeyDer<'static>,
     identity: Identity,
     authority: Certificate,
 }
@@ -74,7 +73,7 @@
             .map_err(|_ignored| empty(&files.key, "private key"))?;
         let tls = Self {
             chain,
-            key: Arc::new(key),
+            key,
             identity: Identity::from_pem(certificate, key_pem),
             authority: Certificate::from_pem(authority),
         };
