--- a/crates/daemon/src/agent/respond.rs
+++ b/crates/daemon/src/agent/respond.rs
@@ -42,8 +42,6 @@
     NoClass,
     /// A non-idempotent request lacks its key.
     NoKey,
-    /// The request cannot be read.
-    Malformed,
 }
 
 impl Refusal {
@@ -52,14 +50,14 @@
             Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
             Self::NoClass => StatusCode::NOT_FOUND,
-            Self::NoKey | Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NoKey => StatusCode::BAD_REQUEST,
         }
     }
 
     fn outcome(self) -> &'static str {
         match self {
             Self::Unknown => "unknown",
-            Self::NotRun | Self::NoClass | Self::NoKey | Self::Malformed => "not-run",
+            Self::NotRun | Self::NoClass | Self::NoKey => "not-run",
         }
     }
 
@@ -69,7 +67,6 @@
             Self::Unknown => "unknown: the request may have run; check before you send it again\n",
             Self::NoClass => "not run: the service has no such path; check method and path\n",
             Self::NoKey => "not run: add the header idempotency-key to this request\n",
-            Self::Malformed => "not run: the request cannot be read; check its headers\n",
         }
     }
 }
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,187 @@
+#!/usr/bin/env bash
+# Runs the whole path on loopback as separate processes and checks that nothing is lost:
+# platform store, fabric, 2 balancers, 3 targets with 3 agents and one caller.
+#
+# While the caller works, a balancer is killed and replaced, a target is drained, and a data centre
+# is taken out and brought back. The script ends only the children it started, by process id.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+PROFILE=${PROFILE:-debug}
+SECONDS_OF_LOAD=20
+SERVICE_ADDRESS=192.0.2.1:443
+SERVICE=prodejna
+PLACES=(brno-a brno-b olomouc)
+
+if [ "$PROFILE" = release ]; then
+    cargo build --quiet --locked --workspace --bins --release
+else
+    cargo build --quiet --locked --workspace --bins
+fi
+BIN=target/$PROFILE
+DIR=$(mktemp -d)
+CHILDREN=()
+
+# Ends the remaining children and removes the temporary files.
+clean_up() {
+    for pid in "${CHILDREN[@]}"; do
+        kill -KILL "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    if [ "${KEEP_LOGS:-no}" = yes ]; then
+        echo "logs are in $DIR"
+    else
+        rm -rf "$DIR"
+    fi
+}
+trap clean_up EXIT
+
+# start NAME COMMAND...: starts a child; its output goes to NAME.out and NAME.log.
+start() {
+    local name=$1
+    shift
+    "$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
+    LAST_PID=$!
+    CHILDREN+=("$LAST_PID")
+}
+
+# fail TEXT: reports a failed step with the newest log lines.
+fail() {
+    echo "demo: $1" >&2
+    tail -n 5 "$DIR"/*.log >&2 || true
+    exit 1
+}
+
+# wait_for FILE PATTERN: waits until a line of the file matches.
+wait_for() {
+    for _ in $(seq 200); do
+        if grep -qE "$2" "$DIR/$1" 2>/dev/null; then
+            return 0
+        fi
+        sleep 0.1
+    done
+    fail "no line '$2' in $1 after 20 s"
+}
+
+# address NAME KEY: value of KEY in the ready line of a child.
+address() {
+    wait_for "$1.out" '^ready'
+    sed -nE "s/^ready.*[ ]$2=([^ ]+).*/\1/p" "$DIR/$1.out" | head -n 1
+}
+
+# post ADDRESS PATH BODY: one HTTP request; fails unless the answer is 2xx.
+post() {
+    local host=${1%:*} port=${1##*:} line
+    exec 3<>"/dev/tcp/$host/$port"
+    printf 'POST %s HTTP/1.1\r\nhost: %s\r\ncontent-type: application/json\r\ncontent-length: %d\r\nconnection: close\r\n\r\n%s' \
+        "$2" "$1" "${#3}" "$3" >&3
+    IFS= read -r line <&3
+    exec 3<&-
+    [[ $line == "HTTP/1.1 2"* ]] || fail "POST $2 at $1 was answered: $line"
+}
+
+# get ADDRESS PATH: body of one HTTP request.
+get() {
+    local host=${1%:*} port=${1##*:}
+    exec 3<>"/dev/tcp/$host/$port"
+    printf 'GET %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n\r\n' "$2" "$1" >&3
+    sed '1,/^\r$/d' <&3
+    exec 3<&-
+}
+
+# settings NAME ROLE PLACE: common part of a daemon's settings file.
+settings() {
+    cat >"$DIR/$1.toml" <<EOF
+role = "$2"
+environment = "production"
+data_centre = "$3"
+control = "127.0.0.1:0"
+data = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+seeds = [${SEEDS:-}]
+store = ["$PLATFORM"]
+keys = "$DIR/certs/keys.toml"
+
+[tls]
+certificate = "$DIR/certs/server.pem"
+key = "$DIR/certs/server.key"
+authority = "$DIR/certs/ca.pem"
+
+EOF
+}
+
+# start_balancer NAME PLACE: starts a balancer and sets LAST_SERVICE to its service socket.
+start_balancer() {
+    settings "$1" balancer "$2"
+    cat >>"$DIR/$1.toml" <<EOF
+[balancer]
+binds = { "$SERVICE_ADDRESS" = "127.0.0.1:0", "192.0.2.2:443" = "127.0.0.1:0", "192.0.2.3:443" = "127.0.0.1:0" }
+EOF
+    start "$1" "$BIN/monsoonrouter" --settings "$DIR/$1.toml"
+    wait_for "$1.log" "$SERVICE_ADDRESS is served at"
+    LAST_SERVICE=$(sed -nE "s/.*$SERVICE_ADDRESS is served at ([0-9.:]+).*/\1/p" "$DIR/$1.log" | head -n 1)
+}
+
+mkdir "$DIR/certs"
+"$BIN/monsoon-standin" certs --dir "$DIR/certs" >"$DIR/certs.out"
+start platform "$BIN/monsoon-standin" platform --port 0
+PLATFORM=$(address platform address)
+CTL=("$BIN/monsoonctl" --store "$PLATFORM" --env production)
+"${CTL[@]}" apply examples/karavanex.toml
+
+start_balancer balancer-1 brno-a
+BALANCER_1_PID=$LAST_PID
+BALANCER_1=$LAST_SERVICE
+SEEDS="\"$(address balancer-1 control)\""
+start_balancer balancer-2 brno-b
+BALANCER_2=$LAST_SERVICE
+SEEDS+=", \"$(address balancer-2 control)\""
+
+TARGETS=()
+for index in 0 1 2; do
+    place=${PLACES[$index]}
+    start "target-$index" "$BIN/monsoon-standin" target --port 0 --slots 4 --cold-seconds 1 --name "$place"
+    TARGETS+=("$(address "target-$index" address)")
+    settings "agent-$index" agent "$place"
+    cat >>"$DIR/agent-$index.toml" <<EOF
+[agent]
+service = "$SERVICE"
+target = "${TARGETS[$index]}"
+EOF
+    start "agent-$index" "$BIN/monsoonrouter" --settings "$DIR/agent-$index.toml"
+    wait_for "agent-$index.log" "serves $SERVICE"
+done
+
+start fabric "$BIN/monsoon-standin" fabric --listen 127.0.0.1:0 --control 127.0.0.1:0 \
+    --balancer "$BALANCER_1" --balancer "$BALANCER_2"
+FABRIC=$(address fabric address)
+FABRIC_CONTROL=$(address fabric control)
+sleep 2
+
+start caller "$BIN/monsoon-standin" caller --service "$FABRIC" --ca "$DIR/certs/ca.pem" \
+    --server-name "$SERVICE" --seconds "$SECONDS_OF_LOAD" --boards 6 --holds-per-second 5 \
+    --uploads 8 --upload-bytes 1000000 --report "$DIR/report.json"
+CALLER_PID=$LAST_PID
+
+sleep 4
+echo "demo: kill balancer-1"
+kill -KILL "$BALANCER_1_PID"
+SEEDS="\"$(address balancer-2 control)\""
+start_balancer balancer-3 brno-a
+post "$FABRIC_CONTROL" /balancers "[\"$BALANCER_2\", \"$LAST_SERVICE\"]"
+sleep 3
+echo "demo: drain the target in ${PLACES[1]}"
+post "${TARGETS[1]}" /control/drain ""
+sleep 3
+echo "demo: take out olomouc"
+"${CTL[@]}" dc out olomouc
+sleep 4
+echo "demo: bring olomouc back"
+"${CTL[@]}" dc in olomouc
+
+wait "$CALLER_PID" || true
+for index in 0 1 2; do
+    get "${TARGETS[$index]}" /control/record >"$DIR/record-$index.json"
+done
+cat "$DIR/caller.out"
