Add stateless flow routing with remembered handoffs

Balancers hold different generations of the targets for up to 2 s after a change, and packets of one handshake reach any of them. Both packets must lead to one agent, at bounded memory and without flow tables.

The crate routing holds the table (16,384 buckets, weighted rendezvous, incremental updates), the history of replaced first candidates, the router of a balancer, and the handoff memory of an agent. A chain starts with the two oldest first candidates of the last 10 s, so that balancers with older tables start with the same agent, and no agent occurs twice. Second candidates need no history, because the first one remembers that it passed a flow on.

--- /dev/null
+++ b/crates/routing/src/chain.rs
@@ -0,0 +1,59 @@
+//! Chains of previous and current candidates.
+
+use std::net::SocketAddrV4;
+
+use monsoon_model::{Chain, Hop, MAX_HOPS};
+
+use crate::table::Place;
+
+/// Most previous candidates in a chain; the other hops are for the two current ones.
+const MAX_PREVIOUS: usize = MAX_HOPS - 2;
+
+/// Chain of the oldest previous candidates, which may only take flows they know, and the current
+/// ones by rank.
+///
+/// Starting with the oldest keeps the first hop equal on balancers that have not learned of the
+/// latest changes. No agent occurs twice, so that only packets on different chains can bring a
+/// flow back to an agent that passed it on:
+/// - The first current candidate is not asked as a previous one, since all agents that may know
+///   the flow come before it.
+/// - A previous candidate that is the second current one is replaced by the next in rank, because
+///   it may not take unknown flows before the first one.
+pub(crate) fn build(
+    past: impl Iterator<Item = Place>,
+    mut current: impl Iterator<Item = Place>,
+) -> Chain {
+    let first = current.next();
+    let mut previous: Vec<SocketAddrV4> = Vec::with_capacity(MAX_PREVIOUS);
+    for Place { agent, .. } in past {
+        let is_new = first.is_none_or(|first| first.agent != agent) && !previous.contains(&agent);
+        if is_new && previous.len() < MAX_PREVIOUS {
+            previous.push(agent);
+        }
+    }
+    let second = current.find(|place| !previous.contains(&place.agent));
+    let previous = previous.into_iter().map(|agent| Hop {
+        agent,
+        known_only: true,
+    });
+    collect(previous.chain(first.into_iter().chain(second).map(hop)))
+}
+
+/// Hop that may take any flow.
+pub(crate) fn hop(place: Place) -> Hop {
+    Hop {
+        agent: place.agent,
+        known_only: false,
+    }
+}
+
+/// Chain of the first [`MAX_HOPS`] hops.
+pub(crate) fn collect(hops: impl Iterator<Item = Hop>) -> Chain {
+    let mut chain = Chain::default();
+    for hop in hops.take(MAX_HOPS) {
+        chain
+            .push(hop)
+            .expect("the chain is empty before the first of MAX_HOPS hops");
+    }
+    chain
+}
--- /dev/null
+++ b/crates/routing/src/first_look.rs
@@ -0,0 +1,30 @@
+//! What a balancer knows about a packet before routing it.
+
+use std::net::SocketAddrV4;
+
+use monsoon_model::{DataCentreId, ServiceId};
+
+/// Content of a verified connection ID.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Destination {
+    /// Address of the agent's encapsulation socket.
+    pub agent: SocketAddrV4,
+    /// Service of the flow.
+    pub service: ServiceId,
+    /// Data centre of the agent.
+    pub data_centre: DataCentreId,
+}
+
+/// Result of looking at a packet's type and connection ID.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum FirstLook {
+    /// The connection ID verifies.
+    Established(Destination),
+    /// First packet of a flow.
+    New {
+        /// Keyed hash of the caller's address and connection ID.
+        key: u64,
+    },
+    /// Any other packet whose connection ID does not verify.
+    Unverified,
+}
--- /dev/null
+++ b/crates/routing/src/history.rs
@@ -0,0 +1,109 @@
+//! First candidates that recent changes replaced, per bucket.
+
+use std::collections::VecDeque;
+
+use monsoon_model::{Duration, Instant};
+
+use crate::table::Place;
+use crate::update::Changes;
+
+/// Time for which replaced candidates are asked first; longer than a handshake.
+pub const PREVIOUS_TTL: Duration = Duration::from_secs(10);
+
+/// Changes within this time share a batch, which bounds the batches to 11. A bucket that changes
+/// twice within a batch keeps its oldest candidate.
+const BATCH: Duration = Duration::from_secs(1);
+
+/// Most replaced candidates of one service, twice the buckets of its table. When there are more,
+/// the oldest batch is dropped and counted.
+pub const MAX_PAST: usize = 2 * crate::BUCKETS;
+
+/// Replaced candidates of changes that happened close together.
+#[derive(Debug)]
+struct Batch {
+    opened: Instant,
+    until: Instant,
+    changes: Changes,
+}
+
+/// Replaced candidates of one service, oldest batch first.
+#[derive(Debug, Default)]
+pub(crate) struct History {
+    batches: VecDeque<Batch>,
+}
+
+impl History {
+    /// Adds replaced candidates; returns how many were dropped because of [`MAX_PAST`].
+    pub(crate) fn push(&mut self, now: Instant, changes: Changes) -> usize {
+        self.batches.retain(|batch| batch.until > now);
+        if changes.firsts.is_empty() {
+            return 0;
+        }
+        let until = now + PREVIOUS_TTL;
+        match self
+            .batches
+            .back_mut()
+            .filter(|last| now.since(last.opened) < BATCH)
+        {
+            Some(last) => {
+                last.changes.merge(changes);
+                last.until = until;
+            }
+            None => self.batches.push_back(Batch {
+                opened: now,
+                until,
+                changes,
+            }),
+        }
+        self.shrink()
+    }
+
+    fn shrink(&mut self) -> usize {
+        let mut total: usize = self
+            .batches
+            .iter()
+            .map(|batch| batch.changes.firsts.len())
+            .sum();
+        let mut dropped = 0;
+        while total > MAX_PAST {
+            let oldest = self
+                .batches
+                .pop_front()
+                .map_or(0, |batch| batch.changes.firsts.len());
+            total -= oldest;
+            dropped += oldest;
+        }
+        dropped
+    }
+
+    /// Candidates replaced in a bucket within [`PREVIOUS_TTL`], oldest first.
+    pub(crate) fn past(&self, now: Instant, bucket: usize) -> impl Iterator<Item = Place> {
+        let live = self.batches.iter().filter(move |batch| batch.until > now);
+        live.filter_map(move |batch| batch.changes.replaced(bucket))
+    }
+}
+
+impl Changes {
+    fn replaced(&self, bucket: usize) -> Option<Place> {
+        let entry = self
+            .firsts
+            .binary_search_by_key(&bucket, |entry| usize::from(entry.0))
+            .ok()?;
+        self.places.get(usize::from(self.firsts[entry].1)).copied()
+    }
+
+    /// Adds the buckets of a later change that are not present yet.
+    fn merge(&mut self, later: Changes) {
+        let offset = self.places.len() as u16;
+        self.places.extend(later.places);
+        self.firsts.extend(
+            later
+                .firsts
+                .into_iter()
+                .map(|(bucket, place)| (bucket, offset + place)),
+        );
+        // The sort is stable, so that the older entry of a bucket stays in front.
+        self.firsts.sort_by_key(|entry| entry.0);
+        self.firsts.dedup_by_key(|entry| entry.0);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/router.rs
@@ -0,0 +1,161 @@
+//! Routing decisions of a balancer.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+use monsoon_model::{DataCentreId, Duration, Instant, ServiceId};
+
+use crate::chain;
+use crate::dead::Dead;
+use crate::first_look::{Destination, FirstLook};
+use crate::history::History;
+use crate::route::{Counters, DropReason, Route};
+use crate::table::{Candidate, Place, Table, bucket_of};
+
+/// Time for which packets of established flows still go to a data centre that was taken out, so
+/// that the closes of its agents are not overtaken by resets.
+pub const OUT_GRACE: Duration = Duration::from_secs(1);
+
+/// Most services; updates for further ones are ignored and counted.
+pub const MAX_SERVICES: usize = 1_024;
+
+/// Tables of one service.
+#[derive(Debug)]
+struct Service {
+    candidates: Vec<Candidate>,
+    table: Table,
+    history: History,
+}
+
+/// Tables of all services, data centres taken out, and recently dead agents.
+#[derive(Debug, Default)]
+pub struct Router {
+    services: BTreeMap<ServiceId, Service>,
+    out: BTreeMap<DataCentreId, Instant>,
+    dead: Dead,
+    counters: Counters,
+}
+
+impl Router {
+    /// Router without services.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the candidates of a service.
+    ///
+    /// Candidates in data centres that are out are kept and used when the data centre returns.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        service: ServiceId,
+        candidates: impl IntoIterator<Item = Candidate>,
+    ) {
+        if self.services.len() >= MAX_SERVICES && !self.services.contains_key(&service) {
+            self.counters.refused_services += 1;
+            return;
+        }
+        let entry = self.services.entry(service).or_insert_with(|| Service {
+            candidates: Vec::new(),
+            table: Table::empty(),
+            history: History::default(),
+        });
+        entry.candidates = candidates.into_iter().collect();
+        entry.refresh(now, &self.out, &mut self.counters);
+    }
+
+    /// Forgets a service that is no longer configured.
+    pub fn remove(&mut self, service: ServiceId) {
+        self.services.remove(&service);
+    }
+
+    /// Replaces the set of data centres that are out.
+    pub fn set_out(&mut self, now: Instant, out: BTreeSet<DataCentreId>) {
+        let since = |id: DataCentreId| self.out.get(&id).copied().unwrap_or(now);
+        let out = out.into_iter().map(|id| (id, since(id))).collect();
+        if self.out == out {
+            return;
+        }
+        self.out = out;
+        for service in self.services.values_mut() {
+            service.refresh(now, &self.out, &mut self.counters);
+        }
+    }
+
+    /// Records that an agent has stopped, whether it crashed or left.
+    ///
+    /// It gets no packet until [`Router::mark_alive`] or [`crate::DEAD_TTL`] later, even when it
+    /// is still among the candidates.
+    pub fn mark_dead(&mut self, now: Instant, agent: SocketAddrV4) {
+        let evicted = self.dead.insert(now, agent);
+        self.counters.evicted_dead += u64::from(evicted);
+    }
+
+    /// Records that an agent runs at an address again.
+    pub fn mark_alive(&mut self, agent: SocketAddrV4) {
+        self.dead.remove(agent);
+    }
+
+    /// Events since the start.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Decides about a packet that was sent to an address of `service`.
+    pub fn route(&mut self, now: Instant, service: ServiceId, first: FirstLook) -> Route {
+        let route = match first {
+            FirstLook::Established(destination) => self.established(now, service, destination),
+            FirstLook::New { key } => self.new_flow(now, service, key),
+            FirstLook::Unverified => Route::Drop(DropReason::Unverified),
+        };
+        self.counters.count(&route);
+        route
+    }
+
+    fn established(&self, now: Instant, service: ServiceId, destination: Destination) -> Route {
+        if destination.service != service {
+            return Route::Drop(DropReason::OtherService);
+        }
+        let out = self.out.get(&destination.data_centre);
+        let is_out = out.is_some_and(|since| now.since(*since) >= OUT_GRACE);
+        if is_out || self.dead.contains(now, destination.agent) {
+            return Route::Reset;
+        }
+        Route::Established(destination.agent)
+    }
+
+    fn new_flow(&self, now: Instant, service: ServiceId, key: u64) -> Route {
+        let Some(service) = self.services.get(&service) else {
+            return Route::Drop(DropReason::UnknownService);
+        };
+        let bucket = bucket_of(key);
+        let usable = |place: &Place| {
+            !self.out.contains_key(&place.data_centre) && !self.dead.contains(now, place.agent)
+        };
+        let current = service.table.ranked(bucket).filter(usable);
+        let past = service.history.past(now, bucket).filter(usable);
+        let chain = chain::build(past, current);
+        if chain.is_empty() {
+            return Route::Drop(DropReason::NoTarget);
+        }
+        Route::New(chain)
+    }
+}
+
+impl Service {
+    /// Brings the table in line with the candidates outside the data centres that are out.
+    fn refresh(
+        &mut self,
+        now: Instant,
+        out: &BTreeMap<DataCentreId, Instant>,
+        counters: &mut Counters,
+    ) {
+        let ready = self
+            .candidates
+            .iter()
+            .filter(|entry| !out.contains_key(&entry.data_centre));
+        let changes = self.table.update(ready.copied());
+        counters.refused_targets += changes.refused as u64;
+        counters.evicted_past += self.history.push(now, changes) as u64;
+    }
+}
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,175 @@
+//! First and second candidate of every bucket of flow keys.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use monsoon_model::hash::mix;
+use monsoon_model::{AgentId, Chain, DataCentreId};
+
+use crate::{chain, score};
+
+/// Buckets of a table; a power of two.
+///
+/// The number is fixed because all balancers must map a flow to the same bucket, whatever number
+/// of targets they know. A table takes 64 KiB, 360 of them 23 MiB. Ten targets have shares within
+/// about 3 % of their weight; with 3,700 targets of one service a target has only 4 buckets on
+/// average and the agents' load limit has to even out the rest.
+pub const BUCKETS: usize = 1 << BUCKET_BITS;
+const BUCKET_BITS: u32 = 14;
+
+/// Most targets of a table; targets with larger IDs are ignored and counted.
+pub const MAX_TARGETS: usize = 8_192;
+
+/// Largest weight; larger ones count as this.
+pub const MAX_WEIGHT: u32 = 65_535;
+
+/// Key of no target.
+pub(crate) const NONE: u16 = u16::MAX;
+
+/// Target that may take new flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Identity of the agent process; decides which buckets it gets.
+    pub id: AgentId,
+    /// Address of the agent's encapsulation socket.
+    pub agent: SocketAddrV4,
+    /// Data centre of the agent.
+    pub data_centre: DataCentreId,
+    /// Share of the new flows relative to other targets; zero takes none.
+    pub weight: u32,
+    /// Whether the target is in the balancer's region.
+    pub local: bool,
+}
+
+/// Place of an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Place {
+    pub agent: SocketAddrV4,
+    pub data_centre: DataCentreId,
+}
+
+/// Entry of the arena of targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Target {
+    pub id: AgentId,
+    pub place: Place,
+    pub weight: u32,
+    /// Hash of the ID, which spreads IDs that differ in few bits.
+    pub seed: u64,
+    pub inverse: u64,
+}
+
+impl Target {
+    pub(crate) fn new(candidate: &Candidate) -> Self {
+        let weight = candidate.weight.min(MAX_WEIGHT);
+        Self {
+            id: candidate.id,
+            place: Place {
+                agent: candidate.agent,
+                data_centre: candidate.data_centre,
+            },
+            weight,
+            seed: mix(candidate.id.0, 0),
+            inverse: score::inverse(weight),
+        }
+    }
+
+    /// Rank for a bucket; the smallest wins, and the ID decides between equal scores.
+    pub(crate) fn rank(&self, bucket: usize) -> Rank {
+        (score::score(self.seed, self.inverse, bucket), self.id)
+    }
+}
+
+pub(crate) type Rank = (u64, AgentId);
+
+/// Arena keys of a bucket's candidates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Bucket {
+    pub first: u16,
+    pub second: u16,
+}
+
+/// Candidates for new flows of one service.
+#[derive(Debug)]
+pub struct Table {
+    pub(crate) arena: Vec<Option<Target>>,
+    pub(crate) keys: BTreeMap<AgentId, u16>,
+    pub(crate) free: Vec<u16>,
+    pub(crate) buckets: Vec<Bucket>,
+}
+
+impl Table {
+    /// Builds a table; local targets are used while there are any.
+    pub fn new(targets: impl IntoIterator<Item = Candidate>) -> Self {
+        let mut table = Self::empty();
+        table.update(targets);
+        table
+    }
+
+    pub(crate) fn empty() -> Self {
+        Self {
+            arena: Vec::new(),
+            keys: BTreeMap::new(),
+            free: Vec::new(),
+            buckets: vec![
+                Bucket {
+                    first: NONE,
+                    second: NONE
+                };
+                BUCKETS
+            ],
+        }
+    }
+
+    /// First and second candidate for a flow key; fewer when there are fewer targets.
+    pub fn chain(&self, key: u64) -> Chain {
+        chain::collect(self.candidates(bucket_of(key)).map(chain::hop))
+    }
+
+    /// Number of targets in use.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Whether no target is in use.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    pub(crate) fn candidates(&self, bucket: usize) -> impl Iterator<Item = Place> {
+        let Bucket { first, second } = self.buckets[bucket];
+        [first, second]
+            .into_iter()
+            .filter_map(|key| Some(self.target(key)?.place))
+    }
+
+    /// All targets of a bucket by rank. The first two come from the table; the others are ranked
+    /// when they are needed, at a cost proportional to the number of targets.
+    pub(crate) fn ranked(&self, bucket: usize) -> impl Iterator<Item = Place> {
+        let rest = std::iter::once_with(move || self.rank_rest(bucket)).flatten();
+        self.candidates(bucket).chain(rest)
+    }
+
+    fn rank_rest(&self, bucket: usize) -> Vec<Place> {
+        let Bucket { first, second } = self.buckets[bucket];
+        let keys = self
+            .keys
+            .values()
+            .filter(|key| **key != first && **key != second);
+        let targets = keys.filter_map(|key| self.target(*key));
+        let mut ranked: Vec<_> = targets
+            .map(|target| (target.rank(bucket), target.place))
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, place)| place).collect()
+    }
+
+    pub(crate) fn target(&self, key: u16) -> Option<&Target> {
+        self.arena.get(usize::from(key))?.as_ref()
+    }
+}
+
+/// Bucket of a flow key.
+pub(crate) fn bucket_of(key: u64) -> usize {
+    (key >> (u64::BITS - BUCKET_BITS)) as usize
+}
--- /dev/null
+++ b/crates/routing/tests/router.rs
@@ -0,0 +1,133 @@
+//! Routes for established flows, data centres that are out and dead agents.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{Rng, address, candidate};
+use monsoon_model::{DataCentreId, Instant, MAX_HOPS, ServiceId};
+use monsoon_routing::{Candidate, Destination, DropReason, FirstLook, MAX_DEAD, Route, Router};
+
+const SERVICE: ServiceId = ServiceId(1);
+
+fn established(candidate: &Candidate) -> FirstLook {
+    let Candidate {
+        agent, data_centre, ..
+    } = *candidate;
+    FirstLook::Established(Destination {
+        agent,
+        service: SERVICE,
+        data_centre,
+    })
+}
+
+/// Guards against established flows that a table change moves or drops, and against chains that
+/// contain an agent that is dead or in a data centre that is out.
+#[test]
+fn routes_respect_every_change() {
+    for seed in 0..4 {
+        let mut rng = Rng(seed);
+        let mut router = Router::new();
+        let mut out = BTreeSet::new();
+        let mut dead = BTreeSet::new();
+        let all: Vec<_> = (1..16).map(|id| candidate(id, 1 + id as u32 % 5)).collect();
+        for step in 0..80 {
+            let now = Instant::from_millis(1_500 * step);
+            match rng.below(4) {
+                0 => {
+                    out = (1..4)
+                        .filter(|_| rng.below(3) == 0)
+                        .map(DataCentreId)
+                        .collect();
+                    router.set_out(now, out.clone());
+                }
+                1 => {
+                    let agent = address(1 + rng.below(15));
+                    dead.insert(agent);
+                    router.mark_dead(now, agent);
+                }
+                2 => {
+                    let agent = address(1 + rng.below(15));
+                    dead.remove(&agent);
+                    router.mark_alive(agent);
+                }
+                _ => {
+                    let ready: Vec<_> = all.iter().filter(|_| rng.below(2) == 0).copied().collect();
+                    router.update(now, SERVICE, ready);
+                }
+            }
+            let later = Instant::from_millis(1_500 * step + 1_200);
+            for flow in &all {
+                let gone = out.contains(&flow.data_centre) || dead.contains(&flow.agent);
+                let expected = if gone {
+                    Route::Reset
+                } else {
+                    Route::Established(flow.agent)
+                };
+                assert_eq!(router.route(later, SERVICE, established(flow)), expected);
+            }
+            for _ in 0..50 {
+                let Route::New(chain) =
+                    router.route(now, SERVICE, FirstLook::New { key: rng.next() })
+                else {
+                    continue;
+                };
+                let agents: BTreeSet<_> = chain.hops().iter().map(|hop| hop.agent).collect();
+                assert!(agents.len() == chain.len() && (1..=MAX_HOPS).contains(&chain.len()));
+                for hop in chain.hops() {
+                    let place = all.iter().find(|entry| entry.agent == hop.agent);
+                    assert!(!dead.contains(&hop.agent), "seed {seed} step {step}");
+                    assert!(place.is_some_and(|place| !out.contains(&place.data_centre)));
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a data centre that gets packets too long or is reset too early, and against
+/// drops that are not counted.
+#[test]
+fn outcomes_follow_the_rules() {
+    let mut router = Router::new();
+    let flow = candidate(1, 1);
+    let at = Instant::from_millis;
+    let drop = |reason| Route::Drop(reason);
+    router.update(at(0), SERVICE, [flow]);
+    let place = BTreeSet::from([flow.data_centre]);
+    router.set_out(at(10), place.clone());
+    router.set_out(at(900), place);
+    assert_eq!(
+        router.route(at(1_009), SERVICE, established(&flow)),
+        Route::Established(flow.agent)
+    );
+    assert_eq!(
+        router.route(at(1_010), SERVICE, established(&flow)),
+        Route::Reset
+    );
+    let new = FirstLook::New { key: 0 };
+    assert_eq!(
+        router.route(at(11), SERVICE, new),
+        drop(DropReason::NoTarget)
+    );
+    assert_eq!(
+        router.route(at(11), ServiceId(2), new),
+        drop(DropReason::UnknownService)
+    );
+    let other = router.route(at(11), ServiceId(2), established(&flow));
+    assert_eq!(other, drop(DropReason::OtherService));
+    assert_eq!(
+        router.route(at(11), SERVICE, FirstLook::Unverified),
+        drop(DropReason::Unverified)
+    );
+    router.set_out(at(2_000), BTreeSet::new());
+    assert!(matches!(router.route(at(2_000), SERVICE, new), Route::New(chain) if chain.len() == 1));
+    for id in 0..=MAX_DEAD as u64 {
+        router.mark_dead(at(3_000 + id), address(id + 2));
+    }
+    let first = candidate(2, 1);
+    assert_eq!(
+        router.route(at(8_000), SERVICE, established(&first)),
+        Route::Established(first.agent)
+    );
+    insta::assert_debug_snapshot!(router.counters());
+}
--- /dev/null
+++ b/crates/routing/tests/table.rs
@@ -0,0 +1,127 @@
+//! Spread and disruption of tables.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{Rng, address, candidate};
+use monsoon_model::{Instant, ServiceId};
+use monsoon_routing::{BUCKETS, Candidate, FirstLook, Route, Router, Table};
+
+/// One key in every bucket.
+fn keys() -> impl Iterator<Item = u64> {
+    (0..BUCKETS as u64).map(|bucket| bucket << (64 - BUCKETS.ilog2()))
+}
+
+/// Agents of the first candidates, per bucket.
+fn firsts(table: &Table) -> Vec<u64> {
+    let agent = |key| {
+        table
+            .chain(key)
+            .hop(0)
+            .map_or(0, |hop| u64::from(hop.agent.ip().octets()[3]))
+    };
+    keys().map(agent).collect()
+}
+
+fn share(firsts: &[u64], id: u64) -> f64 {
+    firsts.iter().filter(|first| **first == id).count() as f64 / firsts.len() as f64
+}
+
+/// Guards against targets that get more or fewer flows than their weight.
+#[test]
+fn shares_follow_the_weights() {
+    let weights = [1, 4, 4, 9, 9, 9, 36];
+    let table = Table::new((1..).zip(weights).map(|(id, weight)| candidate(id, weight)));
+    let firsts = firsts(&table);
+    let total: u32 = weights.iter().sum();
+    for (id, weight) in (1..).zip(weights) {
+        let expected = f64::from(weight) / f64::from(total);
+        let deviation = (expected * (1.0 - expected) / BUCKETS as f64).sqrt();
+        let found = share(&firsts, id);
+        assert!(
+            (found - expected).abs() < 4.0 * deviation,
+            "{id}: {found} for {expected}"
+        );
+    }
+    // The second candidates take over from the first ones in the same proportion.
+    let second = |key| table.chain(key).hop(1).map(|hop| hop.agent);
+    let heirs = keys().zip(&firsts).filter(|(_, first)| **first == 7);
+    let (nine, all) = heirs.fold((0, 0), |(nine, all), (key, _)| {
+        (nine + u32::from(second(key) == Some(address(6))), all + 1)
+    });
+    let found = f64::from(nine) / f64::from(all);
+    assert!((found - 9.0 / 36.0).abs() < 0.02, "{found}");
+}
+
+/// Guards against a change that moves flows between targets it doesn't concern, and against an
+/// incremental table that differs from one built at once.
+#[test]
+fn changes_move_only_the_share_of_the_changed_targets() {
+    let mut rng = Rng(11);
+    let (now, later, service) = (Instant::from_secs(1), Instant::from_secs(11), ServiceId(1));
+    let mut router = Router::new();
+    let mut set: BTreeMap<u64, Candidate> = BTreeMap::new();
+    let mut before = vec![0; BUCKETS];
+    for round in 0..150 {
+        let id = 1 + rng.below(25);
+        let old = set.remove(&id).map_or(0, |entry| entry.weight);
+        let weight = if rng.below(3) == 0 {
+            0
+        } else {
+            1 + rng.below(9) as u32
+        };
+        set.insert(id, candidate(id, weight));
+        router.update(now, service, set.values().copied());
+        let table = Table::new(set.values().copied());
+        let after = firsts(&table);
+        for (bucket, (was, is)) in before.iter().zip(&after).enumerate() {
+            let allowed = was == is || weight < old && *was == id || weight > old && *is == id;
+            assert!(
+                allowed,
+                "round {round}: bucket {bucket} moved from {was} to {is} by {id}"
+            );
+        }
+        for key in keys().step_by(37) {
+            let expected = table.chain(key);
+            match router.route(later, service, FirstLook::New { key }) {
+                Route::New(chain) => assert_eq!(chain, expected),
+                _ => assert!(expected.is_empty()),
+            }
+        }
+        before = after;
+    }
+}
+
+/// Guards against flows sent to another region while the own one has ready targets.
+#[test]
+fn local_targets_are_preferred() {
+    let remote = |id| Candidate {
+        local: false,
+        ..candidate(id, 9)
+    };
+    let agents = |targets: &[Candidate]| -> BTreeSet<u64> {
+        firsts(&Table::new(targets.iter().copied()))
+            .into_iter()
+            .collect()
+    };
+    assert_eq!(
+        agents(&[candidate(1, 1), remote(2), remote(3)]),
+        BTreeSet::from([1])
+    );
+    assert_eq!(
+        agents(&[candidate(1, 0), remote(2), remote(3)]),
+        BTreeSet::from([2, 3])
+    );
+    assert_eq!(agents(&[]), BTreeSet::from([0]));
+}
+
+/// Guards against a changed ranking, which would disagree with instances of an earlier release.
+#[test]
+fn ranking_is_stable() {
+    let table = Table::new((1..=12).map(|id| candidate(id, 1 + id as u32 % 4)));
+    let digest = firsts(&table)
+        .iter()
+        .fold(0, |digest, id| monsoon_model::hash::mix(digest, *id));
+    insta::assert_snapshot!(format!("{:?} {digest:016x}", &firsts(&table)[..24]));
+}
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -19,6 +19,9 @@
 /// chain length 1, four hops of 8, hop index 1.
 pub const MAX_HEADER: usize = 88;
 
+/// Most agents that a packet visits, as the routing rules of the agents limit it.
+pub const MAX_PATH: usize = 16;
+
 /// Way of the payload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Direction {
@@ -45,7 +48,8 @@
     pub key: u64,
     /// Agents that may take a new flow; empty for an established one and for replies.
     pub chain: Chain,
-    /// Index of the receiver in the chain; zero when the chain is empty.
+    /// Number of agents that the packet visited. It is the receiver's index in the chain, or larger
+    /// when agents have shifted a full chain to lead the packet elsewhere.
     pub hop: u8,
 }
 
@@ -100,7 +104,10 @@
     }
 
     fn is_consistent(&self) -> bool {
-        let hops = self.chain.len();
-        hops <= MAX_HOPS && usize::from(self.hop) < hops.max(1)
+        let limit = match self.chain.len() {
+            MAX_HOPS => MAX_PATH,
+            hops => hops.max(1),
+        };
+        self.chain.len() <= MAX_HOPS && usize::from(self.hop) < limit
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,7 +24,7 @@
 mod reset;
 
 pub use cid::{CID_LEN, ConnectionId, NONCE_MASK};
-pub use envelope::{Direction, Envelope, MAX_HEADER};
+pub use envelope::{Direction, Envelope, MAX_HEADER, MAX_PATH};
 pub use error::WireError;
 pub use flow::flow_key;
 pub use keys::{Keyring, KeysError, PHASES, RawKeys};
