--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -4,9 +4,9 @@
 
 use monsoon_model::{Duration, Instant};
 
-/// Shortest time in the cold phase. A target that just failed is given time before the next
-/// attempt; each further attempt doubles it.
-const DWELL_MIN: Duration = Duration::from_secs(2);
+/// Shortest time in the cold phase. It is longer than the usual lag of a health endpoint, so that a
+/// target that turned cold has reported it before the limit rises. Each failed attempt doubles it.
+const DWELL_MIN: Duration = Duration::from_secs(4);
 
 /// Longest time between two attempts to leave the cold phase.
 const DWELL_MAX: Duration = Duration::from_secs(64);
