Test execution and claims under faults

The claims run in a world with loss, repetition and delay up to 200 s, crashes, clean and unclean leaving, joining, false suspicions and views that differ; the request machine gets random orders of events.

--- a/crates/execution/src/claim/table.rs
+++ b/crates/execution/src/claim/table.rs
@@ -94,8 +94,10 @@
         self.joined = now;
     }
 
-    /// Stops recording and returns all live claims. Each is to be passed to the three members that
-    /// rank highest for its key without this one; after that, this member may be forgotten at once.
+    /// Stops recording and returns all live claims, to be passed to every other member.
+    ///
+    /// When each of them adopted all claims, this member may be forgotten at once. Otherwise (one
+    /// is absent, has no room or did not confirm) it counts as departed for the claim window.
     pub fn leave(&mut self, now: Instant) -> Vec<Handed> {
         self.expire(now);
         self.leaving = true;
--- /dev/null
+++ b/crates/execution/tests/execution/place.rs
@@ -0,0 +1,79 @@
+//! Choice of the place.
+
+use monsoon_admission::{Load, TargetState};
+use monsoon_execution::{PeerLoad, Place, RetryBudget, pick_place};
+
+fn load(busy: u32, state: TargetState) -> Load {
+    let limit = if state == TargetState::Cold {
+        400
+    } else {
+        4_000
+    };
+    Load {
+        busy,
+        queued: 0,
+        limit,
+        state,
+        leaving: state == TargetState::Leaving,
+    }
+}
+
+fn peer(busy: u32, state: TargetState) -> PeerLoad {
+    PeerLoad {
+        load: load(busy, state),
+        sent: 0,
+    }
+}
+
+/// Guards against a hop that gains nothing and against work for a target that must not get it.
+#[test]
+fn local_unless_a_peer_is_clearly_better() {
+    use TargetState::{Cold, Leaving, Ready};
+    let idle = [peer(0, Ready), peer(1, Ready)];
+    let busy = [peer(4, Ready), peer(3, Ready)];
+    let unusable = [peer(0, Leaving), peer(1, Cold)];
+    for noise in 0..100 {
+        assert_eq!(
+            pick_place(load(2, Ready), &idle, false, noise),
+            Place::Local
+        );
+        assert_eq!(
+            pick_place(load(4, Ready), &unusable, false, noise),
+            Place::Local
+        );
+        assert_eq!(pick_place(load(0, Cold), &idle, false, noise), Place::Local);
+        assert_eq!(
+            pick_place(load(4, Ready), &busy[..1], false, noise),
+            Place::Local
+        );
+        for from in [load(4, Ready), load(1, Cold), load(0, Leaving)] {
+            assert_ne!(pick_place(from, &idle, false, noise), Place::Local);
+        }
+        assert_ne!(pick_place(load(0, Ready), &busy, true, noise), Place::Local);
+        assert_eq!(pick_place(load(4, Ready), &[], true, noise), Place::Local);
+    }
+}
+
+/// Guards against a herd between two reports: what this agent sent counts as busy.
+#[test]
+fn own_requests_count_before_the_next_report() {
+    let mut peers = [peer(0, TargetState::Ready), peer(1, TargetState::Ready)];
+    peers[0].sent = 4;
+    for noise in 0..100 {
+        let place = pick_place(load(4, TargetState::Ready), &peers, false, noise);
+        assert_eq!(place, Place::Peer(1));
+    }
+}
+
+/// Guards against retries that multiply the load: at most 10 % of the requests, from the start on
+/// and after a quiet time.
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut budget = RetryBudget::default();
+    for request in 1..=10_000_u64 {
+        budget.deposit();
+        while (request / 1_000).is_multiple_of(2) && budget.take() {}
+        assert!(budget.retries() * 10 <= request);
+    }
+    assert!(budget.retries() > 500);
+}
--- /dev/null
+++ b/crates/execution/tests/execution/requests.rs
@@ -0,0 +1,185 @@
+//! One request: attempts, retries, deadline and cancellation.
+
+use monsoon_execution::claim::ClaimResult;
+use monsoon_execution::{Action, Event, Execution, Place, Reply, Request, RetryBudget};
+use monsoon_model::{Instant, hash::mix};
+
+fn budget(retries: u32) -> RetryBudget {
+    let mut budget = RetryBudget::default();
+    for _ in 0..retries * 10 {
+        budget.deposit();
+    }
+    budget
+}
+
+fn request(idempotent: bool, from_peer: bool) -> Execution {
+    let deadline = Some(Instant::from_secs(2));
+    Execution::new(
+        Instant::ZERO,
+        Request {
+            idempotent,
+            from_peer,
+            deadline,
+        },
+    )
+}
+
+/// Runs the events at 1 ms each and returns the actions of the last.
+fn drive(execution: &mut Execution, events: &[Event], budget: &mut RetryBudget) -> Vec<Action> {
+    let mut last = Vec::new();
+    for event in events {
+        last = execution.handle(Instant::from_millis(1), *event, budget);
+    }
+    last
+}
+
+/// Guards against a second hop: a request of a peer runs here or is refused, even with a budget.
+#[test]
+fn request_of_a_peer_is_not_passed_on() {
+    let mut execution = request(false, true);
+    let refused = drive(
+        &mut execution,
+        &[Event::Begin, Event::NotRun(1)],
+        &mut budget(5),
+    );
+    assert_eq!(refused, [Action::Reply(Reply::NotRun)]);
+}
+
+/// Guards against a retry after an unknown outcome, and against one without a budget.
+#[test]
+fn only_a_true_refusal_is_retried() {
+    let events = [Event::Begin, Event::Picked(Some(Place::Peer(3)))];
+    let mut lost = request(true, false);
+    drive(&mut lost, &events, &mut budget(5));
+    let actions = drive(&mut lost, &[Event::Lost(1)], &mut budget(5));
+    assert_eq!(actions, [Action::Reply(Reply::Unknown)]);
+    for (retries, expected) in [(1, Action::Pick), (0, Action::Reply(Reply::NotRun))] {
+        let mut refused = request(true, false);
+        drive(&mut refused, &events, &mut budget(0));
+        let actions = drive(&mut refused, &[Event::NotRun(1)], &mut budget(retries));
+        assert_eq!(actions, [expected]);
+    }
+}
+
+/// Guards against passing on the response of an earlier attempt.
+#[test]
+fn response_of_an_earlier_attempt_is_discarded() {
+    let mut execution = request(true, false);
+    let events = [
+        Event::Begin,
+        Event::Picked(Some(Place::Peer(0))),
+        Event::NotRun(1),
+        Event::Picked(Some(Place::Peer(1))),
+        Event::Response(1, 200),
+    ];
+    let mut budget = budget(1);
+    assert_eq!(drive(&mut execution, &events, &mut budget), []);
+    let response = drive(&mut execution, &[Event::Response(2, 200)], &mut budget);
+    assert_eq!(response, [Action::Reply(Reply::Response(2))]);
+}
+
+/// Guards against a false "not run" at the deadline, and against the loss of a late outcome.
+#[test]
+fn deadline_tells_the_truth() {
+    let late = Instant::from_secs(2);
+    let claimed = [
+        Event::Begin,
+        Event::Claimed(ClaimResult::Run),
+        Event::Picked(Some(Place::Local)),
+    ];
+    let mut budget = budget(1);
+
+    let mut queued = request(false, false);
+    drive(&mut queued, &claimed, &mut budget);
+    let actions = queued.handle(late, Event::Tick, &mut budget);
+    assert_eq!(
+        actions,
+        [
+            Action::Cancel(1),
+            Action::Release,
+            Action::Reply(Reply::NotRun)
+        ]
+    );
+
+    let mut sent = request(false, false);
+    drive(&mut sent, &claimed, &mut budget);
+    drive(&mut sent, &[Event::Started(1)], &mut budget);
+    let actions = sent.handle(late, Event::Response(1, 201), &mut budget);
+    let expected = [
+        Action::Cancel(1),
+        Action::Reply(Reply::Unknown),
+        Action::Store(201),
+    ];
+    assert_eq!(actions, expected);
+
+    let mut claiming = request(false, false);
+    drive(&mut claiming, &claimed[..1], &mut budget);
+    let actions = claiming.handle(late, Event::Tick, &mut budget);
+    assert_eq!(actions, [Action::Reply(Reply::Unknown)]);
+    let actions = claiming.handle(late, Event::Claimed(ClaimResult::Run), &mut budget);
+    assert_eq!(actions, [Action::Release]);
+}
+
+/// Guards against a second send, a second reply and a false refusal under any order of events,
+/// including late and repeated ones. The machine asserts the first two itself.
+#[test]
+fn random_event_orders_keep_the_rules() {
+    let mut replies = 0_u64;
+    for seed in 0..20_000_u64 {
+        let idempotent = seed.is_multiple_of(2);
+        let mut execution = request(idempotent, seed % 5 == 4);
+        let mut budget = budget(3);
+        // Whether an attempt may have run, by the events that the machine was given.
+        let (mut sent, mut open) = (false, None);
+        for step in 0..30 {
+            let noise = mix(seed, step);
+            let attempt = (execution.attempt() + 1)
+                .saturating_sub((noise >> 8) as u32 % 3)
+                .max(1);
+            let event = event(noise, attempt);
+            if let Event::NotRun(n) = event {
+                // A target that got the request does not refuse it afterwards.
+                if open == Some(n) && (noise >> 20).is_multiple_of(2) {
+                    open = None;
+                } else if open == Some(n) {
+                    continue;
+                }
+            }
+            let now = Instant::from_millis(step * 100);
+            for action in execution.handle(now, event, &mut budget) {
+                match action {
+                    Action::Send(n) | Action::Forward(n, _) => {
+                        assert!(
+                            open.is_none(),
+                            "seed {seed}: sent while attempt {open:?} is open"
+                        );
+                        open = Some(n);
+                    }
+                    Action::Reply(Reply::NotRun) => {
+                        assert!(open.is_none() && !sent, "seed {seed}: false refusal");
+                    }
+                    Action::Release => assert!(open.is_none(), "seed {seed}: released while open"),
+                    _ => {}
+                }
+                replies += u64::from(matches!(action, Action::Reply(_)));
+            }
+            sent |= matches!(event, Event::Response(n, _) | Event::Lost(n) if open == Some(n));
+        }
+    }
+    assert!(replies > 10_000, "{replies} replies");
+}
+
+fn event(noise: u64, attempt: u32) -> Event {
+    match noise % 9 {
+        0 => Event::Begin,
+        1 => Event::Claimed(ClaimResult::Run),
+        2 => Event::Picked(Some(Place::Local)),
+        3 => Event::Picked(Some(Place::Peer((noise >> 16) as usize % 3))),
+        4 => Event::Started(attempt),
+        5 => Event::NotRun(attempt),
+        6 => Event::Response(attempt, 200),
+        7 => Event::Lost(attempt),
+        _ if (noise >> 24).is_multiple_of(4) => Event::Cancelled,
+        _ => Event::Tick,
+    }
+}
--- /dev/null
+++ b/crates/execution/tests/execution/world.rs
@@ -0,0 +1,403 @@
+//! Members that claim keys over a network with loss, duplication and delay, while members crash,
+//! leave and join and each has its own view of the others.
+
+use std::collections::BTreeMap;
+
+use monsoon_execution::claim::{
+    Answer, CLAIM_WINDOW, ClaimId, ClaimResult, ClaimRound, Claims, Handed, KeyHash, Member,
+    RoundAction,
+};
+use monsoon_model::{AgentId, Duration, Instant, hash::mix};
+
+/// Faults of one run. Probabilities are per thousand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub loss: u64,
+    pub repeat: u64,
+    /// Share of messages delayed by up to 200 s instead of up to 40 ms.
+    pub late: u64,
+    /// Mean time between changes of membership, in seconds; zero for none.
+    pub change: u64,
+    /// Mean time between false suspicions in one view, in seconds; zero for none.
+    pub suspicion: u64,
+    /// Share of granted claims whose request is then refused as not run.
+    pub refused: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Send {
+        key: KeyHash,
+    },
+    Claim {
+        to: AgentId,
+        key: KeyHash,
+        claim: ClaimId,
+    },
+    Answer {
+        from: AgentId,
+        claim: ClaimId,
+        answer: Answer,
+    },
+    Release {
+        to: AgentId,
+        key: KeyHash,
+        claim: ClaimId,
+    },
+    Store {
+        to: AgentId,
+        key: KeyHash,
+        claim: ClaimId,
+    },
+    Tick {
+        claim: ClaimId,
+    },
+    Learn {
+        agent: AgentId,
+        about: AgentId,
+        state: Option<bool>,
+    },
+    Change,
+    Suspect,
+}
+
+struct Agent {
+    claims: Claims,
+    /// Other members, and whether they departed.
+    view: BTreeMap<AgentId, bool>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    pub sends: u64,
+    pub runs: u64,
+    pub replays: u64,
+    pub unknown: u64,
+    pub not_run: u64,
+}
+
+pub struct World {
+    seed: u64,
+    faults: Faults,
+    draws: u64,
+    serial: u64,
+    now: Instant,
+    end: Instant,
+    events: BTreeMap<(Instant, u64), Event>,
+    agents: BTreeMap<AgentId, Agent>,
+    rounds: BTreeMap<ClaimId, ClaimRound>,
+    runs: BTreeMap<KeyHash, u64>,
+    pub totals: Totals,
+}
+
+impl World {
+    /// `count` members that joined `age` before the start.
+    pub fn new(seed: u64, faults: Faults, count: u64, age: Duration) -> Self {
+        let now = Instant::from_secs(1_000);
+        let joined = Instant::ZERO + Duration::from_micros(now.as_micros() - age.as_micros());
+        let ids: Vec<_> = (1..=count).map(AgentId).collect();
+        let view: BTreeMap<_, _> = ids.iter().map(|id| (*id, false)).collect();
+        let agent = |id: AgentId| {
+            let agent = Agent {
+                claims: Claims::new(joined),
+                view: view.clone(),
+            };
+            (id, agent)
+        };
+        let mut world = Self {
+            seed,
+            faults,
+            draws: 0,
+            serial: count,
+            now,
+            end: now + Duration::from_secs(900),
+            events: BTreeMap::new(),
+            agents: ids.iter().copied().map(agent).collect(),
+            rounds: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            totals: Totals::default(),
+        };
+        world.callers();
+        world.again(faults.change, Event::Change);
+        world.again(faults.suspicion, Event::Suspect);
+        world
+    }
+
+    pub fn run(&mut self) {
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at >= self.end {
+                return;
+            }
+            self.now = at;
+            self.step(event);
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Send { key } => self.send(key),
+            Event::Claim { to, key, claim } => {
+                let now = self.now;
+                if let Some(agent) = self.agents.get_mut(&to) {
+                    let answer = agent.claims.claim(now, key, claim);
+                    self.post(Event::Answer {
+                        from: to,
+                        claim,
+                        answer,
+                    });
+                }
+            }
+            Event::Answer {
+                from,
+                claim,
+                answer,
+            } => {
+                self.with_round(claim, |round, now| round.answer(now, from, answer));
+            }
+            Event::Release { to, key, claim } => {
+                if let Some(agent) = self.agents.get_mut(&to) {
+                    agent.claims.release(key, claim);
+                }
+            }
+            Event::Store { to, key, claim } => {
+                if let Some(agent) = self.agents.get_mut(&to) {
+                    agent.claims.store(key, claim, 201);
+                }
+            }
+            Event::Tick { claim } => self.with_round(claim, ClaimRound::tick),
+            Event::Learn {
+                agent,
+                about,
+                state,
+            } => self.learn(agent, about, state),
+            Event::Change => self.change(),
+            Event::Suspect => self.suspect(),
+        }
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.draws += 1;
+        mix(self.seed, self.draws) % below.max(1)
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.draws += 1;
+        self.events.insert((self.now + after, self.draws), event);
+    }
+
+    fn again(&mut self, mean: u64, event: Event) {
+        if mean > 0 {
+            let after = Duration::from_millis(self.draw(mean * 2_000));
+            self.at(after, event);
+        }
+    }
+
+    /// Sends a message over the network.
+    fn post(&mut self, event: Event) {
+        let copies = 1 + u64::from(self.draw(1_000) < self.faults.repeat);
+        for _ in 0..copies {
+            if self.draw(1_000) < self.faults.loss {
+                continue;
+            }
+            let late = self.draw(1_000) < self.faults.late;
+            let delay = self.draw(if late { 200_000 } else { 40 });
+            self.at(Duration::from_millis(delay), event);
+        }
+    }
+
+    /// Each key is sent 1 to 4 times within 100 s, to any agent.
+    fn callers(&mut self) {
+        for i in 0..4_000 {
+            let key = KeyHash(u128::from(mix(self.seed, i)) << 64 | u128::from(i));
+            let first = self.draw(800_000);
+            let close = self.draw(2) == 0;
+            for copy in 0..=self.draw(4) {
+                let gap = self.draw(if close { 30 } else { 100_000 });
+                let after = first + if copy == 0 { 0 } else { gap };
+                self.at(Duration::from_millis(after), Event::Send { key });
+            }
+        }
+    }
+
+    fn pick(&mut self) -> AgentId {
+        let index = self.draw(self.agents.len() as u64) as usize;
+        *self
+            .agents
+            .keys()
+            .nth(index)
+            .expect("there is always a member")
+    }
+
+    fn send(&mut self, key: KeyHash) {
+        self.totals.sends += 1;
+        let id = self.pick();
+        self.serial += 1;
+        let claim = ClaimId {
+            agent: id,
+            serial: self.serial,
+        };
+        let view = self.agents[&id].view.iter();
+        let members: Vec<_> = view
+            .map(|(id, gone)| Member {
+                id: *id,
+                departed: *gone,
+            })
+            .collect();
+        self.rounds
+            .insert(claim, ClaimRound::new(key, claim, members));
+        self.with_round(claim, ClaimRound::start);
+    }
+
+    fn with_round(
+        &mut self,
+        claim: ClaimId,
+        step: impl FnOnce(&mut ClaimRound, Instant) -> Vec<RoundAction>,
+    ) {
+        // The rounds of a crashed agent are gone with it.
+        if !self.agents.contains_key(&claim.agent) {
+            self.rounds.remove(&claim);
+        }
+        let now = self.now;
+        let Some(round) = self.rounds.get_mut(&claim) else {
+            return;
+        };
+        let actions = step(round, now);
+        let (key, next) = (round.identity().0, round.next_tick());
+        if let Some(at) = next {
+            self.at(at.since(now), Event::Tick { claim });
+        }
+        for action in actions {
+            match action {
+                RoundAction::Ask(to) => self.post(Event::Claim { to, key, claim }),
+                RoundAction::Release(to) => self.post(Event::Release { to, key, claim }),
+                RoundAction::Done(result) => self.done(key, claim, result),
+            }
+        }
+    }
+
+    fn done(&mut self, key: KeyHash, claim: ClaimId, result: ClaimResult) {
+        let round = self.rounds.remove(&claim).expect("the round was open");
+        match result {
+            ClaimResult::Run if self.draw(1_000) < self.faults.refused => {
+                self.totals.not_run += 1;
+                for action in round.release() {
+                    if let RoundAction::Release(to) = action {
+                        self.post(Event::Release { to, key, claim });
+                    }
+                }
+            }
+            ClaimResult::Run => {
+                self.totals.runs += 1;
+                let runs = self.runs.entry(key).or_default();
+                *runs += 1;
+                assert_eq!(
+                    *runs, 1,
+                    "seed {}: key {key} ran twice at {:?}",
+                    self.seed, self.now
+                );
+                for to in round.asked().to_vec() {
+                    self.post(Event::Store { to, key, claim });
+                }
+            }
+            ClaimResult::Replay(_) => self.totals.replays += 1,
+            ClaimResult::Unknown => self.totals.unknown += 1,
+            ClaimResult::NotRun => {
+                assert!(!self.runs.contains_key(&key), "refusal of a key that ran");
+                self.totals.not_run += 1;
+            }
+        }
+    }
+
+    /// Tells each member of a change after its own delay.
+    fn spread(&mut self, about: AgentId, state: Option<bool>, least: u64, most: u64) {
+        for agent in self.agents.keys().copied().collect::<Vec<_>>() {
+            let delay = least + self.draw(most - least);
+            self.at(
+                Duration::from_millis(delay),
+                Event::Learn {
+                    agent,
+                    about,
+                    state,
+                },
+            );
+        }
+    }
+
+    fn learn(&mut self, agent: AgentId, about: AgentId, state: Option<bool>) {
+        let exists = self.agents.contains_key(&about);
+        let Some(agent) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        match state {
+            // An outdated event: the member is gone already, or was suspected falsely.
+            Some(false) if !exists => {}
+            None if exists => {}
+            Some(departed) => {
+                agent.view.insert(about, departed);
+            }
+            None => {
+                agent.view.remove(&about);
+            }
+        }
+    }
+
+    /// A member crashes or leaves, and a new one joins.
+    fn change(&mut self) {
+        self.again(self.faults.change, Event::Change);
+        let gone = self.pick();
+        let clean = self.draw(2) == 0 && self.hand_over(gone);
+        self.agents.remove(&gone);
+        self.spread(gone, Some(true), 100, 3_000);
+        let forget = if clean {
+            3_000
+        } else {
+            CLAIM_WINDOW.as_millis() + 3_000
+        };
+        self.spread(gone, None, forget, forget + 2_000);
+        self.serial += 1;
+        let id = AgentId(self.serial);
+        // A new member claims nothing before it knows the others.
+        let view = self.agents.values().next().expect("others").view.clone();
+        let view = view
+            .into_iter()
+            .chain([(id, false), (gone, true)])
+            .collect();
+        self.agents.insert(
+            id,
+            Agent {
+                claims: Claims::new(self.now),
+                view,
+            },
+        );
+        self.spread(id, Some(false), 0, 5_000);
+    }
+
+    /// Passes the claims of a leaving member to all others; false when one did not get them.
+    fn hand_over(&mut self, leaving: AgentId) -> bool {
+        let now = self.now;
+        let agent = self.agents.get_mut(&leaving).expect("present");
+        let handed: Vec<Handed> = agent.claims.leave(now);
+        let view = agent.view.clone();
+        let others = view.iter().filter(|(id, _)| **id != leaving);
+        others.into_iter().all(|(id, departed)| {
+            let other = self.agents.get_mut(id).filter(|_| !departed);
+            other.is_some_and(|o| handed.iter().all(|h| o.claims.adopt(now, *h)))
+        })
+    }
+
+    /// One member takes another for departed for a while.
+    fn suspect(&mut self) {
+        self.again(self.faults.suspicion, Event::Suspect);
+        let (agent, about) = (self.pick(), self.pick());
+        self.learn(agent, about, Some(true));
+        let back = Duration::from_millis(1_000 + self.draw(30_000));
+        self.at(
+            back,
+            Event::Learn {
+                agent,
+                about,
+                state: Some(false),
+            },
+        );
+    }
+}
