Add the lab with imbalance, cold and overload

The policies need figures beside baselines. The lab drives the product's own admission, execution and choice of the place in virtual time over targets of speed 1 to 4, with load reports as old as announcements make them.

--- a/crates/admission/src/limit/evidence.rs
+++ b/crates/admission/src/limit/evidence.rs
@@ -17,7 +17,7 @@
 const GOOD: f64 = 1.5;
 
 /// Mean latency over baseline above which the limit falls in the ready phase.
-const HIGH: f64 = 2.0;
+const HIGH: f64 = 2.5;
 
 /// Latency over baseline of a target that is taken for cold.
 const FAR: f64 = 4.0;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -6,9 +6,9 @@
 
 use crate::types::{ClassLimits, WorkId};
 
-/// Queued requests of one class per slot of the present limit. Work behind that many would wait
-/// longer than the deadlines of the services allow.
-pub const QUEUE_PER_SLOT: usize = 16;
+/// Queued requests of one class per slot of the present limit. They absorb bursts. Longer queues
+/// add waiting time under overload and no goodput: see `docs/MEASUREMENTS.md`.
+pub const QUEUE_PER_SLOT: usize = 4;
 
 /// Classes of one service, the range of `ClassKey`.
 pub const CLASSES_MAX: usize = 256;
--- a/crates/execution/src/place.rs
+++ b/crates/execution/src/place.rs
@@ -10,6 +10,10 @@
 /// A peer's load over the local one up to which the local target counts as much slower.
 const MUCH_SLOWER: f64 = 0.5;
 
+/// A peer's load over that of a full local target up to which the peer is chosen. Between almost
+/// equal loads the hop and the age of the report outweigh the gain.
+const FULL_GAIN: f64 = 0.75;
+
 /// Load of a peer's target as last reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLoad {
@@ -41,8 +45,9 @@
 /// Chooses the place of a request.
 ///
 /// The local target is preferred. A peer is chosen, as the less loaded of two random ones, when
-/// the local target is leaving, is full (for a cold one: bears no more at present), or is loaded
-/// at least twice as much as the peer. `noise` supplies the random numbers.
+/// the local target is leaving, is full (for a cold one: bears no more at present) and more loaded
+/// than the peer, or is loaded at least twice as much as the peer. `noise` supplies the random
+/// numbers.
 pub fn pick_place(local: Load, peers: &[PeerLoad], leaving: bool, noise: u64) -> Place {
     let leaving = leaving || local.leaving;
     let enough = !leaving && !local.is_full() && local.share() < LOCAL_ENOUGH;
@@ -53,8 +58,12 @@
     let Some((index, peer)) = two_choices(peers, noise) else {
         return Place::Local;
     };
-    let relieves = leaving || (local.is_full() && !peer.is_full());
-    let better = relieves || peer.share() <= local.share() * MUCH_SLOWER;
+    let gain = if local.is_full() {
+        FULL_GAIN
+    } else {
+        MUCH_SLOWER
+    };
+    let better = leaving || peer.share() <= local.share() * gain;
     if better {
         Place::Peer(index)
     } else {
--- /dev/null
+++ b/crates/lab/src/cluster/gate.rs
@@ -0,0 +1,70 @@
+//! Admission of either kind.
+
+use monsoon_admission::{Action, Admission, HealthReport, Load, Outcome, WorkId};
+use monsoon_model::{ClassKey, Instant};
+
+use crate::fixed::Fixed;
+
+/// Admission in front of one target.
+#[derive(Clone, Debug)]
+pub enum Gate {
+    Adaptive(Box<Admission>),
+    Fixed(Fixed),
+}
+
+impl Gate {
+    pub fn offer(
+        &mut self,
+        now: Instant,
+        id: WorkId,
+        class: usize,
+        deadline: Instant,
+    ) -> Vec<Action> {
+        match self {
+            Self::Adaptive(gate) => gate.offer(now, id, ClassKey(class as u8), Some(deadline)),
+            Self::Fixed(gate) => gate.offer(id),
+        }
+    }
+
+    pub fn finish(&mut self, now: Instant, id: WorkId, outcome: Outcome) -> Vec<Action> {
+        match self {
+            Self::Adaptive(gate) => gate.finish(now, id, outcome),
+            Self::Fixed(gate) => gate.finish(id),
+        }
+    }
+
+    pub fn cancel(&mut self, now: Instant, id: WorkId) -> Vec<Action> {
+        match self {
+            Self::Adaptive(gate) => gate.cancel(now, id),
+            Self::Fixed(gate) => gate.cancel(id),
+        }
+    }
+
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        match self {
+            Self::Adaptive(gate) => gate.tick(now),
+            Self::Fixed(_) => Vec::new(),
+        }
+    }
+
+    pub fn report(&mut self, now: Instant, report: HealthReport) -> Vec<Action> {
+        match self {
+            Self::Adaptive(gate) => gate.report(now, report),
+            Self::Fixed(_) => Vec::new(),
+        }
+    }
+
+    pub fn next_tick(&self) -> Option<Instant> {
+        match self {
+            Self::Adaptive(gate) => gate.next_tick(),
+            Self::Fixed(_) => None,
+        }
+    }
+
+    pub fn load(&self) -> Load {
+        match self {
+            Self::Adaptive(gate) => gate.load(),
+            Self::Fixed(gate) => gate.load(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/cluster/run.rs
@@ -0,0 +1,303 @@
+//! Event loop of the simulation.
+
+mod target;
+
+use std::collections::BTreeMap;
+
+use monsoon_admission::{Outcome, WorkId};
+use monsoon_execution::{Action, Event as Step, Execution, Place, Reply, Request, pick_place};
+use monsoon_metrics::Outcome as Answered;
+use monsoon_model::{Duration, Instant, hash::mix};
+
+use super::node::Node;
+use super::{Policy, Results, Setup};
+
+/// One way between agents, in the same region.
+const HOP: Duration = Duration::from_micros(1_500);
+
+/// Interval of announcements, and of the replies that carry the others' loads.
+const ANNOUNCE: Duration = Duration::from_millis(500);
+
+/// Interval of health reports.
+const REPORT: Duration = Duration::from_millis(100);
+
+/// Flows per agent on average; a flow stays where it is.
+const FLOWS: u64 = 20;
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Arrive(usize),
+    /// A request passed on reaches the peer.
+    Offer(WorkId, usize),
+    Done(WorkId, usize),
+    /// The outcome at the peer reaches the agent of the flow.
+    Back(u64, Step),
+    Deadline(u64),
+    Tick(usize),
+    Announce(usize),
+    Report(usize),
+}
+
+struct Flight {
+    execution: Execution,
+    class: usize,
+    agent: usize,
+    /// Node of the present attempt.
+    node: usize,
+    offered: Instant,
+}
+
+/// A simulated service.
+pub struct Cluster {
+    setup: Setup,
+    now: Instant,
+    draws: u64,
+    events: BTreeMap<(Instant, u64), Event>,
+    nodes: Vec<Node>,
+    requests: BTreeMap<u64, Flight>,
+    serial: u64,
+    results: Results,
+}
+
+impl Cluster {
+    pub fn run(setup: Setup) -> Results {
+        let count = setup.speeds.len();
+        let mut cluster = Self {
+            now: Instant::ZERO,
+            draws: 0,
+            events: BTreeMap::new(),
+            nodes: (0..count).map(|_| Node::new(&setup)).collect(),
+            requests: BTreeMap::new(),
+            serial: 0,
+            results: Results {
+                busy: vec![Duration::ZERO; count],
+                good: vec![0; setup.classes.len()],
+                ..Results::default()
+            },
+            setup,
+        };
+        for class in 0..cluster.setup.classes.len() {
+            cluster.arrive_later(class);
+        }
+        for node in 0..count {
+            let phase = Duration::from_micros(cluster.draw(500_000));
+            cluster.at(phase, Event::Announce(node));
+            cluster.at(phase, Event::Report(node));
+        }
+        while let Some(((at, _), event)) = cluster.events.pop_first() {
+            if at >= cluster.setup.end {
+                break;
+            }
+            cluster.now = at;
+            cluster.step(event);
+        }
+        let retries: u64 = cluster.nodes.iter().map(|n| n.budget.retries()).sum();
+        cluster.results.retries = retries as f64 / cluster.serial as f64;
+        cluster.results
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Arrive(class) => self.arrive(class),
+            Event::Offer(id, node) => self.offer(id, node),
+            Event::Done(id, node) => self.done(id, node),
+            Event::Back(request, step) => self.drive(request, step),
+            Event::Deadline(request) => self.drive(request, Step::Tick),
+            Event::Tick(node) => {
+                self.nodes[node].ticks_at = None;
+                let actions = self.nodes[node].gate.tick(self.now);
+                self.admit(node, actions);
+            }
+            Event::Announce(node) => self.announce(node),
+            Event::Report(node) => self.report(node),
+        }
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.draws += 1;
+        mix(self.setup.seed, self.draws) % below.max(1)
+    }
+
+    fn unit(&mut self) -> f64 {
+        self.draw(1 << 53) as f64 / (1_u64 << 53) as f64
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.draws += 1;
+        self.events.insert((self.now + after, self.draws), event);
+    }
+
+    fn arrive_later(&mut self, class: usize) {
+        let gap = -(1.0 - self.unit()).ln() / self.setup.rate(class) * 1e6;
+        self.at(Duration::from_micros(gap as u64), Event::Arrive(class));
+    }
+
+    fn arrive(&mut self, class: usize) {
+        self.arrive_later(class);
+        let agent = self.entry();
+        let offered = self.now;
+        let deadline = offered + self.setup.classes[class].deadline;
+        let request = Request {
+            idempotent: true,
+            from_peer: false,
+            deadline: Some(deadline),
+        };
+        let execution = Execution::new(offered, request);
+        self.serial += 1;
+        let id = self.serial;
+        let flight = Flight {
+            execution,
+            class,
+            agent,
+            node: agent,
+            offered,
+        };
+        self.requests.insert(id, flight);
+        self.results.requests += u64::from(offered >= self.setup.warm_up);
+        self.at(deadline.since(offered), Event::Deadline(id));
+        self.drive(id, Step::Begin);
+    }
+
+    /// Node that a request reaches first.
+    fn entry(&mut self) -> usize {
+        let count = self.nodes.len() as u64;
+        let noise = self.draw(u64::MAX);
+        let first = (noise % count) as usize;
+        match self.setup.policy {
+            Policy::Ours | Policy::FixedSlots => {
+                let flow = noise % (count * FLOWS);
+                (mix(self.setup.seed, flow) % count) as usize
+            }
+            Policy::Random => first,
+            Policy::TwoChoices => {
+                let second = (first + 1 + self.draw(count - 1) as usize) % count as usize;
+                let share = |node: usize| self.nodes[node].announced.share();
+                if share(second) < share(first) {
+                    second
+                } else {
+                    first
+                }
+            }
+        }
+    }
+
+    /// Advances a request and carries out what follows.
+    fn drive(&mut self, id: u64, step: Step) {
+        let Some(flight) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let budget = &mut self.nodes[flight.agent].budget;
+        let actions = flight.execution.handle(self.now, step, budget);
+        let (agent, node) = (flight.agent, flight.node);
+        for action in actions {
+            match action {
+                Action::Pick => self.pick(id, agent),
+                Action::Enqueue(attempt) => {
+                    self.place(id, agent);
+                    self.offer(work(id, attempt), agent);
+                }
+                Action::Forward(attempt, peer) => {
+                    self.place(id, peer);
+                    self.nodes[agent].peers[peer].sent += 1;
+                    self.results.forwards += u64::from(self.now >= self.setup.warm_up);
+                    self.at(HOP, Event::Offer(work(id, attempt), peer));
+                }
+                Action::Cancel(attempt) => self.cancel(work(id, attempt), node),
+                Action::Reply(reply) => self.answer(id, reply),
+                Action::Claim | Action::Send(_) | Action::Store(_) | Action::Release => {}
+            }
+        }
+        if self
+            .requests
+            .get(&id)
+            .is_some_and(|f| f.execution.is_done())
+        {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn place(&mut self, id: u64, node: usize) {
+        if let Some(flight) = self.requests.get_mut(&id) {
+            flight.node = node;
+        }
+    }
+
+    fn pick(&mut self, id: u64, agent: usize) {
+        let noise = self.draw(u64::MAX);
+        let node = &self.nodes[agent];
+        let place = match self.setup.policy {
+            Policy::Ours | Policy::FixedSlots => {
+                let mut peers = node.peers.clone();
+                peers.remove(agent);
+                match pick_place(node.gate.load(), &peers, false, noise) {
+                    Place::Peer(peer) if peer >= agent => Place::Peer(peer + 1),
+                    other => other,
+                }
+            }
+            Policy::Random | Policy::TwoChoices => Place::Local,
+        };
+        self.drive(id, Step::Picked(Some(place)));
+    }
+
+    fn answer(&mut self, id: u64, reply: Reply) {
+        let flight = &self.requests[&id];
+        if flight.offered < self.setup.warm_up {
+            return;
+        }
+        let class = self.setup.classes[flight.class].name;
+        let latency = self.now.since(flight.offered);
+        let outcome = match reply {
+            Reply::Response(_) | Reply::Replay(_) => Answered::Answered,
+            Reply::NotRun => Answered::Refused,
+            Reply::Unknown => Answered::Unknown,
+        };
+        if outcome == Answered::Answered {
+            self.results.good[flight.class] += 1;
+            self.results.latency.record("prodejna", class, latency);
+        }
+        self.results.count(class, outcome);
+    }
+
+    /// Passes an outcome at `node` to the agent of the flow.
+    fn back(&mut self, id: u64, node: usize, step: Step) {
+        let Some(flight) = self.requests.get(&id) else {
+            return;
+        };
+        let agent = flight.agent;
+        if agent == node {
+            // An event comes after the actions of the one before it.
+            self.at(Duration::ZERO, Event::Back(id, step));
+            return;
+        }
+        // The reply carries the peer's present load.
+        self.nodes[agent].peers[node].load = self.nodes[node].gate.load();
+        self.nodes[agent].peers[node].sent = 0;
+        self.at(HOP, Event::Back(id, step));
+    }
+
+    /// Announces the node's load and receives the others' announced loads.
+    fn announce(&mut self, node: usize) {
+        self.at(ANNOUNCE, Event::Announce(node));
+        self.nodes[node].announced = self.nodes[node].gate.load();
+        let announced: Vec<_> = self.nodes.iter().map(|n| n.announced).collect();
+        for (peer, load) in self.nodes[node].peers.iter_mut().zip(announced) {
+            peer.load = load;
+            peer.sent = 0;
+        }
+    }
+}
+
+/// Identity of an attempt as work at a target.
+fn work(request: u64, attempt: u32) -> WorkId {
+    WorkId(request << 8 | u64::from(attempt))
+}
+
+/// Request and attempt of a work.
+fn parts(work: WorkId) -> (u64, u32) {
+    (work.0 >> 8, (work.0 & 0xff) as u32)
+}
+
+/// Outcome of a request that ended at its target.
+fn outcome(fails: bool) -> Outcome {
+    if fails { Outcome::Failed } else { Outcome::Ok }
+}
--- /dev/null
+++ b/crates/lab/src/cold.rs
@@ -0,0 +1,43 @@
+//! Several targets turn cold without warning while the others are busy.
+
+use std::fmt::Write as _;
+
+use monsoon_model::Instant;
+
+use crate::cluster::{Cluster, Episode, POLICIES, Setup};
+
+/// Offered busy time over the capacity: with three cold targets the others are full.
+const LOAD: f64 = 0.6;
+
+/// Runs all policies and returns a table.
+pub fn run(seed: u64) -> String {
+    let mut text = String::from(
+        "| policy | starts at cold targets | overruns before evidence | after | goodput of offered % | hold p50 / p99 ms | upload p50 / p99 ms | refused % | unknown % |\n|---|---|---|---|---|---|---|---|---|\n",
+    );
+    for policy in POLICIES {
+        let mut setup = Setup::new(seed, policy, LOAD);
+        setup.cold = vec![episode(4, 80), episode(5, 82), episode(6, 84)];
+        let results = Cluster::run(setup.clone());
+        let (refused, unknown) = results.lost();
+        writeln!(
+            text,
+            "| {policy:?} | {} | {} | {} | {:.1} {}| {refused:.2} | {unknown:.2} |",
+            results.cold_starts,
+            results.surprised,
+            results.overruns,
+            100.0 * results.goodput(&setup) / LOAD,
+            results.classes(&setup),
+        )
+        .expect("writing to a string");
+    }
+    text
+}
+
+/// One of the fast targets is cold for 30 s.
+fn episode(node: usize, from: u64) -> Episode {
+    Episode {
+        node,
+        from: Instant::from_secs(from),
+        to: Instant::from_secs(from + 30),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,28 @@
+//! Measurements in virtual time, the same for each seed. One module per experiment.
+
+mod cluster;
+mod cold;
+mod fixed;
+mod imbalance;
+mod options;
+mod overload;
+#[cfg(test)]
+mod tests;
+
+use gumdrop::Options as _;
+use options::{Command, Options};
+
+fn main() {
+    let options = Options::parse_args_default_or_exit();
+    let report = match options.command {
+        Some(Command::Imbalance(run)) => imbalance::run(run.seed),
+        Some(Command::Cold(run)) => cold::run(run.seed),
+        Some(Command::Overload(run)) => overload::run(run.seed),
+        None => format!(
+            "{}\n{}\n",
+            Options::usage(),
+            Options::command_list().unwrap_or_default()
+        ),
+    };
+    print!("{report}");
+}
