--- a/crates/execution/tests/execution/main.rs
+++ b/crates/execution/tests/execution/main.rs
@@ -3,4 +3,3 @@
 mod claims;
 mod place;
 mod requests;
-mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements in virtual time, the same for each seed. One module per experiment.
 
+mod claims;
 mod cluster;
 mod cold;
 mod fixed;
@@ -8,6 +9,7 @@
 mod overload;
 #[cfg(test)]
 mod tests;
+mod world;
 
 use gumdrop::Options as _;
 use options::{Command, Options};
@@ -16,6 +18,7 @@
     let options = Options::parse_args_default_or_exit();
     let report = match options.command {
         Some(Command::Imbalance(run)) => imbalance::run(run.seed),
+        Some(Command::Claims(run)) => claims::run(run.seed),
         Some(Command::Cold(run)) => cold::run(run.seed),
         Some(Command::Overload(run)) => overload::run(run.seed),
         None => format!(
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -19,6 +19,8 @@
     Imbalance(Run),
     /// several targets turn cold without warning while the others are busy
     Cold(Run),
+    /// claims of idempotency keys under faults
+    Claims(Run),
     /// goodput at 1, 2 and 5 times the capacity
     Overload(Run),
 }
