--- a/crates/admission/tests/admission/units.rs
+++ b/crates/admission/tests/admission/units.rs
@@ -77,14 +77,18 @@
 #[test]
 fn streams_are_bounded_and_paced_while_cold() {
     let mut admission = admission(4, 50, 0.2);
-    let mut opened = 0;
-    // 10 of the 50 connections may be filled in 10 s.
-    for i in 0..1_000 {
+    let mut opened = [0, 0];
+    for i in 0..20_000 {
+        // 10 of the 50 connections may be filled in 10 s, and no more while cold.
         let now = Instant::from_millis(i * 5);
         let actions = admission.offer(now, WorkId(i), BOARD, None);
-        opened += u64::from(actions == [Action::Start(WorkId(i))]);
+        opened[usize::from(i >= 1_000)] += u64::from(actions == [Action::Start(WorkId(i))]);
     }
-    assert!((4..=7).contains(&opened), "{opened} streams opened in 5 s");
+    assert!(
+        (4..=7).contains(&opened[0]),
+        "{opened:?} streams opened in 5 s and 95 s"
+    );
+    assert_eq!(opened[0] + opened[1], 10);
     assert_eq!(admission.load().busy, 0, "streams take no slots");
 }
 
@@ -116,3 +120,115 @@
     let late = admission.offer(now, WorkId(3), HOLD, deadline);
     assert_eq!(late, [Action::Shed(WorkId(3), ShedReason::Deadline)]);
 }
+
+/// Drives a target until it is warm, one request of 10 ms after the other on each slot.
+fn warm() -> (Admission, Instant, u64) {
+    let mut admission = admission(4, 10, 0.5);
+    let (mut now, mut id) = (Instant::ZERO, 0);
+    let report = HealthReport {
+        state: ReportedState::Ready,
+        load: None,
+    };
+    admission.report(now, report);
+    while admission.load().limit < 4_000 {
+        rounds(&mut admission, &mut now, &mut id, 1, 10);
+    }
+    rounds(&mut admission, &mut now, &mut id, 50, 10);
+    (admission, now, id)
+}
+
+/// Runs rounds of as many requests as the limit admits, each of `millis`.
+fn rounds(admission: &mut Admission, now: &mut Instant, id: &mut u64, count: u32, millis: u64) {
+    for _ in 0..count {
+        let first = *id + 1;
+        let mut started = Vec::new();
+        for _ in 0..4 {
+            *id += 1;
+            started.extend(admission.offer(*now, WorkId(*id), HOLD, None));
+        }
+        *now += Duration::from_millis(millis);
+        for work in (first..=*id).map(WorkId) {
+            if started.contains(&Action::Start(work)) {
+                admission.finish(*now, work, Outcome::Ok);
+            } else {
+                admission.cancel(*now, work);
+                admission.finish(*now, work, Outcome::Cancelled);
+            }
+        }
+    }
+}
+
+/// Guards against a fixed limit: it falls while latency is high, stays at one request at least,
+/// and returns to the slots afterwards.
+#[test]
+fn limit_follows_the_latency() {
+    let (mut admission, mut now, mut id) = warm();
+    rounds(&mut admission, &mut now, &mut id, 30, 35);
+    let low = admission.load().limit;
+    assert!(
+        (1_000..3_000).contains(&low),
+        "limit {low} under high latency"
+    );
+    assert_eq!(admission.state(), TargetState::Ready);
+    rounds(&mut admission, &mut now, &mut id, 100, 10);
+    assert_eq!(admission.load().limit, 4_000);
+}
+
+/// Guards against a target that hangs without a failure: it counts as cold before any timeout.
+#[test]
+fn hanging_requests_make_the_target_cold() {
+    let (mut admission, now, id) = warm();
+    for work in id + 1..=id + 3 {
+        assert_eq!(admission.offer(now, WorkId(work), HOLD, None).len(), 1);
+    }
+    let at = admission
+        .next_tick()
+        .expect("requests in flight are watched");
+    assert!(
+        at <= now + Duration::from_millis(200),
+        "noticed at {at:?} only"
+    );
+    admission.tick(at);
+    assert_eq!(admission.state(), TargetState::Cold);
+}
+
+/// Guards against a long cold phase after one lost connection, and against none after two.
+#[test]
+fn one_failure_is_checked_and_two_are_believed() {
+    for failures in [1, 2] {
+        let (mut admission, mut now, mut id) = warm();
+        for work in id + 1..=id + failures {
+            admission.offer(now, WorkId(work), HOLD, None);
+        }
+        for work in id + 1..=id + failures {
+            admission.finish(now, WorkId(work), Outcome::Failed);
+            assert_eq!(
+                admission.state(),
+                TargetState::Cold,
+                "after {failures} failures"
+            );
+        }
+        id += failures;
+        now += Duration::from_secs(1);
+        rounds(&mut admission, &mut now, &mut id, 3, 10);
+        let ready = admission.state() == TargetState::Ready;
+        assert_eq!(ready, failures == 1, "{failures} failures");
+    }
+}
+
+/// Guards against a target that is refused for ever because it became slower for good: after a
+/// long time at one latency that latency is its new baseline.
+#[test]
+fn lasting_slowness_becomes_the_baseline() {
+    let (mut admission, mut now, mut id) = warm();
+    let cold = HealthReport {
+        state: ReportedState::Cold,
+        load: None,
+    };
+    admission.report(now, cold);
+    rounds(&mut admission, &mut now, &mut id, 800, 20);
+    assert_eq!(admission.state(), TargetState::Cold, "after {now:?}");
+    rounds(&mut admission, &mut now, &mut id, 3_000, 20);
+    assert_eq!(admission.state(), TargetState::Ready);
+    assert_eq!(admission.load().limit, 4_000);
+}
