--- /dev/null
+++ b/crates/execution/tests/execution/claims.rs
@@ -0,0 +1,77 @@
+//! Single rules of the table and the round. The lab has the randomised proof.
+
+use monsoon_execution::claim::{
+    Answer, ClaimId, ClaimResult, ClaimRound, Claims, KeyHash, Member, RECENT, RoundAction, Verdict,
+};
+use monsoon_model::{AgentId, Duration, Instant};
+
+fn claim(serial: u64) -> ClaimId {
+    ClaimId {
+        agent: AgentId(9),
+        serial,
+    }
+}
+
+/// Guards against unbounded memory, and against evicting a live claim: at the bound a new claim is
+/// refused as not run, and an expired one makes room.
+#[test]
+fn full_table_refuses_new_claims() {
+    let mut claims = Claims::with_bound(Instant::ZERO, 2);
+    let now = Instant::ZERO + RECENT;
+    for serial in 0..2 {
+        let answer = claims.claim(now, KeyHash(u128::from(serial)), claim(serial));
+        assert_eq!(
+            answer,
+            Answer {
+                verdict: Verdict::Recorded,
+                recent: false
+            }
+        );
+    }
+    assert_eq!(
+        claims.claim(now, KeyHash(7), claim(7)).verdict,
+        Verdict::Full
+    );
+    assert_eq!(
+        claims.claim(now, KeyHash(0), claim(8)).verdict,
+        Verdict::Known(None)
+    );
+    let later = now + Duration::from_secs(120);
+    assert_eq!(
+        claims.claim(later, KeyHash(7), claim(7)).verdict,
+        Verdict::Recorded
+    );
+    assert_eq!(claims.len(), 1);
+
+    let members = [1, 2, 3].map(|id| Member {
+        id: AgentId(id),
+        departed: false,
+    });
+    let mut round = ClaimRound::new(KeyHash(7), claim(9), members);
+    let mut actions = round.start(now);
+    for verdict in [Verdict::Full, Verdict::Recorded] {
+        let Some(RoundAction::Ask(member)) = actions.first().copied() else {
+            panic!("no member is asked: {actions:?}");
+        };
+        actions = round.answer(
+            now,
+            member,
+            Answer {
+                verdict,
+                recent: false,
+            },
+        );
+    }
+    assert_eq!(round.result(), Some(ClaimResult::NotRun));
+}
+
+/// Guards against the loss of a stored status: a caller that sends again gets it.
+#[test]
+fn stored_status_is_replayed() {
+    let mut claims = Claims::new(Instant::ZERO);
+    claims.claim(Instant::ZERO, KeyHash(1), claim(1));
+    claims.store(KeyHash(1), claim(2), 500);
+    claims.store(KeyHash(1), claim(1), 201);
+    let answer = claims.claim(Instant::ZERO, KeyHash(1), claim(3));
+    assert_eq!(answer.verdict, Verdict::Known(Some(201)));
+}
