membership: prove reachability of data centres in both directions

Change: a data centre stays in the tables only while it echoes this one's beat. One that comes back is compared by every balancer first.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -243,6 +243,8 @@
         }
         let chosen = list.iter().filter(|b| ids.contains(&b.id));
         let mut to = chosen.map(|b| b.control).collect::<Vec<_>>();
+        // A member that is no longer addressed cannot answer, so its silence means nothing.
+        self.unanswered.retain(|id, _| ids.contains(id));
         for &id in &ids {
             self.unanswered.entry(id).or_insert(now);
         }
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -12,7 +12,7 @@
 use monsoon_model::{AgentId, DataCentreId, Duration, Instant};
 
 use crate::beats::Beats;
-use crate::bounds::{FREEZE_GAP, Rule, SPEAKERS, TICK_EVERY};
+use crate::bounds::{CATCH_UP_FOR, FREEZE_GAP, Rule, SPEAKERS, TICK_EVERY};
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
 use crate::members::{Members, Row};
@@ -39,6 +39,7 @@
     announce: Instant,
     announced: Instant,
     gossip: Instant,
+    contact: Instant,
     digest: Instant,
     remote: Instant,
     expire: Instant,
@@ -61,7 +62,9 @@
     timers: Timers,
     started: Instant,
     last: Instant,
+    /// Compares tables at the faster rate, until one was equal or `catch_until` has passed.
     catching: bool,
+    catch_until: Instant,
     left: bool,
     /// Hash of the live balancers of the data centre.
     list_hash: u32,
@@ -106,6 +109,7 @@
             announce: now,
             announced: now,
             gossip: now + jitter(&mut rng, 250),
+            contact: now + jitter(&mut rng, 500),
             digest: now + jitter(&mut rng, 50),
             remote: now + jitter(&mut rng, 1_000),
             expire: now + Duration::from_secs(60),
@@ -126,6 +130,7 @@
             started: now,
             last: now,
             catching: true,
+            catch_until: now + CATCH_UP_FOR,
             left: false,
             list_hash: 0,
             team: Vec::new(),
@@ -210,7 +215,7 @@
     /// Hash over the table; equal tables have equal hashes.
     pub fn table_hash(&self) -> u64 {
         self.members
-            .digest()
+            .digest(None)
             .into_iter()
             .fold(0, |hash, bucket| mix(hash, u64::from(bucket)))
     }
@@ -287,6 +292,8 @@
     fn thaw(&mut self, now: Instant) {
         self.watcher.thaw(now);
         self.beats.thaw(now);
+        self.catching = true;
+        self.catch_until = now + CATCH_UP_FOR;
         self.timers.digest = now;
         self.timers.announce = now;
     }
--- a/crates/membership/src/balancer/answer.rs
+++ b/crates/membership/src/balancer/answer.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 
-use monsoon_model::{AgentId, Instant};
+use monsoon_model::{AgentId, DataCentreId, Instant};
 
 use super::BalancerNode;
 use crate::bounds::{ANSWER_PAGES, BUCKETS, SAMPLES};
 use crate::members::{Row, seconds};
-use crate::message::pages;
-use crate::{BalancerInfo, Body, Member, Role, Sample, Status, TargetInfo, listing};
+use crate::message::{pages, room};
+use crate::{BalancerInfo, Body, Entry, Member, Role, Sample, Status, TargetInfo, listing};
 
 impl BalancerNode {
     /// Answers an announcement, or tells a client at once that its lists changed.
@@ -96,6 +96,7 @@
     fn send_balancers(&mut self, to: SocketAddr) {
         let rows = self.team.iter().filter_map(|&id| self.members.get(id));
         let parts = pages(
+            room(&()),
             rows.map(|row| BalancerInfo::from(&row.member))
                 .collect::<Vec<_>>(),
         );
@@ -119,7 +120,7 @@
         let live = live
             .into_iter()
             .map(|m| info(m, Some(m.state), self.age(now, m)));
-        let parts = pages(live.chain(departed).collect::<Vec<_>>());
+        let parts = pages(room(&()), live.chain(departed).collect::<Vec<_>>());
         let count = parts.len() as u16;
         for (page, list) in (0..).zip(parts) {
             self.send(
@@ -145,25 +146,26 @@
         seconds(now, joined.max(returned))
     }
 
-    /// Compares a digest and sends the own entries of buckets that differ.
+    /// Compares a digest and sends the own entries of buckets that differ. Returns whether none
+    /// does.
     pub(super) fn digested(
         &mut self,
         now: Instant,
         from: SocketAddr,
-        answer: bool,
+        (answer, scope): (bool, Option<DataCentreId>),
         buckets: &[u32],
-    ) {
+    ) -> bool {
         if buckets.len() != BUCKETS {
-            return;
+            return false;
         }
-        let own = self.members.digest();
+        let own = self.members.digest(scope);
         let differs = own
             .iter()
             .zip(buckets)
             .map(|(a, b)| a != b)
             .collect::<Vec<_>>();
         let equal = !differs.contains(&true);
-        if answer && equal {
+        if answer && equal && scope.is_none() {
             self.catching = false;
         }
         if !answer {
@@ -171,35 +173,40 @@
                 from,
                 Body::Digest {
                     answer: true,
+                    scope,
                     buckets: own,
                 },
             );
         }
         if equal || (answer && self.catching) {
-            return;
+            return equal;
         }
-        for entries in self.differing(now, &differs) {
+        for entries in self.differing(now, scope, &differs) {
             self.send(from, Body::Entries { entries });
         }
+        false
     }
 
     /// Pages of differing buckets, from a random bucket on, so that every bucket gets its turn.
-    fn differing(&mut self, now: Instant, differs: &[bool]) -> Vec<Vec<crate::Entry>> {
+    fn differing(
+        &mut self,
+        now: Instant,
+        scope: Option<DataCentreId>,
+        differs: &[bool],
+    ) -> Vec<Vec<Entry>> {
         let start = self.rng.below(BUCKETS);
+        let order = (start..BUCKETS)
+            .chain(0..start)
+            .filter(|&bucket| differs[bucket]);
+        let mut parts = Vec::new();
         let mut entries = Vec::new();
-        for offset in 0..BUCKETS {
-            let bucket = (start + offset) % BUCKETS;
-            if !differs[bucket] {
-                continue;
-            }
-            let mut wanted = [false; BUCKETS];
-            wanted[bucket] = true;
-            entries.extend(self.members.entries(now, &wanted));
-            if entries.len() >= ANSWER_PAGES * 20 {
+        for bucket in order {
+            entries.extend(self.members.entries(now, scope, bucket));
+            parts = pages(room(&()), entries.iter().copied());
+            if parts.len() >= ANSWER_PAGES {
                 break;
             }
         }
-        let mut parts = pages(entries);
         parts.truncate(ANSWER_PAGES);
         parts
     }
--- a/crates/membership/src/balancer/learn.rs
+++ b/crates/membership/src/balancer/learn.rs
@@ -4,7 +4,8 @@
 
 use super::{BalancerNode, takes_part};
 use crate::members::Merge;
-use crate::{Action, Body, Entry, Role, State, Status, listing};
+use crate::message::{pages, room};
+use crate::{Action, Entry, Role, State, Status, listing};
 
 /// Age after which a node gossips what it learns from digests. A starting node learns everything
 /// from them, and the others know it already.
@@ -59,7 +60,7 @@
 
     /// Learns what a digest brought.
     pub(super) fn learn_all(&mut self, now: Instant, entries: &[Entry]) {
-        let spread = !self.catching && now.since(self.started) >= SETTLED;
+        let spread = now.since(self.started) >= SETTLED;
         for entry in entries {
             self.learn(now, entry, spread);
         }
@@ -182,17 +183,9 @@
         let entries = entries.map(|row| row.entry(now)).collect::<Vec<_>>();
         let others = self.others();
         let targets = self.rng.pick(&others, crate::bounds::FANOUT);
-        for page in crate::message::pages(entries) {
+        for page in pages(room(&self.beats.list()), entries) {
             for &to in &targets {
-                let beats = self.beats.list();
-                self.send(
-                    to,
-                    Body::Gossip {
-                        beats,
-                        entries: page.clone(),
-                        loads: Vec::new(),
-                    },
-                );
+                self.send_gossip(to, page.clone(), Vec::new());
             }
         }
     }
--- a/crates/membership/src/balancer/receive.rs
+++ b/crates/membership/src/balancer/receive.rs
@@ -21,13 +21,29 @@
             } => self.refute_death(now, incarnation),
             Body::Ask { balancers, service } => self.asked(now, from, head.id, balancers, service),
             Body::Gossip {
+                place,
                 beats,
                 entries,
                 loads,
             } => {
-                self.gossiped(now, &beats, &entries, &loads);
+                self.beats.merge(now, place, &beats);
+                self.gossiped(now, &entries, &loads);
+                if place != self.me.data_centre {
+                    let (place, beats) = (self.me.data_centre, self.beats.list());
+                    self.send(from, Body::Beats { place, beats });
+                }
+            }
+            Body::Beats { place, beats } => self.beats.merge(now, place, &beats),
+            Body::Digest {
+                answer,
+                scope,
+                buckets,
+            } => {
+                let place = self.members.get(head.id).map(|row| row.member.data_centre);
+                if self.digested(now, from, (answer, scope), &buckets) && place == scope {
+                    self.beats.compared(scope);
+                }
             }
-            Body::Digest { answer, buckets } => self.digested(now, from, answer, &buckets),
             Body::Entries { entries } => self.learn_all(now, &entries),
             Body::Suspect { id, incarnation } => self.voted(now, from, head.id, (id, incarnation)),
             Body::Heard {
@@ -101,14 +117,7 @@
                 },
                 true,
             );
-            let buckets = self.members.digest();
-            self.send(
-                from,
-                Body::Digest {
-                    answer: false,
-                    buckets,
-                },
-            );
+            self.send_digest(from, None);
         }
     }
 
@@ -150,16 +159,7 @@
         self.gossip.load(record);
     }
 
-    fn gossiped(
-        &mut self,
-        now: Instant,
-        beats: &[(monsoon_model::DataCentreId, u64)],
-        entries: &[Entry],
-        loads: &[LoadRecord],
-    ) {
-        if self.beats.merge(now, beats) {
-            self.pending.changed = true;
-        }
+    fn gossiped(&mut self, now: Instant, entries: &[Entry], loads: &[LoadRecord]) {
         for entry in entries {
             self.learn(now, entry, true);
         }
--- a/crates/membership/src/balancer/rounds.rs
+++ b/crates/membership/src/balancer/rounds.rs
@@ -6,18 +6,14 @@
 
 use super::{BalancerNode, jitter};
 use crate::bounds::{
-    ANNOUNCE_EVERY, CATCH_UP_EVERY, DIGEST_EVERY, FANOUT, GOSSIP_EVERY, REMOTE_DOUBT,
+    ANNOUNCE_EVERY, CATCH_UP_EVERY, DIGEST_EVERY, FANOUT, GOSSIP_EVERY, REMOTE_DOUBT, REMOTE_EVERY,
     SUSPECT_AFTER, WATCHERS,
 };
-use crate::{Body, Entry, Status};
+use crate::message::room;
+use crate::{Body, Entry, LoadRecord, Status};
 
-/// Time after a start in which a node compares tables at the faster rate.
-const CATCH_UP_FOR: Duration = Duration::from_secs(30);
 /// Interval of digests between data centres, one data centre at a time.
 const REMOTE_DIGEST_EVERY: Duration = Duration::from_secs(1);
-/// Chance, one in this many, that a contact goes to any balancer instead of a speaker. Reaches a
-/// data centre whose speakers are both lost.
-const STRAY: usize = 8;
 /// Chance, one in this many, that a digest between data centres goes to a seed. Finds data centres
 /// that started or whose balancers were all replaced while no contact was possible.
 const SEEDING: usize = 4;
@@ -39,6 +35,10 @@
         if now >= self.timers.gossip {
             self.timers.gossip = now + GOSSIP_EVERY;
             self.gossip_round(now);
+            self.compare_returning();
+        }
+        if now >= self.timers.contact {
+            self.timers.contact = now + REMOTE_EVERY;
             self.remote_round(now);
         }
         if now >= self.timers.digest {
@@ -46,7 +46,7 @@
         }
         if now >= self.timers.remote {
             self.timers.remote = now + REMOTE_DIGEST_EVERY;
-            self.remote_digest();
+            self.remote_digest(now);
         }
         if now >= self.timers.expire {
             self.timers.expire = now + Duration::from_secs(60);
@@ -115,36 +115,47 @@
         };
         let others = self.others();
         for to in self.rng.pick(&others, FANOUT) {
-            let body = Body::Gossip {
-                beats: Vec::new(),
-                entries: vec![entry],
-                loads: Vec::new(),
-            };
-            self.send(to, body);
+            self.send_gossip(to, vec![entry], Vec::new());
         }
         self.left = true;
     }
 
     fn gossip_round(&mut self, now: Instant) {
         let members = &self.members;
-        let entries = self
-            .gossip
-            .take(|id| members.get(id).map(|row| row.entry(now)));
-        let loads = self.gossip.take_loads(entries.len());
-        if self.is_speaker() {
-            self.beats.raise(now, GOSSIP_EVERY);
-        }
+        let find = |id| members.get(id).map(|row| row.entry(now));
+        let (entries, loads) = self.gossip.take(room(&self.beats.list()), find);
         let others = self.others();
         for to in self.rng.pick(&others, FANOUT) {
-            let (beats, entries, loads) = (self.beats.list(), entries.clone(), loads.clone());
-            self.send(
-                to,
-                Body::Gossip {
-                    beats,
-                    entries,
-                    loads,
-                },
-            );
+            self.send_gossip(to, entries.clone(), loads.clone());
+        }
+    }
+
+    pub(super) fn send_gossip(
+        &mut self,
+        to: SocketAddr,
+        entries: Vec<Entry>,
+        loads: Vec<LoadRecord>,
+    ) {
+        let (place, beats) = (self.me.data_centre, self.beats.list());
+        self.send(
+            to,
+            Body::Gossip {
+                place,
+                beats,
+                entries,
+                loads,
+            },
+        );
+    }
+
+    /// Compares the members of data centres that come back with any balancer there.
+    fn compare_returning(&mut self) {
+        for place in self.beats.returning() {
+            let choice = self.members.balancers(place).map(|m| m.control);
+            let choice = choice.collect::<Vec<_>>();
+            if let Some(&to) = self.rng.pick(&choice, 1).first() {
+                self.send_digest(to, Some(place));
+            }
         }
     }
 
@@ -152,39 +163,31 @@
     fn remote_round(&mut self, now: Instant) {
         let speaker = self.is_speaker();
         let members = &self.members;
-        let entries = self
-            .remote
-            .take(|id| members.get(id).map(|row| row.entry(now)));
+        let find = |id| members.get(id).map(|row| row.entry(now));
+        let (entries, _) = self.remote.take(room(&self.beats.list()), find);
         for place in self.places() {
             if !speaker && !self.stands_in(now, place) {
                 continue;
             }
-            let Some(to) = self.contact(place) else {
+            let Some(to) = self.contact(now, place) else {
                 continue;
             };
-            let (beats, entries) = (self.beats.list(), entries.clone());
-            self.send(
-                to,
-                Body::Gossip {
-                    beats,
-                    entries,
-                    loads: Vec::new(),
-                },
-            );
+            self.beats.raise(now, REMOTE_EVERY);
+            self.send_gossip(to, entries.clone(), Vec::new());
         }
     }
 
-    /// Whether this balancer contacts a silent data centre although it is no speaker. About one of
-    /// the data centre does so in each round.
+    /// Whether this balancer contacts a silent data centre although it is no speaker. On average
+    /// [`FANOUT`] balancers of the data centre do so in each round.
     fn stands_in(&mut self, now: Instant, place: DataCentreId) -> bool {
         let silent = self.beats.silent(now, place, REMOTE_DOUBT);
-        silent && self.rng.below(self.team.len()) == 0
+        silent && self.rng.below(self.team.len()) < FANOUT
     }
 
-    /// A speaker of `place`, sometimes any balancer of it.
-    fn contact(&mut self, place: DataCentreId) -> Option<SocketAddr> {
+    /// A speaker of `place`, any balancer of it once it is silent.
+    fn contact(&mut self, now: Instant, place: DataCentreId) -> Option<SocketAddr> {
         let mut choice = self.speakers(place);
-        if self.rng.below(STRAY) == 0 {
+        if choice.is_empty() || self.beats.silent(now, place, REMOTE_DOUBT) {
             choice = self.members.balancers(place).map(|m| m.control).collect();
         }
         self.rng.pick(&choice, 1).first().copied()
@@ -204,7 +207,7 @@
     }
 
     fn digest_round(&mut self, now: Instant) {
-        self.catching &= now.since(self.started) < CATCH_UP_FOR;
+        self.catching &= now < self.catch_until;
         let every = if self.catching {
             CATCH_UP_EVERY
         } else {
@@ -216,30 +219,39 @@
             choice.clone_from(&self.seeds);
         }
         if let Some(&to) = self.rng.pick(&choice, 1).first() {
-            self.send_digest(to);
+            self.send_digest(to, None);
         }
     }
 
-    fn remote_digest(&mut self) {
+    /// Compares the members of one data centre with a balancer of one. Mostly both are the same,
+    /// but a third one can pass on what a cut link holds back, and a seed can name a new one.
+    fn remote_digest(&mut self, now: Instant) {
         if !self.is_speaker() {
             return;
         }
         let places = self.places();
-        let to = match self.rng.pick(&places, 1).first() {
-            Some(&place) if self.rng.below(SEEDING) > 0 => self.contact(place),
-            _ => self.rng.pick(&self.seeds, 1).first().copied(),
-        };
-        if let Some(to) = to {
-            self.send_digest(to);
+        let target = self.rng.pick(&places, 1).first().copied();
+        if target.is_none() || self.rng.below(SEEDING) == 0 {
+            if let Some(&to) = self.rng.pick(&self.seeds, 1).first() {
+                self.send_digest(to, None);
+            }
+            return;
+        }
+        let beating = self.beats.list();
+        let any = self.rng.pick(&beating, 1).first().map(|beat| beat.place);
+        let scope = if self.rng.below(2) == 0 { target } else { any };
+        if let Some(to) = target.and_then(|place| self.contact(now, place)) {
+            self.send_digest(to, scope);
         }
     }
 
-    fn send_digest(&mut self, to: SocketAddr) {
-        let buckets = self.members.digest();
+    pub(super) fn send_digest(&mut self, to: SocketAddr, scope: Option<DataCentreId>) {
+        let buckets = self.members.digest(scope);
         self.send(
             to,
             Body::Digest {
                 answer: false,
+                scope,
                 buckets,
             },
         );
--- a/crates/membership/src/bounds.rs
+++ b/crates/membership/src/bounds.rs
@@ -6,10 +6,14 @@
 pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
 /// Interval of gossip rounds.
 pub const GOSSIP_EVERY: Duration = Duration::from_millis(250);
+/// Interval of contacts with each other data centre.
+pub const REMOTE_EVERY: Duration = Duration::from_millis(500);
 /// Interval of bucket digests to one balancer of the own data centre.
 pub const DIGEST_EVERY: Duration = Duration::from_secs(2);
 /// Interval of bucket digests to one other data centre; also limits catching up after a join.
 pub const CATCH_UP_EVERY: Duration = Duration::from_millis(200);
+/// Longest time after a start or a pause in which a node compares tables at the faster rate.
+pub const CATCH_UP_FOR: Duration = Duration::from_secs(30);
 /// Interval of timer checks. Adds to every detection time, so it is small against the 3 s bound.
 pub const TICK_EVERY: Duration = Duration::from_millis(50);
 /// Silence after which a watcher suspects a member: four announcements.
@@ -23,9 +27,16 @@
 pub const FREEZE_GAP: Duration = Duration::from_secs(1);
 /// Silence of another data centre after which its members leave the tables.
 pub const REMOTE_AFTER: Duration = Duration::from_secs(2);
-/// Silence of another data centre after which balancers that are no speakers contact it too. Covers
-/// the loss of both speakers before [`REMOTE_AFTER`] expires.
-pub const REMOTE_DOUBT: Duration = Duration::from_millis(900);
+/// Least time between the first new echo of a hidden data centre and its return to the tables.
+/// Meanwhile every balancer compares its members with one there, so that members that died during
+/// a cut do not show up again.
+pub const RETURN_AFTER: Duration = Duration::from_secs(1);
+/// Longest such time; then the data centre returns although no comparison was equal.
+pub const RETURN_LIMIT: Duration = Duration::from_secs(4);
+/// Silence of another data centre after which any balancers contact each other, not only speakers.
+/// Covers the loss of both speakers before [`REMOTE_AFTER`] expires. Longer than a contact interval
+/// and the gossip that spreads its echo.
+pub const REMOTE_DOUBT: Duration = Duration::from_millis(1_200);
 /// Lifetime of dead entries. A cut of one hour must not bring back members that died meanwhile.
 pub const TOMBSTONE_TTL: Duration = Duration::from_secs(2 * 3600);
 /// Time during which departed members are reported to the claim ranking (the claim window).
@@ -63,12 +74,13 @@
 pub const MAX_MEMBERS: usize = 16_384;
 /// Members of one service that an agent keeps. At the bound the rest is ignored.
 pub const MAX_SERVICE: usize = 4_096;
-/// Data centres known to a node. At the bound further ones are ignored.
-pub const MAX_PLACES: usize = 32;
+/// Other data centres known to a node. At the bound further ones are ignored. Their beats take less
+/// than half of a message.
+pub const MAX_PLACES: usize = 16;
 /// Largest encoded message, in bytes. A control datagram has 1,200 bytes with its envelope.
 pub const MAX_MESSAGE: usize = 1_150;
-/// Bytes of entries in one message; the rest is left to the header and the beats.
-pub const PAGE_BYTES: usize = 850;
+/// Bytes of a message left to the header and to length fields.
+pub const HEADER_ROOM: usize = 75;
 /// UDP, IP and control envelope around each message, in bytes.
 pub const OVERHEAD: usize = 46;
 
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -4,10 +4,13 @@
 
 use monsoon_model::AgentId;
 
-use crate::bounds::{LOAD_REPEATS, LOADS_PER_MESSAGE, MAX_CHANGES, MAX_LOADS, PAGE_BYTES, REPEATS};
+use crate::bounds::{LOAD_REPEATS, LOADS_PER_MESSAGE, MAX_CHANGES, MAX_LOADS, REPEATS};
 use crate::message::size;
 use crate::{Entry, LoadRecord};
 
+/// Largest encoded load record, in bytes.
+const MAX_RECORD: usize = 23;
+
 /// Outgoing news. Entries are looked up when they are sent, so that only the newest state travels.
 #[derive(Debug, Default)]
 pub(crate) struct Gossip {
@@ -17,6 +20,7 @@
     pub(crate) dropped: u64,
     /// Where the next round starts, so that a long queue is served in turn.
     cursor: AgentId,
+    load_cursor: AgentId,
 }
 
 impl Gossip {
@@ -40,20 +44,21 @@
         }
     }
 
-    /// Entries of the next round, at most one message.
-    pub(crate) fn take(&mut self, entry: impl Fn(AgentId) -> Option<Entry>) -> Vec<Entry> {
+    /// Entries and loads of the next round, together at most `room` bytes. Entries go first.
+    pub(crate) fn take(
+        &mut self,
+        room: usize,
+        entry: impl Fn(AgentId) -> Option<Entry>,
+    ) -> (Vec<Entry>, Vec<LoadRecord>) {
         let mut taken = Vec::new();
         let mut used = 0;
-        let later = self.changes.range(self.cursor..).map(|(&id, _)| id);
-        let order = later.chain(self.changes.range(..self.cursor).map(|(&id, _)| id));
-        let order = order.collect::<Vec<_>>();
-        for id in order {
+        for id in in_turn(&self.changes, self.cursor) {
             let Some(found) = entry(id) else {
                 self.changes.remove(&id);
                 continue;
             };
             let bytes = size(&found);
-            if used + bytes > PAGE_BYTES {
+            if used + bytes > room {
                 self.cursor = id;
                 break;
             }
@@ -61,20 +66,14 @@
             taken.push(found);
             countdown(&mut self.changes, id);
         }
-        taken
+        (taken, self.take_loads(room - used))
     }
 
-    /// Loads of the next round. A round with many changes carries none.
-    pub(crate) fn take_loads(&mut self, entries: usize) -> Vec<LoadRecord> {
-        if entries * 50 > PAGE_BYTES / 2 {
-            return Vec::new();
-        }
-        let ids = self
-            .loads
-            .keys()
-            .copied()
-            .take(LOADS_PER_MESSAGE)
-            .collect::<Vec<_>>();
+    fn take_loads(&mut self, room: usize) -> Vec<LoadRecord> {
+        let count = LOADS_PER_MESSAGE.min(room / MAX_RECORD);
+        let mut ids = in_turn(&self.loads, self.load_cursor);
+        self.load_cursor = ids.get(count).copied().unwrap_or_default();
+        ids.truncate(count);
         let mut taken = Vec::new();
         for id in ids {
             let Some((record, left)) = self.loads.remove(&id) else {
@@ -89,6 +88,14 @@
     }
 }
 
+/// Keys from `cursor` on, then those before it.
+fn in_turn<T>(map: &BTreeMap<AgentId, T>, cursor: AgentId) -> Vec<AgentId> {
+    let later = map.range(cursor..).map(|(&id, _)| id);
+    later
+        .chain(map.range(..cursor).map(|(&id, _)| id))
+        .collect()
+}
+
 fn countdown(changes: &mut BTreeMap<AgentId, u8>, id: AgentId) {
     let Some(left) = changes.get_mut(&id) else {
         return;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -25,6 +25,7 @@
 pub use agent::{AgentNode, Peer, ServiceMember};
 pub use api::{Action, Event, LocalState};
 pub use balancer::BalancerNode;
+pub use beats::Beat;
 pub use bounds::Rule;
 pub use listing::{BalancerInfo, TargetInfo};
 pub use member::{Entry, Member, Role, State, Status};
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -212,10 +212,11 @@
         }
     }
 
-    /// Hash of each bucket.
-    pub(crate) fn digest(&self) -> Vec<u32> {
+    /// Hash of each bucket of the members of one data centre, of all for `None`.
+    pub(crate) fn digest(&self, scope: Option<DataCentreId>) -> Vec<u32> {
         let mut sums = vec![0_u64; BUCKETS];
-        for row in self.rows.values() {
+        let rows = self.rows.values().filter(|row| row.within(scope));
+        for row in rows {
             let entry = Entry {
                 member: row.member,
                 status: row.status,
@@ -227,14 +228,16 @@
         sums.into_iter().map(|sum| mix(sum, 2) as u32).collect()
     }
 
-    /// Entries of the buckets that `wanted` selects.
-    pub(crate) fn entries(&self, now: Instant, wanted: &[bool]) -> Vec<Entry> {
-        let chosen = |row: &&Row| wanted.get(bucket(row.member.id)).copied().unwrap_or(false);
-        self.rows
-            .values()
-            .filter(chosen)
-            .map(|row| row.entry(now))
-            .collect()
+    /// Entries of one bucket.
+    pub(crate) fn entries(
+        &self,
+        now: Instant,
+        scope: Option<DataCentreId>,
+        wanted: usize,
+    ) -> impl Iterator<Item = Entry> {
+        let rows = self.rows.values().filter(move |row| row.within(scope));
+        let rows = rows.filter(move |row| bucket(row.member.id) == wanted);
+        rows.map(move |row| row.entry(now))
     }
 }
 
@@ -249,6 +252,10 @@
         }
     }
 
+    fn within(&self, scope: Option<DataCentreId>) -> bool {
+        scope.is_none_or(|place| self.member.data_centre == place)
+    }
+
     /// Whether the member may take work.
     pub(crate) fn works(&self) -> bool {
         self.status == Status::Alive && self.member.state != State::Leaving
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -5,7 +5,8 @@
 use monsoon_model::{AgentId, DataCentreId, Versions};
 use serde::{Deserialize, Serialize};
 
-use crate::bounds::PAGE_BYTES;
+use crate::beats::Beat;
+use crate::bounds::{HEADER_ROOM, MAX_MESSAGE};
 use crate::{BalancerInfo, Entry, Member, State, TargetInfo};
 
 /// Header of every message.
@@ -102,17 +103,28 @@
     },
     /// Changes and loads.
     Gossip {
-        /// Highest beat known of each data centre.
-        beats: Vec<(DataCentreId, u64)>,
+        /// Sender's data centre.
+        place: DataCentreId,
+        /// Beats of all data centres.
+        beats: Vec<Beat>,
         /// Changed entries.
         entries: Vec<Entry>,
         /// Changed loads.
         loads: Vec<LoadRecord>,
     },
+    /// Answer to gossip from another data centre.
+    Beats {
+        /// Sender's data centre.
+        place: DataCentreId,
+        /// Beats of all data centres.
+        beats: Vec<Beat>,
+    },
     /// Hash of each bucket of the sender's table.
     Digest {
         /// Whether this answers a digest; an answer is not answered with another digest.
         answer: bool,
+        /// Data centre whose members are compared, `None` for all.
+        scope: Option<DataCentreId>,
         /// Hashes, one per bucket.
         buckets: Vec<u32>,
     },
@@ -146,14 +158,19 @@
     postcard::experimental::serialized_size(value).unwrap_or(usize::MAX)
 }
 
-/// Splits `items` into pages of at most [`PAGE_BYTES`].
-pub(crate) fn pages<T: Serialize>(items: impl IntoIterator<Item = T>) -> Vec<Vec<T>> {
+/// Room for the items of a message that also carries `rest`, in bytes.
+pub(crate) fn room(rest: &impl Serialize) -> usize {
+    MAX_MESSAGE.saturating_sub(HEADER_ROOM + size(rest))
+}
+
+/// Splits `items` into pages of at most `room` bytes.
+pub(crate) fn pages<T: Serialize>(room: usize, items: impl IntoIterator<Item = T>) -> Vec<Vec<T>> {
     let mut pages = vec![Vec::new()];
     let mut used = 0;
     for item in items {
         let bytes = size(&item);
-        debug_assert!(bytes <= PAGE_BYTES, "an item fits into a page");
-        if used + bytes > PAGE_BYTES {
+        debug_assert!(bytes <= room, "an item fits into a page");
+        if used + bytes > room {
             pages.push(Vec::new());
             used = 0;
         }
--- a/crates/membership/src/simulation.rs
+++ b/crates/membership/src/simulation.rs
@@ -277,13 +277,18 @@
         self.slots[node].condition = Condition::Ended;
     }
 
-    /// Stops a node; its messages wait.
+    /// Stops a running node; its messages wait.
     pub fn freeze(&mut self, node: usize) {
-        self.slots[node].condition = Condition::Frozen;
+        if self.slots[node].condition == Condition::Running {
+            self.slots[node].condition = Condition::Frozen;
+        }
     }
 
     /// Continues a frozen node, which first handles the messages that waited.
     pub fn thaw(&mut self, node: usize) {
+        if self.slots[node].condition != Condition::Frozen {
+            return;
+        }
         self.slots[node].condition = Condition::Running;
         for (from, bytes) in std::mem::take(&mut self.slots[node].inbox) {
             self.deliver(node, from, bytes);
@@ -307,7 +312,7 @@
     /// Tells a node that a configuration is in force.
     pub fn set_versions(&mut self, node: usize, versions: Versions) {
         let slot = &mut self.slots[node];
-        if !versions.is_ahead_of(slot.versions) {
+        if slot.condition != Condition::Running || !versions.is_ahead_of(slot.versions) {
             return;
         }
         slot.versions.document = slot.versions.document.max(versions.document);
--- /dev/null
+++ b/crates/membership/tests/nodes/cuts.rs
@@ -0,0 +1,142 @@
+//! Cut links between data centres and between nodes.
+
+use monsoon_membership::simulation::Network;
+use monsoon_model::Duration;
+
+use crate::common::{BOUND, absent, cluster, converged, id};
+
+/// Whether the balancers of `place` list members of exactly the data centres `seen`.
+fn sees(net: &Network, place: u8, seen: &[u8]) -> bool {
+    net.balancers(Some(place)).all(|(_, node)| {
+        let mut places = node.agents().map(|m| m.data_centre.0).collect::<Vec<_>>();
+        places.extend(node.balancers().iter().map(|m| m.data_centre.0));
+        places.sort_unstable();
+        places.dedup();
+        places == seen
+    })
+}
+
+/// Guards against targets behind a cut link that stay in the tables, and against a side that loses
+/// its own members.
+#[test]
+fn each_side_of_a_cut_keeps_its_own_members() {
+    let mut net = cluster(31, 3, 4, 8);
+    net.links.cut(1, 2, true);
+    net.links.cut(1, 3, true);
+    let apart = |net: &Network| sees(net, 1, &[1]) && sees(net, 2, &[2, 3]);
+    let taken = net.run_until(BOUND, apart);
+    assert!(
+        taken.is_some(),
+        "the other side is still listed after {BOUND:?}"
+    );
+    net.run(Duration::from_secs(60));
+    assert!(apart(&net), "the sides stay apart and whole");
+    assert!(net.deaths.is_empty(), "a cut kills nobody");
+    net.links.cuts.clear();
+    let taken = net.run_until(Duration::from_secs(5), converged);
+    assert!(taken.is_some(), "the sides do not merge within 5 s");
+}
+
+/// Guards against a link that fails in one direction and keeps unreachable targets in the tables.
+#[test]
+fn a_cut_in_one_direction_separates_both() {
+    let mut net = cluster(32, 2, 4, 4);
+    net.links.cut_one_way(1, 2, true);
+    let taken = net.run_until(BOUND, |net| sees(net, 1, &[1]) && sees(net, 2, &[2]));
+    assert!(
+        taken.is_some(),
+        "a side still lists what it cannot reach or be reached by"
+    );
+}
+
+/// Guards against members that died, or left, behind a cut and show up again when it heals.
+#[test]
+fn members_that_ended_during_a_cut_do_not_return() {
+    let mut net = cluster(33, 2, 5, 8);
+    net.links.cut(1, 2, true);
+    net.run(Duration::from_secs(10));
+    net.crash(1);
+    net.leave(6);
+    let gone = [id(&net, 1), id(&net, 6)];
+    net.run(Duration::from_secs(200));
+    net.links.cuts.clear();
+    let listed = |net: &Network| gone.iter().any(|&id| !absent(net, id));
+    let seen = net.run_until(Duration::from_secs(10), listed);
+    assert_eq!(seen, None, "an ended member is listed after the cut");
+    assert!(converged(&net), "the sides merged");
+}
+
+/// Guards against claims that count a member as old although it missed what was claimed elsewhere
+/// during a cut: its age has to restart.
+#[test]
+fn members_behind_a_healed_cut_count_as_new() {
+    let mut net = cluster(34, 2, 4, 8);
+    net.run(Duration::from_secs(300));
+    net.links.cut(1, 2, true);
+    net.run(Duration::from_secs(30));
+    let (own, other) = (net.slots[4].member.service, 2);
+    let ages = |net: &Network, departed: bool| -> Vec<u64> {
+        let (_, agent) = net.agents().next().expect("an agent runs");
+        assert_eq!(agent.member().service, own, "the first agent is asked");
+        let list = agent.service_members(net.now);
+        let far = list.into_iter().filter(|m| m.data_centre.0 == other);
+        let far = far.filter(|m| m.state.is_none() == departed);
+        far.map(|m| m.age.as_millis() / 1_000).collect()
+    };
+    assert!(
+        ages(&net, true).iter().all(|age| (26..=30).contains(age)),
+        "departed with the cut"
+    );
+    assert_eq!(ages(&net, true).len(), 2, "both are known as departed");
+    net.links.cuts.clear();
+    net.run(Duration::from_secs(10));
+    assert!(
+        ages(&net, false).iter().all(|&age| age < 10),
+        "the ages restarted"
+    );
+    assert_eq!(ages(&net, false).len(), 2, "both are back");
+}
+
+/// Guards against one watcher's word: a member that one watcher cannot hear is alive.
+#[test]
+fn a_member_that_one_watcher_cannot_hear_stays() {
+    let mut net = cluster(35, 1, 6, 6);
+    for watcher in 0..6 {
+        net.links.node_cuts.clear();
+        net.links
+            .node_cuts
+            .extend((6..12).map(|agent| (agent, watcher)));
+        net.run(Duration::from_secs(20));
+    }
+    assert_eq!(
+        net.deaths,
+        Vec::new(),
+        "a reachable member was declared dead"
+    );
+    let raised = net
+        .balancers(None)
+        .map(|(_, node)| node.suspicions())
+        .sum::<u64>();
+    assert!(raised > 0, "the cut watchers suspected their members");
+}
+
+/// Guards against a member that stays out after two watchers lost it by mistake.
+#[test]
+fn a_wrongly_dead_member_refutes_with_a_higher_incarnation() {
+    let mut net = cluster(36, 1, 6, 6);
+    let wrong = id(&net, 7);
+    net.links
+        .node_cuts
+        .extend((0..6).map(|watcher| (7, watcher)));
+    net.run(Duration::from_secs(5));
+    let listed = |net: &Network| {
+        net.balancers(None)
+            .any(|(_, n)| n.agents().any(|m| m.id == wrong))
+    };
+    assert!(!listed(&net), "a silent member is declared dead");
+    net.links.node_cuts.clear();
+    let taken = net.run_until(Duration::from_secs(2), converged);
+    assert!(taken.is_some(), "the member is not back within 2 s");
+    let back = net.slots[7].agent().map(|node| node.member().incarnation);
+    assert_eq!(back, Some(1), "the refutation raised the incarnation once");
+}
--- /dev/null
+++ b/crates/membership/tests/nodes/lists.rs
@@ -0,0 +1,150 @@
+//! What agents learn, message sizes, configuration versions, and rankings.
+
+use monsoon_membership::simulation::{Loss, Network};
+use monsoon_membership::{Action, Event, LocalState, State, bounds};
+use monsoon_model::{Duration, Version, Versions};
+
+use crate::common::{cluster, converged};
+
+/// Guards against lists and tables that do not fit into datagrams. The network asserts the bound
+/// of each message; here pages of every kind have to occur.
+#[test]
+fn large_lists_are_paged() {
+    let mut net = Network::new(51);
+    for _ in 0..60 {
+        net.add_balancer(1);
+    }
+    for _ in 0..200 {
+        net.add_agent(1, 1);
+    }
+    net.links.loss = Loss::Independent(0.02);
+    let taken = net.run_until(Duration::from_secs(30), converged);
+    assert!(taken.is_some(), "paged lists are not complete after 30 s");
+    let largest = net.slots.iter().map(|slot| slot.traffic.largest).max();
+    assert!(largest.is_some_and(|bytes| (900..=bounds::MAX_MESSAGE).contains(&bytes)));
+}
+
+/// Guards against loads that never reach the other targets of the service.
+#[test]
+fn agents_sample_loads_of_their_service() {
+    let mut net = cluster(52, 1, 6, 24);
+    for node in 6..30 {
+        net.local(node, State::Ready, node as u16);
+    }
+    net.run(Duration::from_secs(10));
+    for (_, agent) in net.agents() {
+        let peers = agent.peers(net.now);
+        assert_eq!(
+            peers.len(),
+            5,
+            "all other targets of the service were sampled"
+        );
+        for peer in peers {
+            let node = net.slots.iter().position(|slot| slot.member.id == peer.id);
+            let load = node.map(|node| node as u16).unwrap_or_default();
+            assert!(
+                peer.load.abs_diff(load) < bounds::LOAD_STEP,
+                "a load is wrong"
+            );
+        }
+    }
+}
+
+/// Guards against a state that others learn late: a cold target gets too much work meanwhile.
+#[test]
+fn a_target_that_turns_cold_is_known_everywhere_within_a_second() {
+    let mut net = cluster(53, 2, 6, 8);
+    net.local(7, State::Cold, 0);
+    let id = net.slots[7].member.id;
+    let known = |net: &Network| {
+        let cold = |m: &&monsoon_membership::Member| m.id == id && m.state == State::Cold;
+        net.balancers(None)
+            .all(|(_, node)| node.agents().any(|m| cold(&m)))
+    };
+    let taken = net.run_until(Duration::from_secs(1), known);
+    assert!(
+        taken.is_some(),
+        "a balancer still takes the target for ready"
+    );
+}
+
+/// Guards against configurations that spread too slowly or not at all.
+#[test]
+fn a_new_configuration_spreads_to_all_within_two_seconds() {
+    let mut net = cluster(54, 3, 5, 8);
+    net.links.loss = Loss::Independent(0.05);
+    let newest = Versions {
+        document: Version(7),
+        places: Version(3),
+    };
+    net.set_versions(2, newest);
+    let everywhere = |net: &Network| net.slots.iter().all(|slot| slot.versions == newest);
+    let taken = net.run_until(Duration::from_secs(2), everywhere);
+    assert!(
+        taken.is_some(),
+        "a process has an older configuration after 2 s"
+    );
+}
+
+/// Guards against versions that go back when a process reports an older one.
+#[test]
+fn versions_never_go_back() {
+    let mut net = cluster(55, 1, 3, 3);
+    let versions = |n| Versions {
+        document: Version(n),
+        places: Version(n),
+    };
+    net.set_versions(0, versions(5));
+    net.run(Duration::from_secs(2));
+    for node in 0..net.slots.len() {
+        let old = LocalState {
+            state: State::Ready,
+            load: 0,
+            slots: 4,
+            versions: versions(2),
+        };
+        net.event(node, Event::Local(old));
+    }
+    net.run(Duration::from_secs(2));
+    for (_, node) in net.balancers(None) {
+        assert_eq!(node.member().versions, versions(5), "a balancer went back");
+    }
+    for (_, node) in net.agents() {
+        assert_eq!(node.member().versions, versions(5), "an agent went back");
+    }
+}
+
+/// Guards against balancers that disagree on the first ranks, which watch the store.
+#[test]
+fn each_rank_is_held_once() {
+    let net = cluster(56, 1, 7, 0);
+    for salt in 0..5 {
+        let mut ranks = net
+            .balancers(None)
+            .map(|(_, n)| n.rank_of_self(salt))
+            .collect::<Vec<_>>();
+        ranks.sort_unstable();
+        assert_eq!(
+            ranks,
+            (0..7).collect::<Vec<_>>(),
+            "two balancers hold one rank"
+        );
+    }
+}
+
+/// Guards against a node that still acts after it announced its end.
+#[test]
+fn a_node_that_left_is_silent() {
+    let mut net = cluster(57, 1, 4, 4);
+    net.event(0, Event::Leave);
+    net.event(5, Event::Leave);
+    let now = net.now + Duration::from_secs(1);
+    let silent = |actions: Vec<Action>| actions.is_empty();
+    for node in [0, 5] {
+        let actions = match &mut net.slots[node].node {
+            monsoon_membership::simulation::Node::Balancer(n) => n.handle(now, Event::Tick),
+            monsoon_membership::simulation::Node::Agent(n) => n.handle(now, Event::Tick),
+        };
+        assert!(silent(actions), "node {node} acted after its end");
+    }
+}
