Return watches as an option and fail them when the store is behind

The daemon repeats a watch at once after a result without a newer version. A store that lost the object answers at once too, which made a busy loop; this case is now the error Behind, after which callers pause. Client::new no longer fails, and fetch reads another process's plain HTTP listener.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -23,18 +23,6 @@
 /// Time for a watch: the store waits up to 30 s.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(35);
 
-/// Result of a watch.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Watch {
-    /// Object has this newer version.
-    Newer(Version, Stored),
-    /// Nothing newer within the waiting time of the store.
-    Unchanged,
-    /// Store has an older version or none, after a loss. It answers at once, so that the caller
-    /// pauses before the next watch.
-    Behind(Option<Version>),
-}
-
 /// Client of one store.
 #[derive(Debug)]
 pub struct Client {
@@ -44,20 +32,13 @@
 }
 
 impl Client {
-    /// Client that tries these addresses in turn.
-    ///
-    /// # Errors
-    /// Returns an error when there is no address or more than [`MAX_ADDRESSES`].
-    pub fn new(addresses: impl IntoIterator<Item = SocketAddr>) -> Result<Self, StoreError> {
-        let addresses: Vec<_> = addresses.into_iter().collect();
-        let (count, limit) = (addresses.len(), MAX_ADDRESSES);
-        match count {
-            0 => Err(StoreError::NoAddress),
-            _ if count > limit => Err(StoreError::TooManyAddresses { count, limit }),
-            _ => Ok(Self {
-                addresses,
-                first: AtomicUsize::new(0),
-            }),
+    /// Client that tries these addresses in turn; those after [`MAX_ADDRESSES`] are not used.
+    /// Without an address every call fails with [`StoreError::NoAddress`].
+    pub fn new(addresses: impl IntoIterator<Item = SocketAddr>) -> Self {
+        let addresses = addresses.into_iter().take(MAX_ADDRESSES).collect();
+        Self {
+            addresses,
+            first: AtomicUsize::new(0),
         }
     }
 
@@ -74,26 +55,37 @@
         }
     }
 
-    /// Waits until the object has a version newer than `after`.
+    /// Waits until the object has a version newer than `after`; `None` when there was none within
+    /// the waiting time of the store.
     ///
     /// # Errors
-    /// Returns an error when no address answers or the answer does not follow the protocol.
-    pub async fn watch(&self, name: &str, after: Version) -> Result<Watch, StoreError> {
+    /// Returns an error when no address answers or the answer does not follow the protocol, and
+    /// [`StoreError::Behind`] at once when the object is absent or older than `after`. Pause after
+    /// an error.
+    pub async fn watch(
+        &self,
+        name: &str,
+        after: Version,
+    ) -> Result<Option<(Version, Stored)>, StoreError> {
         let response = self
             .read(name, &format!("?watch={after}"), WATCH_TIMEOUT)
             .await?;
+        let behind = |present| StoreError::Behind {
+            name: name.to_owned(),
+            present,
+            after,
+        };
         match response.status {
             StatusCode::OK => {
                 let (version, stored) = object(name, &response)?;
-                let newer = version > after;
-                Ok(if newer {
-                    Watch::Newer(version, stored)
+                if version > after {
+                    Ok(Some((version, stored)))
                 } else {
-                    Watch::Behind(Some(version))
-                })
+                    Err(behind(version))
+                }
             }
-            StatusCode::NOT_MODIFIED => Ok(Watch::Unchanged),
-            StatusCode::NOT_FOUND => Ok(Watch::Behind(None)),
+            StatusCode::NOT_MODIFIED => Ok(None),
+            StatusCode::NOT_FOUND => Err(behind(Version(0))),
             status => Err(unexpected(name, status)),
         }
     }
@@ -125,9 +117,7 @@
                 }
             }
         }
-        Err(PutError::NotSent(StoreError::Unreachable {
-            reason: reasons.join("; "),
-        }))
+        Err(PutError::NotSent(unreachable(&reasons)))
     }
 
     fn put_result(&self, address: SocketAddr, response: &Response) -> Result<Version, PutError> {
@@ -164,9 +154,7 @@
                 Err(error) => reasons.push(error.to_string()),
             }
         }
-        Err(StoreError::Unreachable {
-            reason: reasons.join("; "),
-        })
+        Err(unreachable(&reasons))
     }
 
     fn turn(&self) -> impl Iterator<Item = SocketAddr> {
@@ -181,6 +169,30 @@
     }
 }
 
+/// Body of a plain read of another process's HTTP listener, such as its histograms.
+///
+/// # Errors
+/// Returns an error when the address does not answer in time or not with status 200.
+pub async fn fetch(address: SocketAddr, path: &str) -> Result<Bytes, StoreError> {
+    let request = request(address, Method::GET, path);
+    match exchange(address, request, GET_TIMEOUT).await {
+        Ok(response) if response.status == StatusCode::OK => Ok(response.body),
+        Ok(response) => Err(unexpected(&format!("{address}{path}"), response.status)),
+        Err(error) => Err(StoreError::Unreachable {
+            reason: error.to_string(),
+        }),
+    }
+}
+
+fn unreachable(reasons: &[String]) -> StoreError {
+    if reasons.is_empty() {
+        return StoreError::NoAddress;
+    }
+    StoreError::Unreachable {
+        reason: reasons.join("; "),
+    }
+}
+
 fn check_name(name: &str) -> Result<(), StoreError> {
     let valid = is_object_name(name);
     if valid {
