Add monsoonctl, the operators' command line

Operators change an environment only through its document and the set of data centres taken out, and they race one another. The exit codes tell apart refusals, usage, conflicts, an absent store and unknown outcomes.

cargo test -p monsoon-ctl: 11 passed (process tests against an own stand-in of the object API). Seen failing without the mechanism: data_centres_leave_and_return without the checks of the last data centre and of the name, apply_writes_only_valid_successors and promote_checks_the_receiving_environment without the successor check, status_shows_processes_that_lag with the comparison reversed. A write that is conditional on a second read instead of the first one is not detected by these tests, because the stand-in injects the race at the write.

--- /dev/null
+++ b/crates/ctl/src/document.rs
@@ -0,0 +1,191 @@
+//! Commands on documents.
+
+use std::fs::File;
+use std::io::Read;
+use std::path::Path;
+
+use monsoon_config::{Document, Faults, MAX_TEXT, diff};
+use serde_json::json;
+
+use crate::failure::Failure;
+use crate::objects::{Context, Found, read, write};
+use crate::report::{Report, indented};
+
+/// Name of the document object within an environment.
+pub const DOCUMENT: &str = "document";
+
+/// Checks a document file.
+pub fn check(file: &Path) -> Result<Report, Failure> {
+    let (_, document) = load(file)?;
+    let (places, services) = (document.data_centres.len(), document.services.len());
+    let tenant = &document.tenant;
+    let text = format!(
+        "{} is valid: tenant {tenant}, {places} data centres, {services} services",
+        file.display()
+    );
+    let json = json!({"tenant": tenant, "data_centres": places, "services": services});
+    Ok(Report::new(text, json))
+}
+
+/// Writes a document file to the environment.
+pub async fn apply(context: &Context, file: &Path, force: bool) -> Result<Report, Failure> {
+    let (text, document) = load(file)?;
+    replace(context, &file.display().to_string(), text, &document, force).await
+}
+
+/// Copies the document of the environment `from` to the environment of the context.
+pub async fn promote(context: &Context, from: &str) -> Result<Report, Failure> {
+    let source = format!("env/{from}/{DOCUMENT}");
+    let Some(found) = read(&context.client, &source, Document::parse).await? else {
+        let message = format!("environment {from} has no document; apply one there first");
+        return Err(Failure::refused(message));
+    };
+    let subject = format!("the document of {from}, {}", found.title());
+    let document = found
+        .value
+        .map_err(|faults| Failure::faults(&format!("{subject} has faults"), &faults))?;
+    replace(context, &subject, found.stored.text, &document, false).await
+}
+
+/// Shows what a document file would change.
+pub async fn diff_file(context: &Context, file: &Path) -> Result<Report, Failure> {
+    let (_, document) = load(file)?;
+    let env = &context.env;
+    let name = context.object(DOCUMENT);
+    let Some(found) = read(&context.client, &name, Document::parse).await? else {
+        let text = format!("environment {env} has no document; all of the file is new");
+        return Ok(Report::new(text, json!({"version": null, "changes": null})));
+    };
+    let present = found
+        .value
+        .as_ref()
+        .map_err(|faults| unreadable(&found, faults))?;
+    let lines = changes(present, &document);
+    let text = format!("against {} of {env}:{}", found.title(), listed(&lines));
+    Ok(Report::new(
+        text,
+        json!({"version": found.version, "changes": lines}),
+    ))
+}
+
+async fn replace(
+    context: &Context,
+    subject: &str,
+    text: String,
+    document: &Document,
+    force: bool,
+) -> Result<Report, Failure> {
+    let env = &context.env;
+    let name = context.object(DOCUMENT);
+    let found = read(&context.client, &name, Document::parse).await?;
+    if let Some(same) = found.as_ref().filter(|found| found.stored.text == text) {
+        let line = format!("{env} has this document already: {}", same.title());
+        return Ok(Report::new(
+            line,
+            json!({"version": same.version, "written": false}),
+        ));
+    }
+    let previous = match &found {
+        Some(Found {
+            value: Ok(previous),
+            ..
+        }) => Some(previous),
+        Some(found) if !force => {
+            let faults = found.value.as_ref().err();
+            return Err(faults.map_or_else(
+                || Failure::refused("the document in force cannot be read"),
+                |faults| unreadable(found, faults),
+            ));
+        }
+        _ => None,
+    };
+    if let Some(previous) = previous {
+        let successor = document.check_successor(previous);
+        successor.map_err(|faults| {
+            Failure::faults(
+                &format!("{subject} cannot follow the one in force"),
+                &faults,
+            )
+        })?;
+    }
+    let lines = previous
+        .map(|previous| changes(previous, document))
+        .unwrap_or_default();
+    let compare = |other: &str| compare_texts(previous, other);
+    let version = found.as_ref().map(|found| found.version);
+    let done = write(context, &name, version, text, compare).await?;
+    let origin = format!("version {} (change {})", done.version, done.change);
+    let what = if previous.is_some() {
+        listed(&lines)
+    } else {
+        " first document".to_owned()
+    };
+    let json = json!({
+        "version": done.version, "change": done.change, "written": true, "changes": lines,
+    });
+    Ok(Report::new(format!("{env} has {origin} now:{what}"), json))
+}
+
+fn unreadable(found: &Found<Document>, faults: &Faults) -> Failure {
+    let head = format!("the present document, {}, cannot be read", found.title());
+    let mut failure = Failure::faults(&head, faults);
+    failure.message += "\nto replace it without a check of its numbers, run apply --force";
+    failure
+}
+
+fn changes(old: &Document, new: &Document) -> Vec<String> {
+    diff(old, new).iter().map(ToString::to_string).collect()
+}
+
+fn compare_texts(previous: Option<&Document>, other: &str) -> Vec<String> {
+    match (previous, Document::parse(other)) {
+        (Some(previous), Ok(other)) => changes(previous, &other),
+        (None, Ok(_)) => vec!["first readable document of the environment".to_owned()],
+        (_, Err(faults)) => vec![unreadable_text(&faults)],
+    }
+}
+
+/// Line for another operator's text that cannot be compared.
+pub fn unreadable_text(faults: &Faults) -> String {
+    format!(
+        "a text that cannot be read ({} faults), so that it is not in force",
+        faults.list().len()
+    )
+}
+
+fn listed(lines: &[String]) -> String {
+    if lines.is_empty() {
+        " no difference in meaning".to_owned()
+    } else {
+        indented(lines)
+    }
+}
+
+fn load(file: &Path) -> Result<(String, Document), Failure> {
+    let name = file.display();
+    let unreadable = |error: std::io::Error| {
+        Failure::refused(format!(
+            "{name} cannot be read ({error}); check its path and rights"
+        ))
+    };
+    let mut bytes = Vec::new();
+    // One byte above the limit is enough for the check of the size.
+    let mut reader = File::open(file)
+        .map_err(unreadable)?
+        .take(MAX_TEXT as u64 + 1);
+    reader.read_to_end(&mut bytes).map_err(unreadable)?;
+    let text = String::from_utf8(bytes).or_else(|error| {
+        // The cut may split a character; the check of the size reports such a text.
+        let long = error.as_bytes().len() > MAX_TEXT;
+        let lossy = || String::from_utf8_lossy(error.as_bytes()).into_owned();
+        if long {
+            Ok(lossy())
+        } else {
+            Err(Failure::refused(format!("{name} is not UTF-8 text")))
+        }
+    })?;
+    let document = Document::parse(&text);
+    let document =
+        document.map_err(|faults| Failure::faults(&format!("{name} has faults"), &faults))?;
+    Ok((text, document))
+}
--- /dev/null
+++ b/crates/ctl/tests/operation.rs
@@ -0,0 +1,126 @@
+//! Process tests of the commands on data centres, of the reports and of the usage.
+
+mod common;
+
+use std::fmt::Write;
+
+use common::stand_in::{Fault, StandIn};
+use common::{GOOD, file, run, started, trial};
+use insta::assert_snapshot;
+use monsoon_metrics::{Histograms, Outcome};
+use monsoon_model::Duration;
+
+const PLACES: &str = "env/trial/data-centres";
+
+/// Guards against a data centre that is taken out by mistake.
+#[test]
+fn data_centres_leave_and_return() {
+    let store = started();
+    let mut log = String::new();
+    for words in [
+        ["out", "praha", ""],
+        ["out", "brno-a", ""],
+        ["out", "brno-a", ""],
+        ["out", "brno-b", ""],
+        ["out", "olomouc", ""],
+        ["out", "olomouc", "--force"],
+        ["in", "brno-b", ""],
+        ["in", "brno-b", ""],
+        ["in", "praha", ""],
+    ] {
+        let words: Vec<_> = words.into_iter().filter(|word| !word.is_empty()).collect();
+        let output = trial(&store, &[&["dc"], words.as_slice()].concat());
+        writeln!(log, "$ dc {}\n{output}", words.join(" ")).expect("a string takes every write");
+    }
+    assert_snapshot!(log);
+    assert_eq!(
+        store.text(PLACES).as_deref(),
+        Some("out = [\"brno-a\", \"olomouc\"]\n")
+    );
+}
+
+/// Guards against two operators who each take one of the last two data centres out, and against a
+/// set that nobody can read and nobody can replace.
+#[test]
+fn racing_and_unreadable_sets_are_shown() {
+    let store = started();
+    store.set(PLACES, "out = [\"brno-a\"]");
+    store.fail(Fault::Before("out = [\"brno-a\", \"brno-b\"]".to_owned()));
+    assert_snapshot!(trial(&store, &["dc", "out", "olomouc"]));
+    store.set(PLACES, "gone = [");
+    assert_snapshot!(trial(&store, &["dc", "in", "brno-a"]));
+    assert_snapshot!(trial(&store, &["dc", "out", "--force", "brno-a"]));
+}
+
+/// Guards against a process that lags, or a data centre that does not report, and is not shown.
+#[test]
+fn status_shows_processes_that_lag() {
+    let store = StandIn::start();
+    assert_snapshot!(trial(&store, &["status"]));
+    store.set("env/trial/document", GOOD);
+    store.set(PLACES, "out = [\"brno-b\"]");
+    let process = |id, document, places| {
+        serde_json::json!({"id": id, "role": "agent", "address": "192.0.2.9:4500",
+            "document": document, "places": places, "state": "ready"})
+    };
+    let list = [
+        process("a1", 1, 2),
+        process("a2", 0, 2),
+        process("a3", 0, 1),
+    ];
+    let report = serde_json::json!({"fence": 7, "processes": list});
+    store.set("env/trial/status/brno-a", &report.to_string());
+    store.set("env/trial/status/brno-b", "{\"fence\": 1}");
+    assert_snapshot!(trial(&store, &["status"]));
+    assert_snapshot!(trial(&store, &["--json", "status"]));
+    store.set("env/trial/document", "tenant = 1");
+    assert_snapshot!(trial(&store, &["status"]));
+}
+
+/// Guards against percentiles that are averaged instead of merged, and rows that are dropped.
+#[test]
+fn histograms_of_processes_are_merged() {
+    let stores = [StandIn::start(), StandIn::start()];
+    for (index, store) in stores.iter().enumerate() {
+        let mut histograms = Histograms::default();
+        for step in 1..=100 {
+            let latency = Duration::from_millis(step * (1 + 9 * index as u64));
+            histograms.record("karavanex", "hold", latency);
+            histograms.count("karavanex", "hold", Outcome::Answered);
+        }
+        histograms.count("karavanex", "upload", Outcome::Refused);
+        let rows = serde_json::to_string(&histograms.snapshot()).expect("rows are JSON");
+        store.state.lock().expect("state is usable").histograms = rows;
+    }
+    let [first, second] = stores.map(|store| store.address.to_string());
+    assert_snapshot!(run(&["histogram", "--at", &first, &second]));
+    assert_snapshot!(run(&[
+        "--json",
+        "histogram",
+        "--at",
+        &first,
+        "--at",
+        &second
+    ]));
+    let other = StandIn::start().address.to_string();
+    assert_snapshot!(run(&["histogram", "--at", &other]));
+}
+
+/// Guards against usage errors that look like failures of the store, or name no remedy.
+#[test]
+fn usage_is_explained() {
+    let file = file("usage.toml", GOOD);
+    let cases: [&[&str]; 8] = [
+        &["--help"],
+        &["dc", "out", "--help"],
+        &[],
+        &["apply"],
+        &["--env", "trial", "apply", &file],
+        &["--store", "127.0.0.1:1", "status"],
+        &["--store", "127.0.0.1:1", "--env", "a/b", "status"],
+        &["--json", "check", "missing.toml"],
+    ];
+    for words in cases {
+        assert_snapshot!(run(words));
+    }
+}
--- a/crates/store/src/settle.rs
+++ b/crates/store/src/settle.rs
@@ -54,7 +54,7 @@
                 .put(name, Condition::of(condition), &stored)
                 .await
                 .map_or_else(
-                    |error| (event_of(&error), None, Some(error.to_string())),
+                    |error| (event_of(&error), None, Some(reason_of(&error))),
                     |version| (Event::Written(version), None, None),
                 )
         }
@@ -111,6 +111,14 @@
     }
 }
 
+/// Failure in words; the remedy for a lost answer is what [`settle`] does.
+fn reason_of(error: &PutError) -> String {
+    match error {
+        PutError::Lost { reason } => reason.clone(),
+        _ => error.to_string(),
+    }
+}
+
 fn event_of(error: &PutError) -> Event {
     match error {
         PutError::Conflict { .. } => Event::Conflict,
