Show in a test that a change after the first read is not overwritten

The race test injected the other change at the write only, so that a write conditional on a second read passed it. The stand-in can now store another change right after a read.

With the write conditional on a second read, racing_operators_learn_of_each_other fails.

--- a/crates/ctl/tests/documents.rs
+++ b/crates/ctl/tests/documents.rs
@@ -51,6 +51,13 @@
     assert_eq!(store.text(DOCUMENT), Some(slots(9)));
     store.fail(Fault::After(slots(7)));
     assert_snapshot!(trial(&store, &["--json", "apply", &file]));
+    let between = started();
+    between.state.lock().expect("state is usable").after_read = Some(slots(9));
+    let output = trial(&between, &["apply", &file]);
+    assert!(
+        output.starts_with("exit 3"),
+        "the change after the read was overwritten: {output}"
+    );
     let empty = StandIn::start();
     empty.fail(Fault::Before("slots = ".to_owned()));
     assert_snapshot!(trial(&empty, &["apply", &file]));
--- a/crates/store/tests/stand_in/mod.rs
+++ b/crates/store/tests/stand_in/mod.rs
@@ -39,6 +39,8 @@
     pub faults: VecDeque<Fault>,
     /// Number of writes that took effect.
     pub writes: u64,
+    /// Text that another writer stores right after the next read.
+    pub after_read: Option<String>,
     /// Plain text answered at `/histograms`.
     pub histograms: String,
 }
@@ -168,12 +170,11 @@
             return Ok(reply(304, None, Bytes::new()));
         }
     }
-    let found = state
-        .lock()
-        .expect("state is usable")
-        .objects
-        .get(&name)
-        .cloned();
+    let mut state = state.lock().expect("state is usable");
+    let found = state.objects.get(&name).cloned();
+    if let Some(text) = state.after_read.take() {
+        store(&mut state, &name, other(&text));
+    }
     Ok(found.map_or_else(
         || reply(404, None, Bytes::new()),
         |(version, body)| reply(200, Some(version), body),
