--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -81,7 +81,9 @@
 impl From<StoreError> for Failure {
     fn from(error: StoreError) -> Self {
         let kind = match error {
-            StoreError::NoAddress | StoreError::BadName { .. } => Kind::Usage,
+            StoreError::NoAddress
+            | StoreError::TooManyAddresses { .. }
+            | StoreError::BadName { .. } => Kind::Usage,
             _ => Kind::Unreachable,
         };
         Self::new(kind, error.to_string())
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -105,7 +105,7 @@
     if let Command::Histogram(histogram) = command {
         return histogram::show(histogram.at.iter().chain(&histogram.more)).await;
     }
-    let client = Client::new(stores(arguments)?);
+    let client = Client::new(stores(arguments)?)?;
     let author = || author(arguments);
     let patience = Duration::from_secs(u64::from(arguments.patience));
     if let Command::Promote(promote) = command {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -23,6 +23,18 @@
 /// Time for a watch: the store waits up to 30 s.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(35);
 
+/// Result of a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watch {
+    /// Object has this newer version.
+    Newer(Version, Stored),
+    /// Nothing newer within the waiting time of the store.
+    Unchanged,
+    /// Store has an older version or none, after a loss. It answers at once, so that the caller
+    /// pauses before the next watch.
+    Behind(Option<Version>),
+}
+
 /// Client of one store.
 #[derive(Debug)]
 pub struct Client {
@@ -32,13 +44,20 @@
 }
 
 impl Client {
-    /// Client that tries these addresses in turn; those after [`MAX_ADDRESSES`] are not used.
-    /// Without an address every call fails with [`StoreError::NoAddress`].
-    pub fn new(addresses: impl IntoIterator<Item = SocketAddr>) -> Self {
-        let addresses = addresses.into_iter().take(MAX_ADDRESSES).collect();
-        Self {
-            addresses,
-            first: AtomicUsize::new(0),
+    /// Client that tries these addresses in turn.
+    ///
+    /// # Errors
+    /// Returns an error when there is no address or more than [`MAX_ADDRESSES`].
+    pub fn new(addresses: impl IntoIterator<Item = SocketAddr>) -> Result<Self, StoreError> {
+        let addresses: Vec<_> = addresses.into_iter().collect();
+        let (count, limit) = (addresses.len(), MAX_ADDRESSES);
+        match count {
+            0 => Err(StoreError::NoAddress),
+            _ if count > limit => Err(StoreError::TooManyAddresses { count, limit }),
+            _ => Ok(Self {
+                addresses,
+                first: AtomicUsize::new(0),
+            }),
         }
     }
 
@@ -55,37 +74,26 @@
         }
     }
 
-    /// Waits until the object has a version newer than `after`; `None` when there was none within
-    /// the waiting time of the store.
+    /// Waits until the object has a version newer than `after`.
     ///
     /// # Errors
-    /// Returns an error when no address answers or the answer does not follow the protocol, and
-    /// [`StoreError::Behind`] at once when the object is absent or older than `after`. Pause after
-    /// an error.
-    pub async fn watch(
-        &self,
-        name: &str,
-        after: Version,
-    ) -> Result<Option<(Version, Stored)>, StoreError> {
+    /// Returns an error when no address answers or the answer does not follow the protocol.
+    pub async fn watch(&self, name: &str, after: Version) -> Result<Watch, StoreError> {
         let response = self
             .read(name, &format!("?watch={after}"), WATCH_TIMEOUT)
             .await?;
-        let behind = |present| StoreError::Behind {
-            name: name.to_owned(),
-            present,
-            after,
-        };
         match response.status {
             StatusCode::OK => {
                 let (version, stored) = object(name, &response)?;
-                if version > after {
-                    Ok(Some((version, stored)))
+                let newer = version > after;
+                Ok(if newer {
+                    Watch::Newer(version, stored)
                 } else {
-                    Err(behind(version))
-                }
+                    Watch::Behind(Some(version))
+                })
             }
-            StatusCode::NOT_MODIFIED => Ok(None),
-            StatusCode::NOT_FOUND => Err(behind(Version(0))),
+            StatusCode::NOT_MODIFIED => Ok(Watch::Unchanged),
+            StatusCode::NOT_FOUND => Ok(Watch::Behind(None)),
             status => Err(unexpected(name, status)),
         }
     }
@@ -117,7 +125,9 @@
                 }
             }
         }
-        Err(PutError::NotSent(unreachable(&reasons)))
+        Err(PutError::NotSent(StoreError::Unreachable {
+            reason: reasons.join("; "),
+        }))
     }
 
     fn put_result(&self, address: SocketAddr, response: &Response) -> Result<Version, PutError> {
@@ -154,7 +164,9 @@
                 Err(error) => reasons.push(error.to_string()),
             }
         }
-        Err(unreachable(&reasons))
+        Err(StoreError::Unreachable {
+            reason: reasons.join("; "),
+        })
     }
 
     fn turn(&self) -> impl Iterator<Item = SocketAddr> {
@@ -184,15 +196,6 @@
     }
 }
 
-fn unreachable(reasons: &[String]) -> StoreError {
-    if reasons.is_empty() {
-        return StoreError::NoAddress;
-    }
-    StoreError::Unreachable {
-        reason: reasons.join("; "),
-    }
-}
-
 fn check_name(name: &str) -> Result<(), StoreError> {
     let valid = is_object_name(name);
     if valid {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -9,22 +9,20 @@
     /// No address was given.
     #[display("no store address is given; name at least one as IP:port")]
     NoAddress,
+    /// More addresses were given than are tried.
+    #[display("{count} store addresses are given; keep at most {limit}")]
+    TooManyAddresses {
+        /// Number given.
+        count: usize,
+        /// Largest number.
+        limit: usize,
+    },
     /// Object name cannot be used in a request path.
     #[display("\"{name}\" is no object name; use letters, digits and -_. between slashes")]
     BadName {
         /// Name.
         name: String,
     },
-    /// Object is absent (version 0) or older than the version in force.
-    #[display("the store has version {present} of {name}, older than {after}; write it anew")]
-    Behind {
-        /// Object name.
-        name: String,
-        /// Present version, 0 when the object does not exist.
-        present: Version,
-        /// Version already known.
-        after: Version,
-    },
     /// No address answered.
     #[display("no answer ({reason}); check the addresses and retry later")]
     Unreachable {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,7 +11,7 @@
 mod object;
 mod settle;
 
-pub use client::{Client, MAX_ADDRESSES, fetch};
+pub use client::{Client, MAX_ADDRESSES, Watch, fetch};
 pub use connection::{CONNECT_TIMEOUT, MAX_BODY};
 pub use error::{PutError, StoreError};
 pub use object::{Condition, MAX_OBJECT, Stored, is_object_name};
--- a/crates/store/tests/calls.rs
+++ b/crates/store/tests/calls.rs
@@ -7,14 +7,14 @@
 use monsoon_lease::Outcome;
 use monsoon_model::{Duration, Version};
 use monsoon_store::settle;
-use monsoon_store::{Client, Condition, MAX_OBJECT, PutError, Settled, StoreError, Stored};
+use monsoon_store::{Client, Condition, MAX_OBJECT, PutError, Settled, StoreError, Stored, Watch};
 use stand_in::{Fault, StandIn};
 
 const NAME: &str = "env/trial/document";
 const PATIENCE: Duration = Duration::from_secs(5);
 
 fn client(addresses: &[SocketAddr]) -> Client {
-    Client::new(addresses.iter().copied())
+    Client::new(addresses.iter().copied()).expect("addresses are given")
 }
 
 fn value(text: &str) -> Stored {
@@ -48,10 +48,9 @@
     let store = StandIn::start();
     let client = client(&[store.address]);
     assert_eq!(client.get(NAME).await, Ok(None));
-    let absent = client.watch(NAME, Version(0)).await;
-    assert!(
-        matches!(absent, Err(StoreError::Behind { .. })),
-        "{absent:?}"
+    assert_eq!(
+        client.watch(NAME, Version(0)).await,
+        Ok(Watch::Behind(None))
     );
     assert_eq!(
         client.put(NAME, Condition::Absent, &value("a")).await,
@@ -77,9 +76,9 @@
         Ok(Version(2))
     );
     assert_eq!(client.get(NAME).await, Ok(Some((Version(2), value("b")))));
-    let newer = Some((Version(2), value("b")));
+    let newer = Watch::Newer(Version(2), value("b"));
     assert_eq!(client.watch(NAME, Version(1)).await, Ok(newer));
-    assert_eq!(client.watch(NAME, Version(2)).await, Ok(None));
+    assert_eq!(client.watch(NAME, Version(2)).await, Ok(Watch::Unchanged));
 }
 
 /// Guards against giving up at the first address, and against an error without the reasons.
@@ -101,7 +100,7 @@
         ),
         "{error:?}"
     );
-    assert_eq!(Client::new([]).get(NAME).await, Err(StoreError::NoAddress));
+    assert_eq!(Client::new([]).err(), Some(StoreError::NoAddress));
 }
 
 /// Guards against a failure that is taken for a definite answer, and the other way round.
