--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,8 @@
 mod raw;
 mod read;
 mod rule;
+mod service;
+mod sink;
 mod state;
 mod successor;
 mod value;
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -181,6 +181,21 @@
     }
 }
 
+/// Body of a plain read of another process's HTTP listener, such as its histograms.
+///
+/// # Errors
+/// Returns an error when the address does not answer in time or not with status 200.
+pub async fn fetch(address: SocketAddr, path: &str) -> Result<Bytes, StoreError> {
+    let request = request(address, Method::GET, path);
+    match exchange(address, request, GET_TIMEOUT).await {
+        Ok(response) if response.status == StatusCode::OK => Ok(response.body),
+        Ok(response) => Err(unexpected(&format!("{address}{path}"), response.status)),
+        Err(error) => Err(StoreError::Unreachable {
+            reason: error.to_string(),
+        }),
+    }
+}
+
 fn check_name(name: &str) -> Result<(), StoreError> {
     let valid = is_object_name(name);
     if valid {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -24,13 +24,15 @@
         name: String,
     },
     /// No address answered.
-    #[display("the store did not answer ({reason}); check its addresses and retry later")]
+    #[display("no answer ({reason}); check the addresses and retry later")]
     Unreachable {
         /// Last failure of each address.
         reason: String,
     },
     /// Store answered with an unexpected status.
-    #[display("the store answered {name} with status {status}; check its address and its log")]
+    #[display(
+        "{name} was answered with status {status}; check the address and the log of its process"
+    )]
     Status {
         /// Object name.
         name: String,
