--- /dev/null
+++ b/crates/standin/src/fabric/spray.rs
@@ -0,0 +1,134 @@
+//! Choice of the balancer and of the faults for each datagram, without I/O.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+/// Most balancers and counted addresses; replies of further addresses are not counted.
+pub const MAX_BALANCERS: usize = 1024;
+
+/// Probabilities of faults, each for one datagram in one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rates {
+    /// The datagram is lost.
+    pub loss: f64,
+    /// The datagram arrives twice.
+    pub duplicate: f64,
+    /// The datagram arrives late.
+    pub reorder: f64,
+}
+
+impl Rates {
+    /// Whether all rates are probabilities.
+    pub fn is_valid(&self) -> bool {
+        let rates = [self.loss, self.duplicate, self.reorder];
+        rates.iter().all(|rate| (0.0..=1.0).contains(rate))
+    }
+}
+
+/// Datagrams of one balancer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BalancerCount {
+    /// Datagrams sent to it.
+    pub sent: u64,
+    /// Datagrams received from it.
+    pub replies: u64,
+}
+
+/// Dropped datagrams by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drops {
+    /// Lost by the loss rate.
+    pub loss: u64,
+    /// No balancer was set.
+    pub no_balancer: u64,
+    /// The caller was new and the table of callers was full.
+    pub callers: u64,
+    /// The operating system refused to send.
+    pub send: u64,
+}
+
+/// Datagrams since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// By address of the balancer.
+    pub balancers: BTreeMap<SocketAddr, BalancerCount>,
+    /// Dropped datagrams.
+    pub dropped: Drops,
+    /// Callers with a socket of their own.
+    pub callers: usize,
+}
+
+/// One copy of a datagram that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Arrival {
+    /// Whether it is held back.
+    pub late: bool,
+}
+
+/// Random choices and counts.
+#[derive(Debug)]
+pub(super) struct Spray {
+    pub balancers: Vec<SocketAddr>,
+    pub rates: Rates,
+    pub counts: Counts,
+    random: StdRng,
+}
+
+impl Spray {
+    pub fn new(balancers: Vec<SocketAddr>, rates: Rates, seed: u64) -> Self {
+        Self {
+            balancers,
+            rates,
+            counts: Counts::default(),
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Copies of one datagram that arrive; none when it is lost.
+    pub fn arrivals(&mut self) -> Vec<Arrival> {
+        if self.random.random_bool(self.rates.loss) {
+            self.counts.dropped.loss += 1;
+            return Vec::new();
+        }
+        let count = if self.random.random_bool(self.rates.duplicate) {
+            2
+        } else {
+            1
+        };
+        let late = self.rates.reorder;
+        (0..count)
+            .map(|_| Arrival {
+                late: self.random.random_bool(late),
+            })
+            .collect()
+    }
+
+    /// Random balancer for one copy.
+    pub fn choose(&mut self) -> Option<SocketAddr> {
+        if self.balancers.is_empty() {
+            self.counts.dropped.no_balancer += 1;
+            return None;
+        }
+        let index = self.random.random_range(..self.balancers.len());
+        let balancer = self.balancers[index];
+        self.counter(balancer, |count| count.sent += 1);
+        Some(balancer)
+    }
+
+    /// Counts a datagram of a balancer.
+    pub fn count_reply(&mut self, balancer: SocketAddr) {
+        self.counter(balancer, |count| count.replies += 1);
+    }
+
+    fn counter(&mut self, balancer: SocketAddr, add: impl FnOnce(&mut BalancerCount)) {
+        let known = &mut self.counts.balancers;
+        if known.len() < MAX_BALANCERS || known.contains_key(&balancer) {
+            add(known.entry(balancer).or_default());
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod certs;
 pub mod error;
+pub mod fabric;
 pub mod lifetime;
 pub mod platform;
 pub mod target;
--- /dev/null
+++ b/crates/standin/tests/fabric.rs
@@ -0,0 +1,157 @@
+//! Spraying and faults of the fabric stand-in.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{get_json, post, wait_for};
+use monsoon_standin::fabric::{Fabric, Rates, Settings};
+use serde_json::{Value, json};
+use tokio::net::UdpSocket;
+use tokio::time::timeout;
+
+async fn socket() -> (UdpSocket, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
+}
+
+async fn receive(socket: &UdpSocket) -> (Vec<u8>, SocketAddr) {
+    let mut buffer = [0; 64];
+    let receiving = socket.recv_from(&mut buffer);
+    let (length, from) = timeout(Duration::from_secs(20), receiving)
+        .await
+        .unwrap()
+        .unwrap();
+    (buffer[..length].to_vec(), from)
+}
+
+/// Sends `count` datagrams and returns the sent and replied counts of each balancer, in order.
+async fn spray(rates: Rates, count: u64) -> Value {
+    let ((_a, first), (_b, second)) = (socket().await, socket().await);
+    let settings = Settings {
+        rates,
+        seed: 7,
+        ..Settings::new([first, second])
+    };
+    let fabric = Fabric::start(settings).await.unwrap();
+    let (caller, _) = socket().await;
+    for _ in 0..count {
+        caller.send_to(b"x", fabric.service()).await.unwrap();
+    }
+    let handled = |counts: &Value| {
+        let sent = |balancer: SocketAddr| {
+            counts["balancers"][balancer.to_string()]["sent"]
+                .as_u64()
+                .unwrap_or(0)
+        };
+        let lost = counts["dropped"]["loss"].as_u64().unwrap();
+        [sent(first), sent(second), lost]
+    };
+    let all_handled = |counts: &Value| handled(counts).iter().sum::<u64>() == count;
+    let counts = wait_for(fabric.control(), "/counts", all_handled).await;
+    let [first, second, lost] = handled(&counts);
+    json!({ "first": first, "second": second, "lost": lost })
+}
+
+/// Guards against a fabric that pins a caller to one balancer or shows balancers different
+/// addresses of one caller, and against replies that do not come from the service address.
+#[tokio::test]
+async fn balancers_see_one_address_and_any_can_reply() {
+    let ((a, first), (b, second)) = (socket().await, socket().await);
+    let fabric = Fabric::start(Settings::new([first, second])).await.unwrap();
+    let (caller, _) = socket().await;
+    let (other, _) = socket().await;
+    for _ in 0..40 {
+        caller.send_to(b"one", fabric.service()).await.unwrap();
+    }
+    other.send_to(b"two", fabric.service()).await.unwrap();
+    let (mut seen, mut reached) = (BTreeMap::new(), [0, 0]);
+    for _ in 0..41 {
+        let (index, (data, from)) = tokio::select! {
+            received = receive(&a) => (0, received),
+            received = receive(&b) => (1, received),
+        };
+        reached[index] += 1;
+        assert_eq!(
+            *seen.entry(data).or_insert(from),
+            from,
+            "one address per caller"
+        );
+    }
+    assert!(
+        reached.iter().all(|count| *count > 5),
+        "both balancers: {reached:?}"
+    );
+    let (one, two) = (seen[b"one".as_slice()], seen[b"two".as_slice()]);
+    assert_ne!(one, two);
+
+    for balancer in [&a, &b] {
+        balancer.send_to(b"reply", one).await.unwrap();
+        assert_eq!(
+            receive(&caller).await,
+            (b"reply".to_vec(), fabric.service())
+        );
+    }
+    let counts = get_json(fabric.control(), "/counts").await;
+    assert_eq!(counts["balancers"][first.to_string()]["replies"], 1);
+    assert_eq!(counts["callers"], 2);
+}
+
+/// Guards against choices that differ between runs with one seed, or a rate that has no effect.
+#[tokio::test]
+async fn one_seed_gives_one_spray() {
+    let plain = spray(Rates::default(), 100).await;
+    let lossy = spray(
+        Rates {
+            loss: 0.2,
+            ..Rates::default()
+        },
+        100,
+    )
+    .await;
+    insta::assert_snapshot!(format!("plain {plain}\nlossy {lossy}"));
+}
+
+/// Guards against duplicates that are not sent and late datagrams that are lost.
+#[tokio::test]
+async fn duplicates_and_late_datagrams_arrive() {
+    let (balancer, address) = socket().await;
+    let rates = Rates {
+        duplicate: 1.0,
+        reorder: 1.0,
+        ..Rates::default()
+    };
+    let settings = Settings {
+        rates,
+        ..Settings::new([address])
+    };
+    let fabric = Fabric::start(settings).await.unwrap();
+    let (caller, _) = socket().await;
+    caller.send_to(b"first", fabric.service()).await.unwrap();
+    wait_for(fabric.control(), "/counts", |counts| counts["callers"] == 1).await;
+    wait_for(fabric.control(), "/counts", |counts| {
+        counts["balancers"][address.to_string()]["sent"] == 2
+    })
+    .await;
+    let copies = (receive(&balancer).await, receive(&balancer).await);
+    assert_eq!(copies.0, copies.1);
+    assert_eq!(copies.0.0, b"first");
+}
+
+/// Guards against a replaced balancer that still gets datagrams.
+#[tokio::test]
+async fn replaced_balancer_gets_nothing() {
+    let ((_a, first), (b, second)) = (socket().await, socket().await);
+    let fabric = Fabric::start(Settings::new([first])).await.unwrap();
+    post(fabric.control(), "/balancers", &format!(r#"["{second}"]"#)).await;
+    let (caller, _) = socket().await;
+    for _ in 0..20 {
+        caller.send_to(b"x", fabric.service()).await.unwrap();
+        receive(&b).await;
+    }
+    let counts = get_json(fabric.control(), "/counts").await;
+    assert_eq!(counts["balancers"][first.to_string()], Value::Null);
+}
