Add the caller stand-in

Cause: the invariants are about what callers see: broken flows, complete responses to their own requests, truthful refusals.

Change: `monsoon-standin caller` keeps boards open, sends holds and uploads over HTTP/3 and checks tick sequences, keys and digests. It counts broken and given-up flows apart, moves new requests after GOAWAY, repeats requests refused as not run with their key, and writes a report of keys and outcomes.

--- /dev/null
+++ b/crates/standin/src/caller/exchange.rs
@@ -0,0 +1,152 @@
+//! One request on one stream, and the meaning of its errors.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use h3::client::RequestStream;
+use h3::error::{Code, StreamError};
+use h3_quinn::{BidiStream, RecvStream, SendStream};
+use http::{Request, Response};
+use quinn::ConnectionError;
+use tokio::time::timeout;
+
+use super::ledger::Ledger;
+use super::link::{Link, Links};
+
+/// Application close code of an agent whose data centre was taken out.
+pub const DATA_CENTRE_OUT: u32 = 0x104;
+
+/// Longest time of one attempt; afterwards the caller cancels it and counts it as broken.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Size of the parts that a body is sent in.
+const CHUNK: usize = 16_384;
+
+/// Longest response that is not a stream.
+const MAX_RESPONSE: usize = 1 << 20;
+
+/// Reason why a stream has no complete response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Failure {
+    /// Nothing was sent: the connection takes no new requests.
+    NotSent,
+    /// The service says that it did not run the request.
+    Rejected,
+    /// The data centre was taken out.
+    GivenUp,
+    /// Anything else.
+    Broken,
+}
+
+/// Opens the stream of a request and sends its head.
+pub(super) async fn open(
+    link: &Arc<Link>,
+    request: Request<()>,
+) -> Result<RequestStream<BidiStream<Bytes>, Bytes>, Failure> {
+    let mut sender = link.sender.clone();
+    match sender.send_request(request).await {
+        Ok(stream) => Ok(stream),
+        Err(StreamError::RemoteClosing { .. }) => {
+            link.retire();
+            Err(Failure::NotSent)
+        }
+        Err(error) => Err(classify(link, &error)),
+    }
+}
+
+/// Sends a request with its body and returns the complete response.
+pub(super) async fn exchange(
+    links: &Links,
+    link: &Arc<Link>,
+    request: Request<()>,
+    body: Bytes,
+) -> Result<Response<Bytes>, Failure> {
+    let (mut upload, mut download) = open(link, request).await?.split();
+    let ended = timeout(PATIENCE, both_ways(&mut upload, &mut download, body)).await;
+    let failure = match ended {
+        Ok(Ok(response)) => {
+            // Has no effect when the body was sent as a whole.
+            upload.stop_stream(Code::H3_NO_ERROR);
+            return Ok(response);
+        }
+        Ok(Err(error)) => classify(link, &error),
+        Err(_elapsed) => Failure::Broken,
+    };
+    // Without the reset a dropped stream looks like the end of a shorter body. The receiving side
+    // is stopped by its drop: an explicit stop panics in h3-quinn while a read is pending.
+    upload.stop_stream(Code::H3_REQUEST_CANCELLED);
+    note_reset(&mut links.ledger(), link);
+    Err(failure)
+}
+
+type Upload = RequestStream<SendStream<Bytes>, Bytes>;
+type Download = RequestStream<RecvStream, Bytes>;
+
+/// Sends and receives at the same time, because a response may come before the end of the body.
+async fn both_ways(
+    upload: &mut Upload,
+    download: &mut Download,
+    body: Bytes,
+) -> Result<Response<Bytes>, StreamError> {
+    let sending = send_body(upload, body);
+    let receiving = receive(download);
+    tokio::pin!(sending, receiving);
+    tokio::select! {
+        sent = &mut sending => match sent {
+            Err(error) if is_rejected(&error) => Err(error),
+            _ => receiving.await,
+        },
+        received = &mut receiving => received,
+    }
+}
+
+async fn send_body(upload: &mut Upload, mut body: Bytes) -> Result<(), StreamError> {
+    while !body.is_empty() {
+        let chunk = body.split_to(body.len().min(CHUNK));
+        upload.send_data(chunk).await?;
+    }
+    upload.finish().await
+}
+
+async fn receive(download: &mut Download) -> Result<Response<Bytes>, StreamError> {
+    let (head, ()) = download.recv_response().await?.into_parts();
+    let mut body = BytesMut::new();
+    while let Some(mut data) = download.recv_data().await? {
+        if body.len() + data.remaining() > MAX_RESPONSE {
+            // The check of the content fails on a part.
+            break;
+        }
+        body.extend_from_slice(&data.copy_to_bytes(data.remaining()));
+    }
+    Ok(Response::from_parts(head, body.freeze()))
+}
+
+fn is_rejected(error: &StreamError) -> bool {
+    matches!(error, StreamError::RemoteTerminate { code, .. } if *code == Code::H3_REQUEST_REJECTED)
+}
+
+/// Meaning of a stream error.
+pub(super) fn classify(link: &Link, error: &StreamError) -> Failure {
+    if is_rejected(error) {
+        return Failure::Rejected;
+    }
+    match link.quic.close_reason() {
+        Some(ConnectionError::ApplicationClosed(close))
+            if close.error_code == quinn::VarInt::from_u32(DATA_CENTRE_OUT) =>
+        {
+            Failure::GivenUp
+        }
+        _ => {
+            log::debug!("caller: broken: {error}");
+            Failure::Broken
+        }
+    }
+}
+
+/// Counts a connection that ended by a stateless reset, once.
+pub(super) fn note_reset(ledger: &mut Ledger, link: &Link) {
+    if matches!(link.quic.close_reason(), Some(ConnectionError::Reset)) && link.first_note() {
+        ledger.resets += 1;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/caller/link.rs
@@ -0,0 +1,188 @@
+//! QUIC connections of a caller.
+
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::poll_fn;
+use h3::client::SendRequest;
+use h3_quinn::OpenStreams;
+use quinn::crypto::rustls::QuicClientConfig;
+use rustls::RootCertStore;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::ledger::Ledger;
+use super::settings::Settings;
+use crate::error::Error;
+
+/// Time that a request waits for a connection; afterwards it counts as refused, because nothing
+/// was sent.
+pub const CONNECT_PATIENCE: Duration = Duration::from_secs(9);
+
+/// Time of one attempt. The next one has a new connection ID and can reach another target.
+const ATTEMPT_TIME: Duration = Duration::from_secs(3);
+
+/// Pause between two attempts.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time without packets after which a connection is lost.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// One connection. Its last user closes it.
+pub(super) struct Link {
+    pub quic: quinn::Connection,
+    pub sender: SendRequest<OpenStreams, Bytes>,
+    retired: AtomicBool,
+    noted: AtomicBool,
+}
+
+impl Link {
+    /// Takes no new requests from now on; open streams go on.
+    pub fn retire(&self) {
+        self.retired.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this is the first call, for counts once per connection.
+    pub fn first_note(&self) -> bool {
+        !self.noted.swap(true, Ordering::Relaxed)
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.retired.load(Ordering::Relaxed) && self.quic.close_reason().is_none()
+    }
+}
+
+/// No connection could be opened in [`CONNECT_PATIENCE`].
+#[derive(Debug)]
+pub(super) struct NoLink;
+
+/// Connections of one caller, all from one UDP address.
+pub(super) struct Links {
+    endpoint: quinn::Endpoint,
+    pub settings: Settings,
+    slots: Vec<tokio::sync::Mutex<Option<Arc<Link>>>>,
+    ledger: Mutex<Ledger>,
+}
+
+impl Links {
+    pub fn new(settings: Settings) -> Result<Self, Error> {
+        let mut endpoint = quinn::Endpoint::client(([127, 0, 0, 1], 0).into())
+            .map_err(Error::socket("open the caller's address"))?;
+        endpoint.set_default_client_config(client_config(&settings.ca)?);
+        let slots = (0..settings.connections).map(|_| tokio::sync::Mutex::default());
+        Ok(Self {
+            endpoint,
+            slots: slots.collect(),
+            ledger: Mutex::default(),
+            settings,
+        })
+    }
+
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Open connection at position `index`; opens a new one when the old one takes no requests.
+    pub async fn get(&self, index: usize) -> Result<Arc<Link>, NoLink> {
+        let mut slot = self.slots[index % self.slots.len()].lock().await;
+        if let Some(link) = slot.as_ref().filter(|link| link.is_usable()) {
+            return Ok(Arc::clone(link));
+        }
+        let end = Instant::now() + CONNECT_PATIENCE;
+        loop {
+            match timeout(ATTEMPT_TIME, self.connect()).await {
+                Ok(Ok(link)) => {
+                    let link = Arc::new(link);
+                    *slot = Some(Arc::clone(&link));
+                    return Ok(link);
+                }
+                Ok(Err(reason)) => log::debug!("caller: no connection: {reason}"),
+                Err(_elapsed) => log::debug!("caller: no connection in {ATTEMPT_TIME:?}"),
+            }
+            self.ledger().connect_failures += 1;
+            if Instant::now() >= end {
+                return Err(NoLink);
+            }
+            sleep(ATTEMPT_PAUSE).await;
+        }
+    }
+
+    async fn connect(&self) -> Result<Link, String> {
+        let quic = self
+            .endpoint
+            .connect(self.settings.service, &self.settings.server_name)
+            .map_err(|fault| fault.to_string())?
+            .await
+            .map_err(|fault| fault.to_string())?;
+        let (mut driver, sender) = h3::client::builder()
+            .send_grease(false)
+            .build(h3_quinn::Connection::new(quic.clone()))
+            .await
+            .map_err(|fault| fault.to_string())?;
+        // Ends when the connection is closed by either side.
+        tokio::spawn(async move {
+            let end = poll_fn(|cx| driver.poll_close(cx)).await;
+            log::debug!("caller: connection ended: {end}");
+        });
+        self.ledger().connections += 1;
+        Ok(Link {
+            quic,
+            sender,
+            retired: AtomicBool::new(false),
+            noted: AtomicBool::new(false),
+        })
+    }
+
+    /// Closes all connections and waits a bounded time until the peers know it.
+    pub async fn close(&self) {
+        let code = quinn::VarInt::from_u32(h3::error::Code::H3_NO_ERROR.value() as u32);
+        self.endpoint.close(code, b"caller is done");
+        if timeout(Duration::from_secs(1), self.endpoint.wait_idle())
+            .await
+            .is_err()
+        {
+            log::debug!("caller: not all connections ended in time");
+        }
+    }
+}
+
+fn client_config(ca: &Path) -> Result<quinn::ClientConfig, Error> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(Error::certificate("TLS 1.3 is not available"))?
+        .with_root_certificates(roots(ca)?)
+        .with_no_client_auth();
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    let crypto =
+        QuicClientConfig::try_from(tls).map_err(Error::certificate("no QUIC cipher suite"))?;
+    let mut config = quinn::ClientConfig::new(Arc::new(crypto));
+    config.transport_config(Arc::new(transport()));
+    Ok(config)
+}
+
+fn roots(ca: &Path) -> Result<RootCertStore, Error> {
+    let unreadable = Error::certificate("the CA certificate cannot be read");
+    let certificate = CertificateDer::from_pem_file(ca).map_err(unreadable)?;
+    let mut roots = RootCertStore::empty();
+    roots
+        .add(certificate)
+        .map_err(Error::certificate("the CA certificate cannot be used"))?;
+    Ok(roots)
+}
+
+fn transport() -> quinn::TransportConfig {
+    let mut transport = quinn::TransportConfig::default();
+    let idle = quinn::IdleTimeout::try_from(IDLE_TIME).expect("the time fits");
+    transport
+        // The encapsulation between balancer and agent needs the rest of the packet size.
+        .initial_mtu(1200)
+        .mtu_discovery_config(None)
+        .keep_alive_interval(Some(Duration::from_secs(1)))
+        .max_idle_timeout(Some(idle));
+    transport
+}
--- /dev/null
+++ b/crates/standin/src/cli/caller.rs
@@ -0,0 +1,116 @@
+//! `monsoon-standin caller`.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use gumdrop::Options;
+use monsoon_standin::caller::{self, ClassSet, Settings};
+use monsoon_standin::error::Error;
+use monsoon_standin::lifetime;
+
+/// Arguments of a caller.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, required, help = "service address")]
+    service: Option<SocketAddr>,
+    #[options(no_short, required, help = "CA certificate file")]
+    ca: PathBuf,
+    #[options(no_short, required, help = "name of the service")]
+    server_name: String,
+    #[options(
+        no_short,
+        default = "10",
+        help = "time until the caller ends its flows"
+    )]
+    seconds: f64,
+    #[options(no_short, default = "karavanex", help = "karavanex or directorate")]
+    class_set: String,
+    #[options(
+        no_short,
+        default = "4",
+        help = "connections that the work is spread over"
+    )]
+    connections: usize,
+    #[options(
+        no_short,
+        default = "0",
+        help = "boards or catalogues open at the same time"
+    )]
+    boards: usize,
+    #[options(no_short, default = "0", help = "holds or checks per second")]
+    holds_per_second: f64,
+    #[options(no_short, default = "0", help = "uploads, spread evenly over the time")]
+    uploads: usize,
+    #[options(no_short, default = "65536", help = "bytes of each upload")]
+    upload_bytes: usize,
+    #[options(
+        no_short,
+        default = "/photos",
+        help = "path that uploads are put below"
+    )]
+    upload_path: String,
+    #[options(
+        no_short,
+        help = "send a hold or check that broke again with the same key"
+    )]
+    resend: bool,
+    #[options(
+        no_short,
+        help = "seed of keys and contents, by default the process number"
+    )]
+    seed: Option<u64>,
+    #[options(no_short, help = "file for the outcomes as JSON")]
+    report: Option<PathBuf>,
+    #[options(no_short, default = "600", help = "end by itself after this time")]
+    max_seconds: u64,
+}
+
+/// Sends until its time is over and prints what it saw.
+pub async fn run(arguments: Arguments) -> Result<(), Error> {
+    let limit = Duration::from_secs(arguments.max_seconds);
+    let report = arguments.report.clone();
+    let settings = settings(arguments)?;
+    lifetime::announce_ready(&[("service", settings.service.to_string())])?;
+    let stop = async {
+        if let Err(error) = lifetime::wait_for_end(limit).await {
+            log::error!("caller: {error}");
+        }
+    };
+    let ledger = caller::run(settings, stop).await?;
+    for line in ledger.lines() {
+        println!("{line}");
+    }
+    match report {
+        Some(path) => fs::write(&path, ledger.to_json().to_string()).map_err(Error::file(&path)),
+        None => Ok(()),
+    }
+}
+
+fn settings(arguments: Arguments) -> Result<Settings, Error> {
+    let time = Duration::try_from_secs_f64(arguments.seconds)
+        .map_err(|fault| Error::argument(format!("--seconds: {fault}")))?;
+    let service = arguments
+        .service
+        .ok_or_else(|| Error::argument("--service is missing"))?;
+    Ok(Settings {
+        service,
+        ca: arguments.ca,
+        server_name: arguments.server_name,
+        time,
+        classes: arguments.class_set.parse::<ClassSet>()?,
+        connections: arguments.connections,
+        boards: arguments.boards,
+        holds_per_second: arguments.holds_per_second,
+        uploads: arguments.uploads,
+        upload_bytes: arguments.upload_bytes,
+        upload_path: arguments.upload_path,
+        resend: arguments.resend,
+        seed: arguments
+            .seed
+            .unwrap_or_else(|| u64::from(std::process::id())),
+    })
+}
--- a/crates/standin/src/cli/mod.rs
+++ b/crates/standin/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands and their arguments.
 
+mod caller;
 mod certs;
 mod fabric;
 mod platform;
@@ -25,6 +26,8 @@
     Target(target::Arguments),
     #[options(help = "spray datagrams of callers over the balancers")]
     Fabric(fabric::Arguments),
+    #[options(help = "HTTP/3 flows, requests and uploads")]
+    Caller(caller::Arguments),
     #[options(help = "write test certificates and the keys file")]
     Certs(certs::Arguments),
 }
@@ -46,6 +49,7 @@
             Command::Platform(arguments) => platform::run(&arguments).await,
             Command::Target(arguments) => target::run(arguments).await,
             Command::Fabric(arguments) => fabric::run(arguments).await,
+            Command::Caller(arguments) => caller::run(arguments).await,
             Command::Certs(arguments) => certs::run(&arguments),
         }
     })
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! inside a test as well as through the `monsoon-standin` binary. Dropping the value that a
 //! `start` function returns ends the stand-in.
 
+pub mod caller;
 pub mod certs;
 pub mod error;
 pub mod fabric;
--- /dev/null
+++ b/crates/standin/tests/caller/main.rs
@@ -0,0 +1,223 @@
+//! Outcomes that the caller stand-in counts, against a small HTTP/3 server.
+
+mod server;
+
+use std::future::pending;
+use std::time::Duration;
+
+use h3::error::Code;
+use monsoon_standin::caller::{self, DATA_CENTRE_OUT, Ledger, Outcome, RETRIES, Settings};
+use server::{Act, Server};
+
+async fn boards(server: &Server) -> Ledger {
+    let settings = Settings {
+        boards: 1,
+        ..Settings::new(server.address, server.ca())
+    };
+    run(settings).await
+}
+
+async fn holds(server: &Server) -> Ledger {
+    let settings = Settings {
+        holds_per_second: 20.0,
+        time: Duration::from_millis(475),
+        ..Settings::new(server.address, server.ca())
+    };
+    run(settings).await
+}
+
+async fn run(settings: Settings) -> Ledger {
+    caller::run(settings, pending()).await.unwrap()
+}
+
+/// Guards against a correct exchange that counts as anything but answered.
+#[tokio::test]
+async fn complete_responses_count_as_answered() {
+    let server = Server::start(|_, _| Act::Answer);
+    let settings = Settings {
+        boards: 2,
+        holds_per_second: 20.0,
+        uploads: 3,
+        upload_bytes: 300_000,
+        connections: 2,
+        ..Settings::new(server.address, server.ca())
+    };
+    let ledger = run(settings).await;
+    assert_eq!(ledger.total(Outcome::Answered), ledger.sent());
+    assert_eq!(ledger.classes["upload"].count(Outcome::Answered), 3);
+    assert!(ledger.classes["hold"].sent >= 5 && ledger.classes["board"].sent >= 5);
+    assert_eq!((ledger.connections, ledger.resets), (2, 0));
+    let held: Vec<_> = ledger
+        .requests
+        .iter()
+        .filter(|entry| entry.class == "hold")
+        .collect();
+    let attempts = server.attempts.lock().unwrap();
+    assert!(
+        held.iter().all(|entry| attempts[&entry.key] == 1),
+        "one attempt for each key"
+    );
+}
+
+/// Guards against a cut stream, a lost tick, a reset or a closed connection that passes as
+/// complete.
+#[tokio::test]
+async fn incomplete_streams_count_as_broken() {
+    let acts: [server::Choose; 4] = [
+        |_, _| Act::Cut,
+        |_, _| Act::Gap,
+        |_, _| Act::Reset(Code::H3_INTERNAL_ERROR),
+        |_, _| Act::Close(DATA_CENTRE_OUT + 1),
+    ];
+    for (index, act) in acts.into_iter().enumerate() {
+        let server = Server::start(act);
+        let ledger = boards(&server).await;
+        let board = &ledger.classes["board"];
+        assert!(
+            board.count(Outcome::Broken) >= 3,
+            "act {index}: {:?}",
+            ledger.lines()
+        );
+        // The caller itself ends the last flow.
+        assert!(
+            board.count(Outcome::Broken) + 1 >= board.sent,
+            "act {index}: {:?}",
+            ledger.lines()
+        );
+    }
+}
+
+/// Guards against a response of another request that passes as one's own.
+#[tokio::test]
+async fn foreign_response_counts_as_broken() {
+    let server = Server::start(|_, _| Act::Foreign);
+    let ledger = holds(&server).await;
+    assert_eq!(ledger.total(Outcome::Broken), ledger.sent());
+    assert!(ledger.sent() >= 3);
+}
+
+/// Guards against a data centre taken out that counts as broken flows, and against a caller that
+/// does not open a new flow.
+#[tokio::test]
+async fn data_centre_out_gives_flows_up() {
+    let server = Server::start(|_, attempt| match attempt {
+        1 => Act::Close(DATA_CENTRE_OUT),
+        _ => Act::Answer,
+    });
+    let ledger = boards(&server).await;
+    let board = &ledger.classes["board"];
+    assert_eq!(
+        (board.count(Outcome::GivenUp), board.count(Outcome::Broken)),
+        (1, 0)
+    );
+    assert!(board.count(Outcome::Answered) >= 1);
+    assert_eq!(ledger.connections, 2);
+}
+
+/// Guards against a refused request that is lost or repeated under another key.
+#[tokio::test]
+async fn refused_request_is_repeated_with_its_key() {
+    let server = Server::start(|_, attempt| match attempt {
+        1 => Act::Reset(Code::H3_REQUEST_REJECTED),
+        2 => Act::Status(503, "not-run"),
+        _ => Act::Answer,
+    });
+    let ledger = holds(&server).await;
+    assert_eq!(ledger.total(Outcome::Answered), ledger.sent());
+    assert_eq!(ledger.classes["hold"].retries, 2 * ledger.sent());
+    let attempts = server.attempts.lock().unwrap();
+    assert_eq!(attempts.len() as u64, ledger.sent());
+    assert!(attempts.values().all(|count| *count == 3), "{attempts:?}");
+}
+
+/// Guards against retries without a bound, and against repeating a request that may have run.
+#[tokio::test]
+async fn retries_are_bounded_and_unknown_is_final() {
+    let refusing = Server::start(|_, _| Act::Status(503, "not-run"));
+    let refused = holds(&refusing).await;
+    assert_eq!(refused.total(Outcome::Refused), refused.sent());
+    let most = u64::from(RETRIES) + 1;
+    assert!(
+        refusing
+            .attempts
+            .lock()
+            .unwrap()
+            .values()
+            .all(|count| *count == most)
+    );
+
+    let uncertain = Server::start(|_, _| Act::Status(504, "unknown"));
+    let unknown = holds(&uncertain).await;
+    assert_eq!(unknown.total(Outcome::Unknown), unknown.sent());
+    assert!(
+        uncertain
+            .attempts
+            .lock()
+            .unwrap()
+            .values()
+            .all(|count| *count == 1)
+    );
+}
+
+/// Guards against a refusal of the second attempt that hides an unknown first one.
+#[tokio::test]
+async fn refused_resend_stays_broken() {
+    let server = Server::start(|_, attempt| match attempt {
+        1 => Act::Reset(Code::H3_INTERNAL_ERROR),
+        _ => Act::Status(503, "not-run"),
+    });
+    let settings = Settings {
+        holds_per_second: 1.0,
+        resend: true,
+        ..Settings::new(server.address, server.ca())
+    };
+    let ledger = run(settings).await;
+    assert_eq!(ledger.total(Outcome::Broken), ledger.sent());
+    assert!(
+        server
+            .attempts
+            .lock()
+            .unwrap()
+            .values()
+            .all(|count| *count > 1)
+    );
+}
+
+/// Guards against a graceful leave that ends an open stream or gets new requests.
+#[tokio::test]
+async fn goaway_moves_new_requests_only() {
+    let server = Server::start(|path, attempt| match (path, attempt) {
+        ("/board", 1) => Act::GoAway,
+        _ => Act::Answer,
+    });
+    let settings = Settings {
+        boards: 1,
+        holds_per_second: 20.0,
+        ..Settings::new(server.address, server.ca())
+    };
+    let ledger = run(settings).await;
+    assert_eq!(
+        ledger.total(Outcome::Answered),
+        ledger.sent(),
+        "{:?}",
+        ledger.lines()
+    );
+    assert_eq!(ledger.connections, 2);
+}
+
+/// Guards against a report that scripts cannot read.
+#[tokio::test]
+async fn lines_name_every_class_and_the_sum() {
+    let server = Server::start(|_, _| Act::Status(418, ""));
+    let settings = Settings {
+        uploads: 1,
+        time: Duration::from_millis(300),
+        ..Settings::new(server.address, server.ca())
+    };
+    let ledger = run(settings).await;
+    insta::assert_snapshot!(format!(
+        "{}\n{:#}",
+        ledger.lines().join("\n"),
+        ledger.to_json()
+    ));
+}
--- /dev/null
+++ b/crates/standin/tests/caller/server.rs
@@ -0,0 +1,218 @@
+//! Small HTTP/3 server whose behaviour a test chooses for each request.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use h3::error::Code;
+use h3::server::{RequestResolver, RequestStream};
+use h3_quinn::BidiStream;
+use http::{Request, Response};
+use monsoon_standin::certs::{self, hex};
+use ring::digest;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+/// Behaviour for one request.
+#[derive(Clone, Copy, Debug)]
+pub enum Act {
+    /// Correct response; a board ends after 5 ticks.
+    Answer,
+    /// Response that belongs to another request.
+    Foreign,
+    /// Board that ends after 2 ticks without its end line.
+    Cut,
+    /// Board that leaves one tick out.
+    Gap,
+    /// Stream reset with this code.
+    Reset(Code),
+    /// Status and `x-outcome`.
+    Status(u16, &'static str),
+    /// Close of the connection with this code after 2 ticks.
+    Close(u32),
+    /// GOAWAY, then a board of 20 ticks.
+    GoAway,
+}
+
+/// Chooses the behaviour from path, key and attempt number of the key.
+pub type Choose = fn(&str, u64) -> Act;
+
+/// Running server.
+pub struct Server {
+    pub address: SocketAddr,
+    pub dir: PathBuf,
+    /// Attempts by key or path.
+    pub attempts: Arc<Mutex<BTreeMap<String, u64>>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+        std::fs::remove_dir_all(&self.dir).unwrap();
+    }
+}
+
+impl Server {
+    pub fn ca(&self) -> PathBuf {
+        self.dir.join("ca.pem")
+    }
+
+    pub fn start(choose: Choose) -> Self {
+        static NUMBER: AtomicU64 = AtomicU64::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("monsoon-standin-{}-{number}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        certs::write(&dir).unwrap();
+        let endpoint = quinn::Endpoint::server(server_config(&dir), ([127, 0, 0, 1], 0).into());
+        let endpoint = endpoint.unwrap();
+        let address = endpoint.local_addr().unwrap();
+        let attempts = Arc::default();
+        let seen = Arc::clone(&attempts);
+        let task = tokio::spawn(async move {
+            while let Some(incoming) = endpoint.accept().await {
+                tokio::spawn(serve(incoming, choose, Arc::clone(&seen)));
+            }
+        });
+        Self {
+            address,
+            dir,
+            attempts,
+            task,
+        }
+    }
+}
+
+fn server_config(dir: &Path) -> quinn::ServerConfig {
+    let chain = vec![CertificateDer::from_pem_file(dir.join("server.pem")).unwrap()];
+    let key = PrivateKeyDer::from_pem_file(dir.join("server.key")).unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .unwrap()
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .unwrap();
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    let crypto = quinn::crypto::rustls::QuicServerConfig::try_from(tls).unwrap();
+    quinn::ServerConfig::with_crypto(Arc::new(crypto))
+}
+
+type Seen = Arc<Mutex<BTreeMap<String, u64>>>;
+type Stream = RequestStream<BidiStream<Bytes>, Bytes>;
+
+async fn serve(incoming: quinn::Incoming, choose: Choose, seen: Seen) {
+    let quic = incoming.await.unwrap();
+    let mut h3 = h3::server::builder()
+        .build(h3_quinn::Connection::new(quic.clone()))
+        .await
+        .unwrap();
+    let (leave, mut leaving) = tokio::sync::mpsc::channel::<()>(16);
+    loop {
+        tokio::select! {
+            accepted = h3.accept() => match accepted {
+                Ok(Some(request)) => {
+                    let (quic, leave, seen) = (quic.clone(), leave.clone(), Arc::clone(&seen));
+                    tokio::spawn(respond(request, quic, leave, choose, seen));
+                }
+                _ => return,
+            },
+            Some(()) = leaving.recv() => h3.shutdown(0).await.unwrap(),
+        }
+    }
+}
+
+async fn respond(
+    resolver: RequestResolver<h3_quinn::Connection, Bytes>,
+    quic: quinn::Connection,
+    leave: tokio::sync::mpsc::Sender<()>,
+    choose: Choose,
+    seen: Seen,
+) {
+    let Ok((request, mut stream)) = resolver.resolve_request().await else {
+        return;
+    };
+    let path = request.uri().path().to_owned();
+    let name = key(&request).unwrap_or_else(|| path.clone());
+    let attempt = {
+        let mut seen = seen.lock().unwrap();
+        let count = seen.entry(name.clone()).or_default();
+        *count += 1;
+        *count
+    };
+    // The caller may end first, so errors of the stream are no fault here.
+    let _ended = match choose(&path, attempt) {
+        Act::Answer if path == "/board" => ticks(&mut stream, &[0, 1, 2, 3, 4], true).await,
+        Act::Answer => answer(&mut stream, &name).await,
+        Act::Foreign => answer(&mut stream, "foreign").await,
+        Act::Cut => ticks(&mut stream, &[0, 1], false).await,
+        Act::Gap => ticks(&mut stream, &[0, 2], true).await,
+        Act::Reset(code) => {
+            stream.stop_sending(code);
+            stream.stop_stream(code);
+            Ok(())
+        }
+        Act::Status(code, outcome) => status(&mut stream, code, outcome).await,
+        Act::Close(code) => {
+            let sent = head(&mut stream, 200, "").await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            quic.close(code.into(), b"");
+            sent
+        }
+        Act::GoAway => {
+            leave.send(()).await.unwrap();
+            ticks(&mut stream, &(0..20).collect::<Vec<_>>(), true).await
+        }
+    };
+}
+
+fn key(request: &Request<()>) -> Option<String> {
+    let key = request.headers().get("idempotency-key")?;
+    Some(key.to_str().unwrap().to_owned())
+}
+
+type Ended = Result<(), h3::error::StreamError>;
+
+async fn head(stream: &mut Stream, code: u16, outcome: &str) -> Ended {
+    let mut builder = Response::builder().status(code);
+    if !outcome.is_empty() {
+        builder = builder.header("x-outcome", outcome);
+    }
+    stream.send_response(builder.body(()).unwrap()).await
+}
+
+async fn status(stream: &mut Stream, code: u16, outcome: &str) -> Ended {
+    head(stream, code, outcome).await?;
+    stream.finish().await
+}
+
+async fn ticks(stream: &mut Stream, numbers: &[u64], end: bool) -> Ended {
+    head(stream, 200, "").await?;
+    for number in numbers {
+        stream.send_data(format!("tick {number}\n").into()).await?;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    if end {
+        stream
+            .send_data(format!("end {}\n", numbers.len()).into())
+            .await?;
+    }
+    stream.finish().await
+}
+
+async fn answer(stream: &mut Stream, key: &str) -> Ended {
+    let mut context = digest::Context::new(&digest::SHA256);
+    while let Some(mut data) = stream.recv_data().await? {
+        context.update(&data.copy_to_bytes(data.remaining()));
+    }
+    let reply = json!({ "key": key, "sha256": hex(context.finish().as_ref()) });
+    head(stream, 200, "").await?;
+    stream.send_data(reply.to_string().into()).await?;
+    stream.finish().await
+}
