Add child processes for tests and watch signals before the ready line

Cause: process tests need children that are ready, can be paused and killed by number, and never outlive the test. A SIGTERM that arrived between the ready line and the installation of the handlers ended a stand-in with a failure status.

Change: `monsoon_standin::process` starts a command, waits for its ready line with a timeout, sends SIGKILL, SIGSTOP, SIGCONT and SIGTERM, and kills and reaps on drop. Stand-ins install their handlers before they print the ready line. A caller leaves 100 ms between the starts of two flows in one place, so that a service that ends each flow at once does not keep it busy.

--- a/crates/standin/src/caller/board.rs
+++ b/crates/standin/src/caller/board.rs
@@ -8,7 +8,7 @@
 use h3_quinn::BidiStream;
 use http::Request;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::exchange::{Failure, classify, note_reset, open};
 use super::ledger::Outcome;
@@ -21,6 +21,10 @@
 /// Pause after a flow that was refused or failed, before the next one.
 const REFUSED_PAUSE: Duration = Duration::from_secs(1);
 
+/// Shortest time between the starts of two flows, so that a service that ends each flow at once
+/// does not keep the caller busy.
+const FLOW_SPACING: Duration = Duration::from_millis(100);
+
 /// Line that does not follow the ones before it.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("line {line:?} does not follow {ticks} ticks")]
@@ -90,14 +94,18 @@
         links
             .ledger()
             .finish(class, outcome, first.unwrap_or_else(|| started.elapsed()));
-        if matches!(
+        let refused = matches!(
             outcome,
             Outcome::Refused | Outcome::Failed | Outcome::Unknown
-        ) {
-            tokio::select! {
-                () = sleep(REFUSED_PAUSE) => {}
-                _ = stop.wait_for(|stop| *stop) => {}
-            }
+        );
+        let next = if refused {
+            Instant::now() + REFUSED_PAUSE
+        } else {
+            started + FLOW_SPACING
+        };
+        tokio::select! {
+            () = sleep_until(next) => {}
+            _ = stop.wait_for(|stop| *stop) => {}
         }
     }
 }
--- a/crates/standin/src/cli/caller.rs
+++ b/crates/standin/src/cli/caller.rs
@@ -8,7 +8,7 @@
 use gumdrop::Options;
 use monsoon_standin::caller::{self, ClassSet, Settings};
 use monsoon_standin::error::Error;
-use monsoon_standin::lifetime;
+use monsoon_standin::lifetime::{self, End};
 
 /// Arguments of a caller.
 #[derive(Debug, Options)]
@@ -71,16 +71,12 @@
 
 /// Sends until its time is over and prints what it saw.
 pub async fn run(arguments: Arguments) -> Result<(), Error> {
+    let end = End::install()?;
     let limit = Duration::from_secs(arguments.max_seconds);
     let report = arguments.report.clone();
     let settings = settings(arguments)?;
     lifetime::announce_ready(&[("service", settings.service.to_string())])?;
-    let stop = async {
-        if let Err(error) = lifetime::wait_for_end(limit).await {
-            log::error!("caller: {error}");
-        }
-    };
-    let ledger = caller::run(settings, stop).await?;
+    let ledger = caller::run(settings, end.wait(limit)).await?;
     for line in ledger.lines() {
         println!("{line}");
     }
--- a/crates/standin/src/cli/fabric.rs
+++ b/crates/standin/src/cli/fabric.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 use monsoon_standin::error::Error;
 use monsoon_standin::fabric::{Fabric, Rates, Settings};
-use monsoon_standin::lifetime;
+use monsoon_standin::lifetime::{self, End};
 
 /// Arguments of the fabric.
 #[derive(Debug, Options)]
@@ -41,6 +41,7 @@
 
 /// Forwards until the process is ended.
 pub async fn run(arguments: Arguments) -> Result<(), Error> {
+    let end = End::install()?;
     if arguments.control.ip() != SocketAddr::from(([127, 0, 0, 1], 0)).ip() {
         return Err(Error::argument("--control must be on 127.0.0.1"));
     }
@@ -60,7 +61,8 @@
         ("address", fabric.service().to_string()),
         ("control", fabric.control().to_string()),
     ])?;
-    lifetime::wait_for_end(Duration::from_secs(arguments.max_seconds)).await
+    end.wait(Duration::from_secs(arguments.max_seconds)).await;
+    Ok(())
 }
 
 fn balancers(values: &[String]) -> Result<Vec<SocketAddr>, Error> {
--- a/crates/standin/src/cli/platform.rs
+++ b/crates/standin/src/cli/platform.rs
@@ -4,7 +4,7 @@
 
 use gumdrop::Options;
 use monsoon_standin::error::Error;
-use monsoon_standin::lifetime;
+use monsoon_standin::lifetime::{self, End};
 use monsoon_standin::platform::Platform;
 
 /// Arguments of the store.
@@ -20,7 +20,9 @@
 
 /// Serves until the process is ended.
 pub async fn run(arguments: &Arguments) -> Result<(), Error> {
+    let end = End::install()?;
     let platform = Platform::start(arguments.port).await?;
     lifetime::announce_ready(&[("address", platform.address().to_string())])?;
-    lifetime::wait_for_end(Duration::from_secs(arguments.max_seconds)).await
+    end.wait(Duration::from_secs(arguments.max_seconds)).await;
+    Ok(())
 }
--- a/crates/standin/src/cli/target.rs
+++ b/crates/standin/src/cli/target.rs
@@ -4,7 +4,7 @@
 
 use gumdrop::Options;
 use monsoon_standin::error::Error;
-use monsoon_standin::lifetime;
+use monsoon_standin::lifetime::{self, End};
 use monsoon_standin::target::{Settings, Target};
 
 /// Arguments of a target.
@@ -50,6 +50,7 @@
 
 /// Serves until the process is ended, then ends the open work.
 pub async fn run(arguments: Arguments) -> Result<(), Error> {
+    let end = End::install()?;
     let target = Target::start(Settings {
         port: arguments.port,
         name: arguments.name.clone(),
@@ -65,7 +66,7 @@
     .await?;
     let address = target.address().to_string();
     lifetime::announce_ready(&[("address", address), ("name", arguments.name)])?;
-    lifetime::wait_for_end(Duration::from_secs(arguments.max_seconds)).await?;
+    end.wait(Duration::from_secs(arguments.max_seconds)).await;
     target.finish().await;
     Ok(())
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod fabric;
 pub mod lifetime;
 pub mod platform;
+pub mod process;
 pub mod target;
 pub mod web;
--- a/crates/standin/src/lifetime.rs
+++ b/crates/standin/src/lifetime.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Write};
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::error::Error;
 
@@ -19,18 +19,34 @@
         .map_err(Error::socket("write the ready line"))
 }
 
-/// Waits for SIGTERM, SIGINT or the end of `limit`. The limit ends processes that a failed script
-/// left behind.
-///
-/// # Errors
-/// Returns an error when the signal handlers cannot be installed.
-pub async fn wait_for_end(limit: Duration) -> Result<(), Error> {
-    let mut term = signal(SignalKind::terminate()).map_err(Error::socket("handle SIGTERM"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::socket("handle SIGINT"))?;
-    tokio::select! {
-        _ = term.recv() => log::info!("standin: ending after SIGTERM"),
-        _ = interrupt.recv() => log::info!("standin: ending after SIGINT"),
-        () = tokio::time::sleep(limit) => log::warn!("standin: ending after --max-seconds"),
+/// Events that end a process. They are watched from [`End::install`] on, so a script may send
+/// SIGTERM as soon as it reads the ready line.
+#[derive(Debug)]
+pub struct End {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl End {
+    /// Installs the signal handlers.
+    ///
+    /// # Errors
+    /// Returns an error when the operating system refuses them.
+    pub fn install() -> Result<Self, Error> {
+        let watch = |kind| signal(kind).map_err(Error::socket("install a signal handler"));
+        Ok(Self {
+            terminate: watch(SignalKind::terminate())?,
+            interrupt: watch(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for SIGTERM, SIGINT or the end of `limit`. The limit ends processes that a failed
+    /// script left behind.
+    pub async fn wait(mut self, limit: Duration) {
+        tokio::select! {
+            _ = self.terminate.recv() => log::info!("standin: ending after SIGTERM"),
+            _ = self.interrupt.recv() => log::info!("standin: ending after SIGINT"),
+            () = tokio::time::sleep(limit) => log::warn!("standin: ending after --max-seconds"),
+        }
     }
-    Ok(())
 }
--- a/crates/standin/tests/caller/main.rs
+++ b/crates/standin/tests/caller/main.rs
@@ -3,10 +3,13 @@
 mod server;
 
 use std::future::pending;
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use h3::error::Code;
 use monsoon_standin::caller::{self, DATA_CENTRE_OUT, Ledger, Outcome, RETRIES, Settings};
+use monsoon_standin::fabric::{self, Fabric};
+use monsoon_standin::process::Process;
 use server::{Act, Server};
 
 async fn boards(server: &Server) -> Ledger {
@@ -221,3 +224,59 @@
         ledger.to_json()
     ));
 }
+
+/// Guards against a binary whose lines or report differ from what its caller saw through the
+/// fabric.
+#[tokio::test]
+async fn binary_reports_what_it_saw() {
+    let server = Server::start(|_, _| Act::Answer);
+    let fabric = Fabric::start(fabric::Settings::new([server.address]))
+        .await
+        .unwrap();
+    let report = server.dir.join("report.json");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_monsoon-standin"));
+    command
+        .args([
+            "caller",
+            "--server-name",
+            "prodejna",
+            "--seconds",
+            "0.5",
+            "--uploads",
+            "2",
+        ])
+        .args([
+            "--service",
+            &fabric.service().to_string(),
+            "--holds-per-second",
+            "20",
+            "--ca",
+        ])
+        .args([server.ca(), "--report".into(), report.clone()])
+        .stderr(Stdio::null());
+    let patience = Duration::from_secs(20);
+    let running = tokio::task::spawn_blocking(move || {
+        let mut process = Process::start(&mut command, patience).unwrap();
+        assert!(process.wait(patience).unwrap().success());
+        // The last lines may still be in the pipe when the child has ended.
+        let end = std::time::Instant::now() + patience;
+        while process.lines().len() < 3 && std::time::Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        process.lines()
+    });
+    let lines = running.await.unwrap();
+    let report: serde_json::Value =
+        serde_json::from_slice(&std::fs::read(report).unwrap()).unwrap();
+    let (sent, requests) = (&report["sent"], report["requests"].as_array().unwrap());
+    assert_eq!(
+        lines[2],
+        format!("caller: served {sent} of {sent}, broken flows 0")
+    );
+    assert_eq!(sent.as_u64(), Some(requests.len() as u64));
+    let attempts = server.attempts.lock().unwrap();
+    for request in requests {
+        assert_eq!(attempts[request["key"].as_str().unwrap()], 1);
+        assert_eq!(request["outcome"], "answered");
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/process.rs
@@ -0,0 +1,90 @@
+//! Child processes: readiness, signals and reaping.
+
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+use monsoon_standin::process::{Process, ProcessError, Signal};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn standin(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_monsoon-standin"));
+    command.args(arguments).stderr(Stdio::null());
+    command
+}
+
+fn state(id: u32) -> Option<String> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let rest = status.rsplit(')').next()?;
+    rest.split_whitespace().next().map(str::to_owned)
+}
+
+fn wait_for_state(id: u32, wanted: &str) {
+    let end = std::time::Instant::now() + PATIENCE;
+    while state(id).as_deref() != Some(wanted) {
+        assert!(std::time::Instant::now() < end, "state {:?}", state(id));
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against a stand-in that does not end gracefully on SIGTERM or prints no usable address.
+#[test]
+fn each_server_is_ready_and_ends_on_terminate() {
+    let platform = standin(&["platform", "--port", "0"]);
+    let target = standin(&["target", "--port", "0", "--name", "brno-1"]);
+    let fabric = standin(&["fabric", "--balancer", "127.0.0.1:9"]);
+    for mut command in [platform, target, fabric] {
+        let mut process = Process::start(&mut command, PATIENCE).unwrap();
+        assert!(process.address("address").unwrap().ip().is_loopback());
+        process.signal(Signal::Terminate).unwrap();
+        assert!(process.wait(PATIENCE).unwrap().success());
+        assert!(process.lines().is_empty(), "one line on standard output");
+    }
+}
+
+/// Guards against a process that outlives its time when no script ends it.
+#[test]
+fn process_ends_by_itself() {
+    let mut process = Process::start(&mut standin(&["platform", "--max-seconds", "1"]), PATIENCE);
+    assert!(process.as_mut().unwrap().wait(PATIENCE).unwrap().success());
+}
+
+/// Guards against a paused child that runs on, and a killed or dropped one that stays as a zombie.
+#[test]
+fn signals_reach_the_child_and_drop_reaps_it() {
+    let mut process = Process::start(&mut standin(&["platform"]), PATIENCE).unwrap();
+    let id = process.id();
+    process.signal(Signal::Stop).unwrap();
+    wait_for_state(id, "T");
+    process.signal(Signal::Continue).unwrap();
+    wait_for_state(id, "S");
+    process.signal(Signal::Kill).unwrap();
+    assert!(!process.wait(PATIENCE).unwrap().success());
+    assert!(process.signal(Signal::Kill).is_err());
+
+    let mut stopped = Process::start(&mut standin(&["platform"]), PATIENCE).unwrap();
+    stopped.signal(Signal::Stop).unwrap();
+    let id = stopped.id();
+    drop(stopped);
+    assert_eq!(state(id), None);
+}
+
+/// Guards against waiting for ever for a child that is not or never ready.
+#[test]
+fn missing_readiness_is_an_error() {
+    let ended = Process::start(&mut standin(&["target", "--slots", "0"]), PATIENCE);
+    assert!(
+        matches!(ended, Err(ProcessError::Ended { .. })),
+        "{ended:?}"
+    );
+    let silent = Process::start(Command::new("sleep").arg("100"), Duration::from_millis(50));
+    assert!(
+        matches!(silent, Err(ProcessError::NotReady { .. })),
+        "{silent:?}"
+    );
+    let absent = Process::start(&mut Command::new("/nonexistent"), PATIENCE);
+    assert!(
+        matches!(absent, Err(ProcessError::Start { .. })),
+        "{absent:?}"
+    );
+}
