Count flows that hang at the end of a caller

Cause: a board whose service permits no further streams or never responds held the caller up to its end grace, and a flow that the caller ended before any response counted as answered.

Change: opening a stream has a time limit. A flow without a response counts as broken after 1 s, as refused when no connection opened, and is taken back when it had only just begun.

Without the new rule silent_service_counts_as_broken fails.

--- a/crates/standin/src/caller/board.rs
+++ b/crates/standin/src/caller/board.rs
@@ -1,16 +1,17 @@
 //! Long streams and the check of their lines.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error};
 use h3::client::RequestStream;
 use h3_quinn::BidiStream;
-use http::Request;
+use http::{Request, Response};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::exchange::{Failure, classify, note_reset, open};
+use super::exchange::{Failure, PATIENCE, classify, note_reset, open};
 use super::ledger::Outcome;
 use super::link::{Link, Links};
 use super::request::{RETRIES, RETRY_DELAY, status_outcome};
@@ -25,6 +26,9 @@
 /// does not keep the caller busy.
 const FLOW_SPACING: Duration = Duration::from_millis(100);
 
+/// Time without a response after which a flow counts when the caller ends it.
+const OPEN_TIME: Duration = Duration::from_secs(1);
+
 /// Line that does not follow the ones before it.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("line {line:?} does not follow {ticks} ticks")]
@@ -88,20 +92,27 @@
 pub(super) async fn run(links: &Links, index: usize, mut stop: watch::Receiver<bool>) {
     let class = links.settings.classes.stream();
     while !*stop.borrow() {
-        links.ledger().begin(class);
         let started = Instant::now();
-        let (outcome, first) = flow(links, index, &mut stop).await;
-        links
-            .ledger()
-            .finish(class, outcome, first.unwrap_or_else(|| started.elapsed()));
-        let refused = matches!(
-            outcome,
-            Outcome::Refused | Outcome::Failed | Outcome::Unknown
-        );
-        let next = if refused {
-            Instant::now() + REFUSED_PAUSE
-        } else {
-            started + FLOW_SPACING
+        let mut progress = Progress::default();
+        links.ledger().begin(class);
+        // The drop of a flow cancels its stream: an explicit stop panics in h3-quinn while a read
+        // is pending.
+        let ended = tokio::select! {
+            outcome = flow(links, index, &mut progress) => Some(outcome),
+            _ = stop.wait_for(|stop| *stop) => None,
+        };
+        match ended.or_else(|| progress.at_stop(started)) {
+            Some(outcome) => {
+                let first = progress.first.unwrap_or(started);
+                links.ledger().finish(class, outcome, first - started);
+            }
+            None => links.ledger().withdraw(class),
+        }
+        let next = match ended {
+            Some(Outcome::Refused | Outcome::Failed | Outcome::Unknown) => {
+                Instant::now() + REFUSED_PAUSE
+            }
+            _ => started + FLOW_SPACING,
         };
         tokio::select! {
             () = sleep_until(next) => {}
@@ -110,38 +121,49 @@
     }
 }
 
-/// One flow, with its attempts; also the time to its first line.
-async fn flow(
-    links: &Links,
-    index: usize,
-    stop: &mut watch::Receiver<bool>,
-) -> (Outcome, Option<Duration>) {
-    let started = Instant::now();
-    let mut first = None;
+/// How far a flow has come.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    /// Time of the last request.
+    opened: Option<Instant>,
+    /// Time of the first line.
+    first: Option<Instant>,
+}
+
+impl Progress {
+    /// Outcome of a flow that the caller ends now; none when it has only just begun.
+    fn at_stop(self, started: Instant) -> Option<Outcome> {
+        let waited = |since: Instant| since.elapsed() > OPEN_TIME;
+        match (self.first, self.opened) {
+            (Some(_), _) => Some(Outcome::Answered),
+            (None, Some(opened)) => waited(opened).then_some(Outcome::Broken),
+            (None, None) => waited(started).then_some(Outcome::Refused),
+        }
+    }
+}
+
+/// One flow with its attempts.
+async fn flow(links: &Links, index: usize, progress: &mut Progress) -> Outcome {
     let mut delay = RETRY_DELAY;
     let mut retries = 0;
     loop {
         let Ok(link) = links.get(index).await else {
-            return (Outcome::Refused, None);
+            return Outcome::Refused;
         };
-        let failure = match open(&link, head(links)).await {
-            Ok(stream) => follow(links, &link, stream, stop, (started, &mut first)).await,
-            Err(failure) => Err(failure),
-        };
-        match failure {
+        match follow(links, &link, progress).await {
             Ok(Outcome::Refused) | Err(Failure::Rejected) if retries < RETRIES => {
                 retries += 1;
                 links.ledger().retry(links.settings.classes.stream());
                 sleep(delay).await;
                 delay *= 2;
             }
-            Ok(outcome) => return (outcome, first),
+            Ok(outcome) => return outcome,
             Err(Failure::NotSent) => {}
-            Err(Failure::Rejected) => return (Outcome::Refused, first),
-            Err(Failure::GivenUp) => return (Outcome::GivenUp, first),
+            Err(Failure::Rejected) => return Outcome::Refused,
+            Err(Failure::GivenUp) => return Outcome::GivenUp,
             Err(Failure::Broken) => {
                 note_reset(&mut links.ledger(), &link);
-                return (Outcome::Broken, first);
+                return Outcome::Broken;
             }
         }
     }
@@ -155,33 +177,27 @@
         .expect("name and path are valid")
 }
 
+/// Reads one stream to its end.
 async fn follow(
     links: &Links,
-    link: &Link,
-    mut stream: RequestStream<BidiStream<Bytes>, Bytes>,
-    stop: &mut watch::Receiver<bool>,
-    (started, first): (Instant, &mut Option<Duration>),
+    link: &Arc<Link>,
+    progress: &mut Progress,
 ) -> Result<Outcome, Failure> {
-    let failed = |error| classify(link, &error);
-    stream.finish().await.map_err(failed)?;
-    let response = stream.recv_response().await.map_err(failed)?;
+    progress.opened = Some(Instant::now());
+    let opened = timeout(PATIENCE, request(links, link)).await;
+    let (response, mut stream) = opened.unwrap_or(Err(Failure::Broken))?;
     if let Some(outcome) = status_outcome(&response) {
         return Ok(outcome);
     }
     let mut sequence = Lines::default();
     let mut last = Instant::now();
     loop {
-        let data = tokio::select! {
-            data = stream.recv_data() => data.map_err(failed)?,
-            // The drop of the stream cancels it: an explicit stop panics in h3-quinn while a read
-            // is pending.
-            _ = stop.wait_for(|stop| *stop) => return Ok(Outcome::Answered),
-        };
-        let Some(mut data) = data else {
+        let data = stream.recv_data().await;
+        let Some(mut data) = data.map_err(|error| classify(link, &error))? else {
             return Ok(end(&sequence));
         };
-        first.get_or_insert_with(|| started.elapsed());
         note_gap(links, &mut last);
+        progress.first.get_or_insert(last);
         let bytes = data.copy_to_bytes(data.remaining());
         if let Err(fault) = sequence.take(&bytes) {
             log::warn!("caller: {fault}");
@@ -190,6 +206,21 @@
     }
 }
 
+type Stream = RequestStream<BidiStream<Bytes>, Bytes>;
+
+/// Sends the request and receives the head of its response.
+async fn request(links: &Links, link: &Arc<Link>) -> Result<(Response<()>, Stream), Failure> {
+    let mut stream = open(link, head(links)).await?;
+    let exchange = async {
+        stream.finish().await?;
+        stream.recv_response().await
+    };
+    match exchange.await {
+        Ok(response) => Ok((response, stream)),
+        Err(error) => Err(classify(link, &error)),
+    }
+}
+
 fn note_gap(links: &Links, last: &mut Instant) {
     let now = Instant::now();
     let gap = now.saturating_duration_since(*last);
--- a/crates/standin/src/caller/exchange.rs
+++ b/crates/standin/src/caller/exchange.rs
@@ -62,7 +62,9 @@
     request: Request<()>,
     body: Bytes,
 ) -> Result<Response<Bytes>, Failure> {
-    let (mut upload, mut download) = open(link, request).await?.split();
+    // A peer that permits no further streams holds the request up here.
+    let opened = timeout(PATIENCE, open(link, request)).await;
+    let (mut upload, mut download) = opened.unwrap_or(Err(Failure::Broken))?.split();
     let ended = timeout(PATIENCE, both_ways(&mut upload, &mut download, body)).await;
     let failure = match ended {
         Ok(Ok(response)) => {
--- a/crates/standin/src/caller/ledger.rs
+++ b/crates/standin/src/caller/ledger.rs
@@ -105,6 +105,11 @@
         self.classes.entry(class).or_default().sent += 1;
     }
 
+    /// Takes back a flow that the caller ended before any response.
+    pub(super) fn withdraw(&mut self, class: &'static str) {
+        self.classes.entry(class).or_default().sent -= 1;
+    }
+
     pub(super) fn retry(&mut self, class: &'static str) {
         self.classes.entry(class).or_default().retries += 1;
     }
--- a/crates/standin/tests/caller/main.rs
+++ b/crates/standin/tests/caller/main.rs
@@ -90,6 +90,19 @@
     }
 }
 
+/// Guards against a flow without any response that disappears from the counts at the end.
+#[tokio::test]
+async fn silent_service_counts_as_broken() {
+    let server = Server::start(|_, _| Act::Silent);
+    let settings = Settings {
+        boards: 1,
+        time: Duration::from_millis(1300),
+        ..Settings::new(server.address, server.ca())
+    };
+    let ledger = run(settings).await;
+    assert_eq!((ledger.total(Outcome::Broken), ledger.sent()), (1, 1));
+}
+
 /// Guards against a response of another request that passes as one's own.
 #[tokio::test]
 async fn foreign_response_counts_as_broken() {
--- a/crates/standin/tests/caller/server.rs
+++ b/crates/standin/tests/caller/server.rs
@@ -36,6 +36,8 @@
     Status(u16, &'static str),
     /// Close of the connection with this code after 2 ticks.
     Close(u32),
+    /// No response.
+    Silent,
     /// GOAWAY, then a board of 20 ticks.
     GoAway,
 }
@@ -165,6 +167,7 @@
             quic.close(code.into(), b"");
             sent
         }
+        Act::Silent => std::future::pending().await,
         Act::GoAway => {
             leave.send(()).await.unwrap();
             ticks(&mut stream, &(0..20).collect::<Vec<_>>(), true).await
