Tell a process without a document where to fetch one

An agent that starts without a document does not know its data centre yet, and balancers ignored its announcements as those of another data centre, so it waited for ever. They now reply with their configuration versions.

--- a/crates/membership/src/balancer/receive.rs
+++ b/crates/membership/src/balancer/receive.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use monsoon_model::{AgentId, Duration, Instant};
+use monsoon_model::{AgentId, DataCentreId, Duration, Instant};
 
 use super::{BalancerNode, Client};
 use crate::bounds::{LOAD_STEP, MAX_MEMBERS};
@@ -60,6 +60,11 @@
         if id == self.me.id {
             return;
         }
+        if member.data_centre == DataCentreId(0) {
+            // The sender has no document yet; the header tells it where to fetch one.
+            self.send(from, Body::Notice);
+            return;
+        }
         if member.data_centre != self.me.data_centre {
             self.introduced(now, from, &member);
             return;
