--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -207,12 +207,21 @@
     fn data_centre(&mut self, raw: RawDataCentre) -> Option<DataCentre> {
         let identity = self.identity(List::DataCentre, &raw.prefix, raw.name, raw.number);
         let region = self.name(format!("{}region", raw.prefix), raw.region);
+        let group = raw.group.map(|group| {
+            let key = format!("{}group", raw.prefix);
+            self.range(key, Some(group), &(1..=i64::from(u8::MAX)))
+        });
         let (name, number) = identity?;
         let number = place_id(number)?;
+        let group = match group {
+            Some(group) => place_id(u16::try_from(group?).ok()?)?,
+            None => number,
+        };
         Some(DataCentre {
             name,
             number,
             region: region?,
+            group,
         })
     }
 }
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -108,6 +108,7 @@
     let pairs = [
         ("name", old.name.clone(), new.name.clone()),
         ("region", old.region.clone(), new.region.clone()),
+        ("group", old.group.to_string(), new.group.to_string()),
     ];
     values(&format!("data centre {}", old.name), &pairs, changes);
 }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -36,6 +36,9 @@
     pub number: DataCentreId,
     /// Region; targets of the same region are preferred.
     pub region: String,
+    /// Membership group: data centres of one group share their balancers for announcements and
+    /// failure detection. Without the key it is the data centre's own number.
+    pub group: DataCentreId,
 }
 
 /// Service of the document.
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -28,6 +28,7 @@
     pub(crate) name: Option<Located<String>>,
     pub(crate) number: Option<Located<i64>>,
     pub(crate) region: Option<Located<String>>,
+    pub(crate) group: Option<Located<i64>>,
 }
 
 #[derive(Debug)]
@@ -105,12 +106,13 @@
 }
 
 fn read_data_centre(reader: &mut Reader<'_>, section: &Section<'_>) -> RawDataCentre {
-    reader.only(section, &["name", "number", "region"]);
+    reader.only(section, &["name", "number", "region", "group"]);
     RawDataCentre {
         prefix: section.prefix.clone(),
         name: reader.string(section, "name"),
         number: reader.integer(section, "number"),
         region: reader.string(section, "region"),
+        group: reader.integer(section, "group"),
     }
 }
 
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -52,10 +52,16 @@
     page: &impl Fn(&str) -> Option<Value>,
 ) -> Response<Full<Bytes>> {
     if request.method() != Method::GET {
-        return text(StatusCode::METHOD_NOT_ALLOWED, "the admin listener is read-only; use GET\n");
+        return text(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "the admin listener is read-only; use GET\n",
+        );
     }
     let Some(value) = page(request.uri().path()) else {
-        return text(StatusCode::NOT_FOUND, "pages are /status, /counters and /histograms\n");
+        return text(
+            StatusCode::NOT_FOUND,
+            "pages are /status, /counters and /histograms\n",
+        );
     };
     let mut response = Response::new(Full::from(format!("{value}\n")));
     let json = header::HeaderValue::from_static("application/json");
--- a/crates/daemon/src/agent/attempt.rs
+++ b/crates/daemon/src/agent/attempt.rs
@@ -61,10 +61,22 @@
 
     fn channels(
         number: u32,
-    ) -> (Self, mpsc::Receiver<RequestFrame>, mpsc::Sender<ResponseFrame>) {
+    ) -> (
+        Self,
+        mpsc::Receiver<RequestFrame>,
+        mpsc::Sender<ResponseFrame>,
+    ) {
         let (body, frames) = mpsc::channel(FRAME_QUEUE);
         let (sender, replies) = mpsc::channel(FRAME_QUEUE);
-        (Self { number, replies, body: Some(body) }, frames, sender)
+        (
+            Self {
+                number,
+                replies,
+                body: Some(body),
+            },
+            frames,
+            sender,
+        )
     }
 
     /// Takes the sender for the body, which lets the target see the request; `None` the second
--- a/crates/daemon/src/agent/cid.rs
+++ b/crates/daemon/src/agent/cid.rs
@@ -26,7 +26,13 @@
         data_centre: DataCentreId,
         nonce: u32,
     ) -> Self {
-        Self { keys, agent, service, data_centre, nonce }
+        Self {
+            keys,
+            agent,
+            service,
+            data_centre,
+            nonce,
+        }
     }
 }
 
--- a/crates/daemon/src/agent/claims.rs
+++ b/crates/daemon/src/agent/claims.rs
@@ -7,7 +7,6 @@
 use monsoon_execution::claim::{
     Answer, ClaimId, ClaimResult, ClaimRound, KeyHash, Member, RoundAction,
 };
-use monsoon_membership::State;
 use monsoon_model::{AgentId, ServiceId};
 use ring::digest;
 use tokio::sync::mpsc;
@@ -45,13 +44,23 @@
 /// Claims `key` at the members of the service.
 pub async fn claim(agent: &Arc<Agent>, key: KeyHash) -> (ClaimResult, Held) {
     let members = agent.members();
-    let addresses = members.iter().map(|member| (member.id, member.peer)).collect();
+    let addresses = members
+        .iter()
+        .map(|member| (member.id, member.peer))
+        .collect();
     let ranked = members.iter().map(|member| Member {
         id: member.id,
-        departed: matches!(member.state, None | Some(State::Leaving)),
+        // A leaving agent still holds its claims and answers for them until it has handed them over.
+        departed: member.state.is_none(),
     });
-    let claim = ClaimId { agent: agent.id, serial: agent.next_serial() };
-    let mut held = Held { round: ClaimRound::new(key, claim, ranked), addresses };
+    let claim = ClaimId {
+        agent: agent.id,
+        serial: agent.next_serial(),
+    };
+    let mut held = Held {
+        round: ClaimRound::new(key, claim, ranked),
+        addresses,
+    };
     let (sender, mut answers) = mpsc::channel(ANSWER_QUEUE);
     let mut actions = held.round.start(agent.clock.now());
     loop {
@@ -98,7 +107,12 @@
             _ => None,
         };
         // A closed channel means that the round is over.
-        let _ = answers.send(Answered { from: member, answer }).await;
+        let _ = answers
+            .send(Answered {
+                from: member,
+                answer,
+            })
+            .await;
     });
 }
 
@@ -115,7 +129,10 @@
 ) -> impl Future<Output = Option<ClaimReply>> + Send + 'static {
     let address = held.addresses.get(&member).copied();
     let agent = agent.clone();
-    let call = ClaimCall { service: agent.service, message };
+    let call = ClaimCall {
+        service: agent.service,
+        message,
+    };
     async move {
         if member == agent.id {
             return answer(&agent, call).ok();
@@ -129,7 +146,12 @@
     pub fn store(&self, agent: &Arc<Agent>, status: u16) {
         let (key, claim) = self.round.identity();
         for member in self.round.asked() {
-            tell(agent, self, *member, ClaimMessage::Store(key, claim, status));
+            tell(
+                agent,
+                self,
+                *member,
+                ClaimMessage::Store(key, claim, status),
+            );
         }
     }
 
@@ -148,7 +170,10 @@
 /// Refuses a message for another service.
 pub fn answer(agent: &Agent, call: ClaimCall) -> Result<ClaimReply, Status> {
     agent.check_service(call.service)?;
-    let mut claims = agent.claims.lock().expect("no panic while the lock is held");
+    let mut claims = agent
+        .claims
+        .lock()
+        .expect("no panic while the lock is held");
     let now = agent.clock.now();
     Ok(match call.message {
         ClaimMessage::Claim(key, claim) => ClaimReply::Answer(claims.claim(now, key, claim)),
@@ -162,7 +187,11 @@
         }
         ClaimMessage::Adopt(handed) => {
             let mut adopted = handed.into_iter().map(|claim| claims.adopt(now, claim));
-            if adopted.all(|done| done) { ClaimReply::Done } else { ClaimReply::Full }
+            if adopted.all(|done| done) {
+                ClaimReply::Done
+            } else {
+                ClaimReply::Full
+            }
         }
     })
 }
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -22,12 +22,19 @@
     socket: Arc<AgentSocket>,
     events: mpsc::Receiver<Event>,
 ) {
-    let machine = Machine { handle: AgentNode::handle, next_tick: AgentNode::next_tick };
+    let machine = Machine {
+        handle: AgentNode::handle,
+        next_tick: AgentNode::next_tick,
+    };
     let (reader, clock) = (node.clone(), control.clock);
     control
         .run(node, machine, events, move |_| {
             let node = reader.lock().expect("no panic while the lock is held");
-            socket.set_balancers(node.balancers(clock.now()).into_iter().map(|balancer| balancer.data));
+            socket.set_balancers(
+                node.balancers(clock.now())
+                    .into_iter()
+                    .map(|balancer| balancer.data),
+            );
         })
         .await;
 }
--- a/crates/daemon/src/agent/drive.rs
+++ b/crates/daemon/src/agent/drive.rs
@@ -12,12 +12,12 @@
 use monsoon_model::{ClassKey, Instant};
 use quinn::Connection;
 
+use super::Agent;
 use super::attempt::Attempt;
 use super::claims::{self, Held};
+use super::flows::Phase;
 use super::request::{self, Receiver};
 use super::respond::{self, Refusal, Sender};
-use super::Agent;
-use super::flows::Phase;
 use crate::peer::{ExecuteHead, ResponseFrame, ResponseHead};
 
 /// A caller's request with what its execution needs.
@@ -95,7 +95,11 @@
             };
             let now = self.agent.clock.now();
             let actions = {
-                let mut budget = self.agent.budget.lock().expect("no panic while the lock is held");
+                let mut budget = self
+                    .agent
+                    .budget
+                    .lock()
+                    .expect("no panic while the lock is held");
                 self.execution.handle(now, event, &mut budget)
             };
             for action in actions {
@@ -103,7 +107,8 @@
             }
         }
         if self.sender.is_some() {
-            self.agent.record(&self.class.name, Outcome::Cancelled, None);
+            self.agent
+                .record(&self.class.name, Outcome::Cancelled, None);
         }
     }
 
@@ -199,7 +204,11 @@
         self.receiver.as_ref()?;
         let now = self.agent.clock.now();
         self.peers = {
-            let node = self.agent.node.lock().expect("no panic while the lock is held");
+            let node = self
+                .agent
+                .node
+                .lock()
+                .expect("no panic while the lock is held");
             node.peers(now)
         };
         let loads: Vec<_> = self.peers.iter().map(peer_load).collect();
@@ -233,8 +242,14 @@
 
     fn head_now(&self) -> ExecuteHead {
         let now = self.agent.clock.now();
-        let left = self.execution.deadline().map(|at| at.since(now).as_millis());
-        ExecuteHead { deadline_ms: left, ..self.head.clone() }
+        let left = self
+            .execution
+            .deadline()
+            .map(|at| at.since(now).as_millis());
+        ExecuteHead {
+            deadline_ms: left,
+            ..self.head.clone()
+        }
     }
 
     async fn reply(&mut self, reply: Reply) {
@@ -249,7 +264,8 @@
         };
         let latency = self.agent.clock.now().since(self.started);
         let answered = outcome == Outcome::Answered && !self.class.stream;
-        self.agent.record(&self.class.name, outcome, answered.then_some(latency));
+        self.agent
+            .record(&self.class.name, outcome, answered.then_some(latency));
     }
 
     async fn deliver(&mut self, sender: Sender) -> Outcome {
--- a/crates/daemon/src/agent/flows.rs
+++ b/crates/daemon/src/agent/flows.rs
@@ -128,7 +128,10 @@
         Phase::Serving => true,
         Phase::Leaving => h3.shutdown(0).await.is_ok(),
         Phase::Out => {
-            connection.close(VarInt::from_u32(DATA_CENTRE_OUT), b"data centre is out of service");
+            connection.close(
+                VarInt::from_u32(DATA_CENTRE_OUT),
+                b"data centre is out of service",
+            );
             false
         }
     }
--- a/crates/daemon/src/agent/gate.rs
+++ b/crates/daemon/src/agent/gate.rs
@@ -41,7 +41,11 @@
             waiting: BTreeMap::new(),
             last: 0,
         };
-        Self { clock, state: Arc::new(Mutex::new(state)), changed: Arc::default() }
+        Self {
+            clock,
+            state: Arc::new(Mutex::new(state)),
+            changed: Arc::default(),
+        }
     }
 
     /// Waits until the target may take the work.
@@ -66,7 +70,12 @@
         };
         self.changed.notify_one();
         // The guard withdraws queued work when the caller goes away while waiting.
-        let mut permit = Permit { gate: self.clone(), work, outcome: Outcome::Cancelled, started: false };
+        let mut permit = Permit {
+            gate: self.clone(),
+            work,
+            outcome: Outcome::Cancelled,
+            started: false,
+        };
         match admitted.await {
             Ok(Ok(())) => {
                 permit.started = true;
@@ -177,7 +186,8 @@
         if queued && !self.started {
             self.gate.with(|admission, now| admission.cancel(now, work));
         } else {
-            self.gate.with(|admission, now| admission.finish(now, work, outcome));
+            self.gate
+                .with(|admission, now| admission.finish(now, work, outcome));
         }
     }
 }
--- a/crates/daemon/src/agent/health.rs
+++ b/crates/daemon/src/agent/health.rs
@@ -41,14 +41,20 @@
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         timer.tick().await;
-        let answer = tokio::time::timeout(TIMEOUT, ask(&target)).await.ok().flatten();
+        let answer = tokio::time::timeout(TIMEOUT, ask(&target))
+            .await
+            .ok()
+            .flatten();
         gate.report(report(answer));
     }
 }
 
 fn report(answer: Option<Answer>) -> HealthReport {
     let Some(answer) = answer else {
-        return HealthReport { state: ReportedState::Cold, load: None };
+        return HealthReport {
+            state: ReportedState::Cold,
+            load: None,
+        };
     };
     let load = match (answer.busy, answer.slots) {
         (Some(busy), Some(slots)) if slots > 0.0 => Some(busy / slots),
@@ -64,10 +70,19 @@
 
 async fn ask(target: &Target) -> Option<Answer> {
     let mut exchange = target.connect().await.ok()?;
-    let body = Empty::<Bytes>::new().map_err(|never| match never {}).boxed_unsync();
-    let request = Request::get("/health").header(header::HOST, "target").body(body).ok()?;
+    let body = Empty::<Bytes>::new()
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    let request = Request::get("/health")
+        .header(header::HOST, "target")
+        .body(body)
+        .ok()?;
     let response = exchange.send(request).await.ok()?;
-    let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await.ok()?.to_bytes();
+    let body = Limited::new(response.into_body(), MAX_ANSWER)
+        .collect()
+        .await
+        .ok()?
+        .to_bytes();
     exchange.complete();
     serde_json::from_slice(&body).ok()
 }
--- a/crates/daemon/src/agent/local.rs
+++ b/crates/daemon/src/agent/local.rs
@@ -58,7 +58,9 @@
     mut body: BodyFrames,
     replies: Replies,
 ) -> Result<(), Gone> {
-    let deadline = head.deadline_ms.map(|left| agent.clock.now() + Duration::from_millis(left));
+    let deadline = head
+        .deadline_ms
+        .map(|left| agent.clock.now() + Duration::from_millis(left));
     let mut permit = match agent.gate.enter(class, deadline).await {
         Ok(permit) => permit,
         Err(reason) => {
@@ -89,11 +91,7 @@
     }
 }
 
-async fn give_up(
-    permit: &mut Permit,
-    replies: &Replies,
-    error: &TargetError,
-) -> Result<(), Gone> {
+async fn give_up(permit: &mut Permit, replies: &Replies, error: &TargetError) -> Result<(), Gone> {
     log::warn!("target: {error}");
     permit.set_outcome(Outcome::Failed);
     let frame = match error {
@@ -118,7 +116,10 @@
         .filter(|(name, _)| !is_hop_by_hop(name.as_str()))
         .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())))
         .collect();
-    let head = ResponseHead { status: parts.status.as_u16(), headers };
+    let head = ResponseHead {
+        status: parts.status.as_u16(),
+        headers,
+    };
     reply(replies, ResponseFrame::Head(head)).await?;
     while let Some(frame) = body.frame().await {
         match frame {
@@ -134,7 +135,11 @@
             }
         }
     }
-    permit.set_outcome(if overloaded { Outcome::Failed } else { Outcome::Ok });
+    permit.set_outcome(if overloaded {
+        Outcome::Failed
+    } else {
+        Outcome::Ok
+    });
     exchange.complete();
     reply(replies, ResponseFrame::End).await
 }
@@ -160,20 +165,28 @@
         request.headers_mut().append(name, value);
     }
     if !request.headers().contains_key(header::HOST) {
-        request.headers_mut().insert(header::HOST, HeaderValue::from_static("target"));
+        request
+            .headers_mut()
+            .insert(header::HOST, HeaderValue::from_static("target"));
     }
     if let Some(deadline) = deadline {
         let left = deadline.since(now).as_millis();
-        request.headers_mut().insert(DEADLINE, HeaderValue::from(left));
+        request
+            .headers_mut()
+            .insert(DEADLINE, HeaderValue::from(left));
     }
     Ok(request)
 }
 
 fn request_body(first: RequestFrame, rest: BodyFrames) -> RequestBody {
     if matches!(first, RequestFrame::End) {
-        return Empty::new().map_err(|never: Infallible| match never {}).boxed_unsync();
+        return Empty::new()
+            .map_err(|never: Infallible| match never {})
+            .boxed_unsync();
     }
-    let frames = futures::stream::once(std::future::ready(first)).chain(rest).boxed();
+    let frames = futures::stream::once(std::future::ready(first))
+        .chain(rest)
+        .boxed();
     let chunks = futures::stream::unfold(Some(frames), |frames| async move {
         let mut frames = frames?;
         match frames.next().await {
@@ -187,5 +200,8 @@
 }
 
 fn body_broke_off() -> io::Error {
-    io::Error::new(io::ErrorKind::UnexpectedEof, "the caller's request body broke off")
+    io::Error::new(
+        io::ErrorKind::UnexpectedEof,
+        "the caller's request body broke off",
+    )
 }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -97,7 +97,10 @@
 
     /// Records the end of a request.
     fn record(&self, class: &str, outcome: Outcome, latency: Option<Duration>) {
-        let mut histograms = self.histograms.lock().expect("no panic while the lock is held");
+        let mut histograms = self
+            .histograms
+            .lock()
+            .expect("no panic while the lock is held");
         histograms.count(&self.tenant, class, outcome);
         if let Some(latency) = latency {
             histograms.record(&self.tenant, class, latency);
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::{Buf, Bytes};
-use h3::error::Code;
 use h3::server::{RequestResolver, RequestStream};
 use http::Request;
 use monsoon_model::ServiceId;
@@ -43,11 +42,24 @@
         return;
     }
     let head = head(agent.service, &request);
-    drive(Work { agent, connection, key, class, head, claim, sender, receiver }).await;
+    drive(Work {
+        agent,
+        connection,
+        key,
+        class,
+        head,
+        claim,
+        sender,
+        receiver,
+    })
+    .await;
 }
 
 fn head(service: ServiceId, request: &Request<()>) -> ExecuteHead {
-    let path = request.uri().path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", http::uri::PathAndQuery::as_str);
     let headers = request
         .headers()
         .iter()
@@ -76,8 +88,8 @@
         };
         let last = matches!(frame, RequestFrame::End);
         if body.send(frame).await.is_err() {
-            // Nobody reads the rest: the request is over.
-            receiver.stop_sending(Code::H3_NO_ERROR);
+            // Nobody reads the rest: the request is over. Dropping the receiver asks the caller to
+            // stop; an explicit stop panics in h3-quinn while a read is pending.
             return;
         }
         if last {
--- a/crates/daemon/src/agent/respond.rs
+++ b/crates/daemon/src/agent/respond.rs
@@ -87,7 +87,12 @@
     Outcome::Answered
 }
 
-async fn send_text(mut sender: Sender, status: StatusCode, outcome: &'static str, text: &'static str) {
+async fn send_text(
+    mut sender: Sender,
+    status: StatusCode,
+    outcome: &'static str,
+    text: &'static str,
+) {
     let mut response = Response::new(());
     *response.status_mut() = status;
     let headers = response.headers_mut();
@@ -96,7 +101,11 @@
     if sender.send_response(response).await.is_err() {
         return;
     }
-    if sender.send_data(Bytes::from_static(text.as_bytes())).await.is_err() {
+    if sender
+        .send_data(Bytes::from_static(text.as_bytes()))
+        .await
+        .is_err()
+    {
         return;
     }
     if let Err(error) = sender.finish().await {
--- a/crates/daemon/src/agent/socket.rs
+++ b/crates/daemon/src/agent/socket.rs
@@ -58,7 +58,9 @@
 
 impl fmt::Debug for AgentSocket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("AgentSocket").field("data", &self.parts.data).finish_non_exhaustive()
+        f.debug_struct("AgentSocket")
+            .field("data", &self.parts.data)
+            .finish_non_exhaustive()
     }
 }
 
@@ -71,7 +73,11 @@
             address: None,
         };
         let buffer = Mutex::new(Box::new([0; MAX_DATAGRAM]));
-        Self { parts, state: Mutex::new(state), buffer }
+        Self {
+            parts,
+            state: Mutex::new(state),
+            buffer,
+        }
     }
 
     /// Replaces the balancers known from the membership.
@@ -128,7 +134,10 @@
     ) -> Option<(Envelope, &'a [u8])> {
         let load = (self.parts.load)();
         let hop = usize::from(envelope.hop);
-        match state.handoff.decide(now, envelope.key, &envelope.chain, hop, load) {
+        match state
+            .handoff
+            .decide(now, envelope.key, &envelope.chain, hop, load)
+        {
             Decision::Redirect(agent) => {
                 let (chain, last) = redirect(&envelope.chain, hop, agent);
                 self.pass_on(Envelope { chain, ..envelope }, last, payload);
@@ -147,7 +156,10 @@
         let Some(target) = envelope.chain.hop(next) else {
             return;
         };
-        let onward = Envelope { hop: next as u8, ..envelope };
+        let onward = Envelope {
+            hop: next as u8,
+            ..envelope
+        };
         let datagram = onward.seal(&self.parts.keys, payload);
         self.parts.counters.count("flow_passed_on");
         self.send(&datagram, SocketAddr::V4(target.agent));
@@ -207,7 +219,8 @@
             };
             let now = self.parts.clock.now();
             let mut state = self.lock();
-            let Some((envelope, payload)) = self.unwrap(&mut state, now, from, read.filled()) else {
+            let Some((envelope, payload)) = self.unwrap(&mut state, now, from, read.filled())
+            else {
                 continue;
             };
             if payload.len() > bufs[0].len() {
--- a/crates/daemon/src/agent/start.rs
+++ b/crates/daemon/src/agent/start.rs
@@ -25,7 +25,7 @@
 use crate::admin;
 use crate::peer;
 use crate::settings::Settings;
-use crate::shell::{EVENT_QUEUE, Shell, leave};
+use crate::shell::{EVENT_QUEUE, Place, Shell, leave};
 use crate::signals::Signals;
 use crate::sockets::{BindError, Sockets};
 use crate::tls::TlsError;
@@ -56,7 +56,7 @@
 /// Place of an agent in the document.
 struct Placement {
     tenant: String,
-    data_centre: DataCentreId,
+    place: Place,
     service: Service,
 }
 
@@ -94,15 +94,13 @@
 }
 
 fn place(document: &Document, data_centre: &str, service: &str) -> Result<Placement, String> {
-    let place = document.data_centre_named(data_centre).ok_or_else(|| {
-        format!("the document has no data centre {data_centre}; add it or correct the settings")
-    })?;
+    let place = Place::find(document, data_centre)?;
     let service = document.service_named(service).ok_or_else(|| {
         format!("the document has no service {service}; add it or correct the settings")
     })?;
     Ok(Placement {
         tenant: document.tenant.clone(),
-        data_centre: place.number,
+        place,
         service: service.clone(),
     })
 }
@@ -139,22 +137,43 @@
 
 fn admin_page(agent: &Agent, path: &str) -> Option<serde_json::Value> {
     match path {
-        "/status" => Some(serde_json::json!({
-            "role": "agent",
-            "service": agent.service,
-            "versions": agent.configuration.versions(),
-            "flows": agent.flows.get(),
-            "load": agent.gate.load(),
-        })),
+        "/status" => Some(status(agent)),
         "/counters" => serde_json::to_value(agent.counters.snapshot()).ok(),
         "/histograms" => {
-            let histograms = agent.histograms.lock().expect("no panic while the lock is held");
+            let histograms = agent
+                .histograms
+                .lock()
+                .expect("no panic while the lock is held");
             serde_json::to_value(histograms.snapshot()).ok()
         }
         _ => None,
     }
 }
 
+fn status(agent: &Agent) -> serde_json::Value {
+    let peers: Vec<_> = {
+        let node = agent.node.lock().expect("no panic while the lock is held");
+        node.peers(agent.clock.now())
+            .iter()
+            .map(|peer| {
+                serde_json::json!({
+                    "address": peer.peer,
+                    "state": peer.state,
+                    "load": peer.load,
+                })
+            })
+            .collect()
+    };
+    serde_json::json!({
+        "role": "agent",
+        "service": agent.service,
+        "versions": agent.configuration.versions(),
+        "flows": agent.flows.get(),
+        "load": agent.gate.load(),
+        "peers": peers,
+    })
+}
+
 /// Creates the parts of an agent.
 struct Builder {
     shell: Shell,
@@ -170,7 +189,12 @@
     ) -> (mpsc::Sender<Event>, JoinHandle<()>) {
         let node = agent.node.clone();
         let (events, inbox) = mpsc::channel(EVENT_QUEUE);
-        let membership = tokio::spawn(control::run(self.shell.control.clone(), node, socket, inbox));
+        let membership = tokio::spawn(control::run(
+            self.shell.control.clone(),
+            node,
+            socket,
+            inbox,
+        ));
         let slots = u16::try_from(self.placement.service.slots).unwrap_or(u16::MAX);
         tokio::spawn(control::report_local(agent.clone(), slots, events.clone()));
         (events, membership)
@@ -179,19 +203,21 @@
     fn spawn_services(&self, agent: &Arc<Agent>, endpoint: &Endpoint, sockets: Sockets) {
         tokio::spawn(agent.gate.clone().run_timer());
         tokio::spawn(health::poll(agent.target.clone(), agent.gate.clone()));
-        tokio::spawn(follow_places(agent.clone(), self.placement.data_centre));
+        tokio::spawn(follow_places(agent.clone(), self.placement.place.number));
         tokio::spawn(flows::accept(agent.clone(), endpoint.clone()));
         let (handlers, tls) = (serve_peer::handlers(agent), self.shell.tls.clone());
         tokio::spawn(async move { peer::serve(sockets.peer, &tls, handlers).await });
         let reader = agent.clone();
-        tokio::spawn(admin::serve(sockets.admin, move |path| admin_page(&reader, path)));
+        tokio::spawn(admin::serve(sockets.admin, move |path| {
+            admin_page(&reader, path)
+        }));
     }
 
     fn agent(&self, target: SocketAddr) -> Arc<Agent> {
         let (phase, _) = watch::channel(Phase::Serving);
         let (control, placement) = (&self.shell.control, &self.placement);
         let service = placement.service.number;
-        let member = self.shell.member(Role::Agent, placement.data_centre, service);
+        let member = self.shell.member(Role::Agent, placement.place, service);
         let (now, seeds) = (control.clock.now(), self.shell.settings.seeds.clone());
         let node = AgentNode::new(now, member, seeds, rand::random());
         Arc::new(Agent {
@@ -229,14 +255,21 @@
 
     fn endpoint(&self, socket: Arc<AgentSocket>) -> Result<Endpoint, AgentError> {
         let (keys, data) = (self.shell.control.keys.clone(), self.shell.addresses.data);
-        let (service, data_centre) = (self.placement.service.number, self.placement.data_centre);
+        let (service, data_centre) = (self.placement.service.number, self.placement.place.number);
         let mut config = EndpointConfig::new(Arc::new(keys.reset_key().clone()));
         config.cid_generator(move || {
             let nonce = rand::random();
-            Box::new(CidGenerator::new(keys.clone(), data, service, data_centre, nonce))
+            Box::new(CidGenerator::new(
+                keys.clone(),
+                data,
+                service,
+                data_centre,
+                nonce,
+            ))
         });
-        let tls = quinn::crypto::rustls::QuicServerConfig::try_from(self.shell.tls.caller_server()?)
-            .map_err(|error| AgentError::Quic(std::io::Error::other(error)))?;
+        let tls =
+            quinn::crypto::rustls::QuicServerConfig::try_from(self.shell.tls.caller_server()?)
+                .map_err(|error| AgentError::Quic(std::io::Error::other(error)))?;
         let mut server = ServerConfig::with_crypto(Arc::new(tls));
         server.transport_config(Arc::new(transport()));
         Endpoint::new_with_abstract_socket(
--- a/crates/daemon/src/agent/target.rs
+++ b/crates/daemon/src/agent/target.rs
@@ -63,7 +63,10 @@
 impl Target {
     /// Target at `address`; nothing is connected yet.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Arc::default() }
+        Self {
+            address,
+            idle: Arc::default(),
+        }
     }
 
     /// Reserves a connection.
@@ -75,7 +78,10 @@
             Some(connection) => connection,
             None => self.open().await?,
         };
-        Ok(Exchange { target: self.clone(), connection: Some(connection) })
+        Ok(Exchange {
+            target: self.clone(),
+            connection: Some(connection),
+        })
     }
 
     fn take_idle(&self) -> Option<Connection> {
@@ -89,12 +95,17 @@
     }
 
     async fn open(&self) -> Result<Connection, TargetError> {
-        let refused = |reason: String| TargetError::NotRun { address: self.address, reason };
+        let refused = |reason: String| TargetError::NotRun {
+            address: self.address,
+            reason,
+        };
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
             .await
             .map_err(|_elapsed| refused("the connection attempt timed out".into()))?
             .map_err(|error| refused(error.to_string()))?;
-        stream.set_nodelay(true).map_err(|error| refused(error.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| refused(error.to_string()))?;
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| refused(error.to_string()))?;
@@ -103,7 +114,10 @@
                 log::debug!("target: connection ended: {error}");
             }
         });
-        Ok(Connection { sender, driver: task.abort_handle() })
+        Ok(Connection {
+            sender,
+            driver: task.abort_handle(),
+        })
     }
 }
 
@@ -126,17 +140,24 @@
     ) -> Result<Response<Incoming>, TargetError> {
         let address = self.target.address;
         let Some(connection) = &mut self.connection else {
-            return Err(TargetError::NotRun { address, reason: "exchange is over".into() });
+            return Err(TargetError::NotRun {
+                address,
+                reason: "exchange is over".into(),
+            });
         };
-        connection.sender.try_send_request(request).await.map_err(|mut error| {
-            let reason = error.error().to_string();
-            // The request comes back only when no byte of it was written.
-            if error.take_message().is_some() {
-                TargetError::NotRun { address, reason }
-            } else {
-                TargetError::Unknown { address, reason }
-            }
-        })
+        connection
+            .sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| {
+                let reason = error.error().to_string();
+                // The request comes back only when no byte of it was written.
+                if error.take_message().is_some() {
+                    TargetError::NotRun { address, reason }
+                } else {
+                    TargetError::Unknown { address, reason }
+                }
+            })
     }
 
     /// Returns the connection for reuse after a response was read to its end.
@@ -144,7 +165,11 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
-        let mut idle = self.target.idle.lock().expect("no panic while the lock is held");
+        let mut idle = self
+            .target
+            .idle
+            .lock()
+            .expect("no panic while the lock is held");
         if idle.len() < MAX_IDLE {
             idle.push(connection);
         }
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -62,27 +62,32 @@
     agents: &[Member],
     out: &BTreeSet<DataCentreId>,
 ) -> BTreeMap<ServiceId, Vec<Candidate>> {
-    let region = document.data_centre_named(home).map(|place| place.region.as_str());
-    let mut tables: BTreeMap<_, Vec<_>> =
-        document.services.keys().map(|service| (*service, Vec::new())).collect();
+    let region = document
+        .data_centre_named(home)
+        .map(|place| place.region.as_str());
+    let mut tables: BTreeMap<_, Vec<_>> = document
+        .services
+        .keys()
+        .map(|service| (*service, Vec::new()))
+        .collect();
     for agent in agents {
         let (Some(service), Some(place)) = (
             document.services.get(&agent.service),
-            document.data_centres.get(&agent.data_centre),
+            document.data_centres.get(&agent.place),
         ) else {
             continue;
         };
         let Some(share) = share(agent.state, service.cold_share) else {
             continue;
         };
-        if out.contains(&agent.data_centre) {
+        if out.contains(&agent.place) {
             continue;
         }
         let weight = f64::from(agent.slots.max(1)) * SLOT_WEIGHT * share;
         let candidate = Candidate {
             id: agent.id,
             agent: agent.data,
-            data_centre: agent.data_centre,
+            data_centre: agent.place,
             weight: (weight as u32).max(1),
             local: Some(place.region.as_str()) == region,
         };
--- a/crates/daemon/src/balancer/forward.rs
+++ b/crates/daemon/src/balancer/forward.rs
@@ -45,7 +45,11 @@
     pub fn datagram(&self, received: Received<'_>) -> Option<Vec<u8>> {
         let packet = quic::first_look(received.payload);
         let look = self.look(received.caller, &packet);
-        let key = if let FirstLook::New { key } = look { key } else { 0 };
+        let key = if let FirstLook::New { key } = look {
+            key
+        } else {
+            0
+        };
         let now = self.clock.now();
         let route = self
             .router
@@ -80,20 +84,14 @@
             });
         }
         match packet {
-            Packet::Initial { .. } => {
-                FirstLook::New { key: flow_key(&self.keys, caller, dcid) }
-            }
+            Packet::Initial { .. } => FirstLook::New {
+                key: flow_key(&self.keys, caller, dcid),
+            },
             _ => FirstLook::Unverified,
         }
     }
 
-    fn send(
-        &self,
-        received: Received<'_>,
-        key: u64,
-        chain: Chain,
-        to: SocketAddr,
-    ) {
+    fn send(&self, received: Received<'_>, key: u64, chain: Chain, to: SocketAddr) {
         let envelope = Envelope {
             direction: Direction::Forward,
             service: received.service,
--- a/crates/daemon/src/balancer/listeners.rs
+++ b/crates/daemon/src/balancer/listeners.rs
@@ -30,7 +30,12 @@
 impl Listeners {
     /// No socket yet; `binds` gives local addresses to bind in place of service addresses.
     pub fn new(binds: BTreeMap<SocketAddr, SocketAddr>, forward: Forward) -> Self {
-        Self { binds, forward, sockets: ServiceSockets::default(), tasks: BTreeMap::new() }
+        Self {
+            binds,
+            forward,
+            sockets: ServiceSockets::default(),
+            tasks: BTreeMap::new(),
+        }
     }
 
     /// Sockets for replies.
@@ -62,7 +67,10 @@
             let keep = wanted.get(address) == Some(service);
             if !keep {
                 task.abort();
-                sockets.lock().expect("no panic while the lock is held").remove(address);
+                sockets
+                    .lock()
+                    .expect("no panic while the lock is held")
+                    .remove(address);
                 log::info!("balancer: {address} is no longer served");
             }
             keep
@@ -78,7 +86,10 @@
         };
         let local = socket.local_addr().unwrap_or(bind);
         log::info!("balancer: {address} is served at {local}");
-        let mut sockets = self.sockets.lock().expect("no panic while the lock is held");
+        let mut sockets = self
+            .sockets
+            .lock()
+            .expect("no panic while the lock is held");
         sockets.insert(address, socket.clone());
         let task = tokio::spawn(receive(self.forward.clone(), socket, address, service));
         self.tasks.insert(address, (service, task.abort_handle()));
@@ -97,7 +108,12 @@
         let Ok((len, caller)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        let received = Received { service, address, caller, payload: &buffer[..len] };
+        let received = Received {
+            service,
+            address,
+            caller,
+            payload: &buffer[..len],
+        };
         if let Some(reset) = forward.datagram(received)
             && socket.try_send_to(&reset, caller).is_err()
         {
--- a/crates/daemon/src/balancer/start.rs
+++ b/crates/daemon/src/balancer/start.rs
@@ -7,7 +7,7 @@
 
 use derive_more::{Display, Error, From};
 use monsoon_membership::{BalancerNode, Event, LocalState, Role, State};
-use monsoon_model::{DataCentreId, ServiceId, hash};
+use monsoon_model::{ServiceId, hash};
 use monsoon_routing::Router;
 use monsoon_store::Client;
 use tokio::sync::{mpsc, watch};
@@ -15,13 +15,13 @@
 use super::control::Tables;
 use super::forward::Forward;
 use super::listeners::Listeners;
-use super::store_watch::{self, Object};
 use super::replies;
+use super::store_watch::{self, Object};
 use crate::admin;
 use crate::control::{Machine, News};
 use crate::peer::{self, Handlers};
 use crate::settings::Settings;
-use crate::shell::{EVENT_QUEUE, Shell, leave};
+use crate::shell::{EVENT_QUEUE, Place, Shell, leave};
 use crate::signals::Signals;
 use crate::sockets::{BindError, Sockets};
 
@@ -56,11 +56,12 @@
     shell.print_ready();
     let (node_known, node) = watch::channel::<Option<Node>>(None);
     spawn_store_watch(&shell, &node);
-    let data_centre = tokio::select! {
-        number = learn_data_centre(&shell) => number,
+    let name = shell.settings.data_centre.clone();
+    let place = tokio::select! {
+        place = shell.learn(|document| Place::find(document, &name)) => place,
         () = signals.stop() => return Ok(()),
     };
-    let tables = tables(&shell, data_centre);
+    let tables = tables(&shell, place);
     node_known.send_replace(Some(tables.node.clone()));
     let forward = Forward {
         router: tables.router.clone(),
@@ -79,29 +80,26 @@
         () = following => {}
         () = signals.stop() => {}
     }
-    log::info!("balancer: stops and forwards for {} s more", LEAVING_NOTICE.as_secs());
+    log::info!(
+        "balancer: stops and forwards for {} s more",
+        LEAVING_NOTICE.as_secs()
+    );
     leave(events, membership).await;
     tokio::time::sleep(LEAVING_NOTICE).await;
     Ok(())
 }
 
-async fn learn_data_centre(shell: &Shell) -> DataCentreId {
-    let name = &shell.settings.data_centre;
-    let find = |document: &monsoon_config::Document| {
-        let place = document.data_centre_named(name);
-        place.map(|place| place.number).ok_or_else(|| {
-            format!("the document has no data centre {name}; add it or correct the settings")
-        })
-    };
-    shell.learn(find).await
-}
-
-fn tables(shell: &Shell, data_centre: DataCentreId) -> Tables {
-    let member = shell.member(Role::Balancer, data_centre, ServiceId(0));
+fn tables(shell: &Shell, place: Place) -> Tables {
+    let member = shell.member(Role::Balancer, place, ServiceId(0));
     let seeds = shell.settings.seeds.clone();
     let now = shell.control.clock.now();
     Tables {
-        node: Arc::new(Mutex::new(BalancerNode::new(now, member, seeds, rand::random()))),
+        node: Arc::new(Mutex::new(BalancerNode::new(
+            now,
+            member,
+            seeds,
+            rand::random(),
+        ))),
         router: Arc::new(Mutex::new(Router::default())),
         configuration: shell.control.configuration.clone(),
         data_centre: shell.settings.data_centre.clone(),
@@ -141,7 +139,10 @@
     tables: Tables,
     events: mpsc::Receiver<Event>,
 ) {
-    let machine = Machine { handle: BalancerNode::handle, next_tick: BalancerNode::next_tick };
+    let machine = Machine {
+        handle: BalancerNode::handle,
+        next_tick: BalancerNode::next_tick,
+    };
     let clock = control.clock;
     let node = tables.node.clone();
     control
@@ -168,7 +169,10 @@
 
 fn status(tables: &Tables) -> serde_json::Value {
     let routing = {
-        let router = tables.router.lock().expect("no panic while the lock is held");
+        let router = tables
+            .router
+            .lock()
+            .expect("no panic while the lock is held");
         format!("{:?}", router.counters())
     };
     let node = tables.node.lock().expect("no panic while the lock is held");
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -11,7 +11,9 @@
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Self {
-        Self { start: std::time::Instant::now() }
+        Self {
+            start: std::time::Instant::now(),
+        }
     }
 
     /// The present.
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -21,7 +21,10 @@
     /// Nothing in force yet.
     pub fn new() -> Self {
         let (changes, _) = watch::channel(Versions::default());
-        Self { state: Arc::default(), changes }
+        Self {
+            state: Arc::default(),
+            changes,
+        }
     }
 
     /// Versions in force.
@@ -61,7 +64,10 @@
         let state = self.lock();
         let versions = state.versions();
         let text = |newer: bool, version: Version, text: Option<&str>| {
-            text.filter(|_| newer).map(|text| ObjectText { version, text: text.to_owned() })
+            text.filter(|_| newer).map(|text| ObjectText {
+                version,
+                text: text.to_owned(),
+            })
         };
         Fetched {
             document: text(
@@ -79,7 +85,15 @@
 
     /// Fetches newer texts from another process.
     pub async fn fetch(&self, peers: &Peers, peer: SocketAddr) {
-        match peers.fetch(peer, FetchCall { have: self.versions() }).await {
+        match peers
+            .fetch(
+                peer,
+                FetchCall {
+                    have: self.versions(),
+                },
+            )
+            .await
+        {
             Ok(fetched) => {
                 if let Some(object) = fetched.document {
                     self.offer_document(object.version, &object.text);
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -18,6 +18,9 @@
 
     /// All counts so far.
     pub fn snapshot(&self) -> BTreeMap<&'static str, u64> {
-        self.counts.lock().expect("no panic while the lock is held").clone()
+        self.counts
+            .lock()
+            .expect("no panic while the lock is held")
+            .clone()
     }
 }
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -4,7 +4,8 @@
 
 /// Starts logging. `RUST_LOG` selects the levels; without it `info` and above are written.
 pub fn init(json: bool) {
-    let filter = logforth::filter::rustlog::RustLogFilterBuilder::from_default_env_or("info").build();
+    let filter =
+        logforth::filter::rustlog::RustLogFilterBuilder::from_default_env_or("info").build();
     let builder = logforth::starter_log::stderr().filter(filter);
     if json {
         builder.layout(JsonLayout::default()).apply();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -53,7 +53,9 @@
 }
 
 fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     match settings.role.clone() {
         Role::Balancer { binds } => runtime.block_on(balancer::run(settings, binds))?,
         Role::Agent { service, target } => {
--- a/crates/daemon/src/peer/client.rs
+++ b/crates/daemon/src/peer/client.rs
@@ -33,7 +33,10 @@
 impl Peers {
     /// No connection yet.
     pub fn new(tls: Arc<Tls>) -> Self {
-        Self { tls, channels: Arc::default() }
+        Self {
+            tls,
+            channels: Arc::default(),
+        }
     }
 
     /// Runs a request at the target behind `peer`.
@@ -80,14 +83,17 @@
 
     async fn ready(&self, peer: SocketAddr) -> Result<tonic::client::Grpc<Channel>, Status> {
         let mut grpc = tonic::client::Grpc::new(self.channel(peer)?);
-        grpc.ready()
-            .await
-            .map_err(|error| Status::unavailable(format!("peer {peer} cannot be reached: {error}")))?;
+        grpc.ready().await.map_err(|error| {
+            Status::unavailable(format!("peer {peer} cannot be reached: {error}"))
+        })?;
         Ok(grpc)
     }
 
     fn channel(&self, peer: SocketAddr) -> Result<Channel, Status> {
-        let mut channels = self.channels.lock().expect("no panic while the lock is held");
+        let mut channels = self
+            .channels
+            .lock()
+            .expect("no panic while the lock is held");
         if let Some(channel) = channels.get(&peer) {
             return Ok(channel.clone());
         }
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -12,7 +12,7 @@
 
 pub use client::Peers;
 pub use message::{
-    ClaimCall, ClaimMessage, ClaimReply, ExecuteHead, Fetched, FetchCall, ObjectText, RequestFrame,
+    ClaimCall, ClaimMessage, ClaimReply, ExecuteHead, FetchCall, Fetched, ObjectText, RequestFrame,
     ResponseFrame, ResponseHead,
 };
 pub use server::{Handlers, ResponseFrames, serve};
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -25,8 +25,11 @@
 pub type ResponseFrames = BoxStream<'static, Result<ResponseFrame, Status>>;
 
 /// Runs a request at the local target.
-pub type Execute =
-    Arc<dyn Fn(Streaming<RequestFrame>) -> BoxFuture<'static, Result<ResponseFrames, Status>> + Send + Sync>;
+pub type Execute = Arc<
+    dyn Fn(Streaming<RequestFrame>) -> BoxFuture<'static, Result<ResponseFrames, Status>>
+        + Send
+        + Sync,
+>;
 /// Answers a claim.
 pub type Claim = Arc<dyn Fn(ClaimCall) -> Result<ClaimReply, Status> + Send + Sync>;
 /// Reads configuration texts.
@@ -105,7 +108,9 @@
             let response = match request.uri().path() {
                 "/monsoon.Peer/Execute" => {
                     let method = ExecuteMethod(handlers.execute);
-                    grpc::<ResponseFrame, RequestFrame>().streaming(method, request).await
+                    grpc::<ResponseFrame, RequestFrame>()
+                        .streaming(method, request)
+                        .await
                 }
                 "/monsoon.Peer/Claim" => {
                     let method = ClaimMethod(handlers.claim);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -208,7 +208,9 @@
 }
 
 fn check_name(key: &str, name: &str, faults: &mut Vec<String>) {
-    let plain = name.chars().all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-');
+    let plain = name
+        .chars()
+        .all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-');
     if name.is_empty() || !plain {
         faults.push(format!(
             "{key} = {name:?}: use lower-case letters, digits and hyphens, as in the document"
@@ -217,7 +219,11 @@
 }
 
 fn check_sockets(raw: &RawSettings, faults: &mut Vec<String>) {
-    let shared = [("control", raw.control), ("data", raw.data), ("peer", raw.peer)];
+    let shared = [
+        ("control", raw.control),
+        ("data", raw.data),
+        ("peer", raw.peer),
+    ];
     for (key, address) in shared {
         if address.ip().is_unspecified() && raw.advertise.is_none() {
             faults.push(format!(
@@ -229,7 +235,8 @@
         faults.push("data and advertise must be IPv4: connection IDs hold an IPv4 address".into());
     }
     if raw.seeds.is_empty() && raw.store.is_empty() {
-        faults.push("seeds and store are both empty: name at least one address to start from".into());
+        faults
+            .push("seeds and store are both empty: name at least one address to start from".into());
     }
 }
 
@@ -241,7 +248,10 @@
         }
         (RoleName::Agent, None, Some(agent)) => {
             check_name("agent.service", &agent.service, faults);
-            Some(Role::Agent { service: agent.service.clone(), target: agent.target })
+            Some(Role::Agent {
+                service: agent.service.clone(),
+                target: agent.target,
+            })
         }
         (RoleName::Balancer, _, Some(_)) => {
             faults.push("role is balancer: remove the table [agent]".into());
@@ -265,13 +275,19 @@
 
 fn load_keys(path: &Path) -> Result<Keyring, SettingsError> {
     let raw: RawKeys = read_toml(path)?;
-    Keyring::try_from(raw)
-        .map_err(|error| SettingsError::Keys { path: path.to_owned(), message: error.to_string() })
+    Keyring::try_from(raw).map_err(|error| SettingsError::Keys {
+        path: path.to_owned(),
+        message: error.to_string(),
+    })
 }
 
 fn read_toml<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
-    toml::from_str(&text)
-        .map_err(|source| SettingsError::Malformed { path: path.to_owned(), source })
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    toml::from_str(&text).map_err(|source| SettingsError::Malformed {
+        path: path.to_owned(),
+        source,
+    })
 }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -20,6 +20,31 @@
 /// Most events that wait for the membership node.
 pub const EVENT_QUEUE: usize = 16;
 
+/// Where a process runs, as the document numbers it; zero while it has no document.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Place {
+    /// Data centre.
+    pub number: DataCentreId,
+    /// Membership group of the data centre.
+    pub group: DataCentreId,
+}
+
+impl Place {
+    /// Finds the data centre `name` in the document.
+    ///
+    /// # Errors
+    /// Returns the message for the operator when the document has no such data centre.
+    pub fn find(document: &Document, name: &str) -> Result<Self, String> {
+        let place = document.data_centre_named(name).ok_or_else(|| {
+            format!("the document has no data centre {name}; add it or correct the settings")
+        })?;
+        Ok(Self {
+            number: place.number,
+            group: place.group,
+        })
+    }
+}
+
 /// Parts shared by both roles.
 #[derive(Debug)]
 pub struct Shell {
@@ -45,23 +70,34 @@
             peers: Peers::new(tls.clone()),
             counters: Arc::<Counters>::default(),
         };
-        Self { settings, addresses: sockets.addresses, tls, control }
+        Self {
+            settings,
+            addresses: sockets.addresses,
+            tls,
+            control,
+        }
     }
 
     /// Writes the line by which scripts learn the addresses.
     pub fn print_ready(&self) {
-        let Addresses { control, data, peer, admin } = self.addresses;
+        let Addresses {
+            control,
+            data,
+            peer,
+            admin,
+        } = self.addresses;
         println!("ready control={control} data={data} peer={peer} admin={admin}");
     }
 
     /// Member entry of this process with a new identity.
-    pub fn member(&self, role: Role, data_centre: DataCentreId, service: ServiceId) -> Member {
+    pub fn member(&self, role: Role, place: Place, service: ServiceId) -> Member {
         Member {
             id: AgentId(rand::random()),
             incarnation: 1,
             sequence: 0,
             role,
-            data_centre,
+            data_centre: place.group,
+            place: place.number,
             service,
             control: self.addresses.control,
             data: self.addresses.data,
@@ -77,11 +113,14 @@
     ///
     /// Until then the process takes part in the membership as an agent of no service.
     pub async fn learn<T>(&self, read: impl Fn(&Document) -> Result<T, String>) -> T {
-        let member = self.member(Role::Agent, DataCentreId(0), ServiceId(0));
+        let member = self.member(Role::Agent, Place::default(), ServiceId(0));
         let seeds = self.settings.seeds.clone();
         let node = AgentNode::new(self.control.clock.now(), member, seeds, rand::random());
         let node = Arc::new(Mutex::new(node));
-        let machine = Machine { handle: AgentNode::handle, next_tick: AgentNode::next_tick };
+        let machine = Machine {
+            handle: AgentNode::handle,
+            next_tick: AgentNode::next_tick,
+        };
         let (events, inbox) = mpsc::channel(EVENT_QUEUE);
         let asking = tokio::spawn(self.control.clone().run(node, machine, inbox, |_| {}));
         let mut changes = self.control.configuration.subscribe();
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -10,7 +10,9 @@
 
 /// A socket cannot be opened.
 #[derive(Debug, Display, Error)]
-#[display("cannot listen on {address} ({purpose}): {source}; choose a free port or stop the process that uses it")]
+#[display(
+    "cannot listen on {address} ({purpose}): {source}; choose a free port or stop the process that uses it"
+)]
 pub struct BindError {
     purpose: &'static str,
     address: SocketAddr,
@@ -62,13 +64,23 @@
                 SocketAddr::V6(address) => {
                     let source = std::io::Error::other("an IPv4 address is needed");
                     let address = address.into();
-                    return Err(BindError { purpose: "data", address, source });
+                    return Err(BindError {
+                        purpose: "data",
+                        address,
+                        source,
+                    });
                 }
             },
             peer: seen("peer", peer.local_addr(), settings)?,
             admin: seen("admin", admin.local_addr(), settings)?,
         };
-        Ok(Self { control: Arc::new(control), data: Arc::new(data), peer, admin, addresses })
+        Ok(Self {
+            control: Arc::new(control),
+            data: Arc::new(data),
+            peer,
+            admin,
+            addresses,
+        })
     }
 }
 
@@ -78,12 +90,20 @@
 /// Returns the address when it cannot be used.
 pub async fn bind_udp(purpose: &'static str, address: SocketAddr) -> Result<UdpSocket, BindError> {
     let bound = UdpSocket::bind(address).await;
-    bound.map_err(|source| BindError { purpose, address, source })
+    bound.map_err(|source| BindError {
+        purpose,
+        address,
+        source,
+    })
 }
 
 async fn bind_tcp(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, BindError> {
     let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| BindError { purpose, address, source })
+    bound.map_err(|source| BindError {
+        purpose,
+        address,
+        source,
+    })
 }
 
 fn seen(
@@ -92,7 +112,11 @@
     settings: &Settings,
 ) -> Result<SocketAddr, BindError> {
     let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-    let bound = bound.map_err(|source| BindError { purpose, address: nowhere, source })?;
+    let bound = bound.map_err(|source| BindError {
+        purpose,
+        address: nowhere,
+        source,
+    })?;
     let ip: IpAddr = match settings.advertise {
         Some(ip) if bound.ip().is_unspecified() => ip,
         _ => bound.ip(),
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -51,7 +51,9 @@
 
 impl fmt::Debug for Tls {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Tls").field("chain", &self.chain.len()).finish_non_exhaustive()
+        f.debug_struct("Tls")
+            .field("chain", &self.chain.len())
+            .finish_non_exhaustive()
     }
 }
 
@@ -62,11 +64,17 @@
         let certificate = read(&files.certificate)?;
         let key_pem = read(&files.key)?;
         let authority = read(&files.authority)?;
-        let chain: Vec<_> = CertificateDer::pem_slice_iter(&certificate).flatten().collect();
+        let chain: Vec<_> = CertificateDer::pem_slice_iter(&certificate)
+            .flatten()
+            .collect();
         if chain.is_empty() {
             return Err(empty(&files.certificate, "certificate"));
         }
-        if CertificateDer::pem_slice_iter(&authority).flatten().next().is_none() {
+        if CertificateDer::pem_slice_iter(&authority)
+            .flatten()
+            .next()
+            .is_none()
+        {
             return Err(empty(&files.authority, "certificate of the authority"));
         }
         let key = PrivateKeyDer::from_pem_slice(&key_pem)
@@ -120,9 +128,15 @@
 }
 
 fn read(path: &Path) -> Result<Vec<u8>, TlsError> {
-    std::fs::read(path).map_err(|source| TlsError::Read { path: path.to_owned(), source })
+    std::fs::read(path).map_err(|source| TlsError::Read {
+        path: path.to_owned(),
+        source,
+    })
 }
 
 fn empty(path: &Path, expected: &'static str) -> TlsError {
-    TlsError::Empty { path: path.to_owned(), expected }
+    TlsError::Empty {
+        path: path.to_owned(),
+        expected,
+    }
 }
--- a/crates/execution/src/place.rs
+++ b/crates/execution/src/place.rs
@@ -55,7 +55,10 @@
     if enough || (cold && !leaving && !local.is_full()) {
         return Place::Local;
     }
-    let Some((index, peer)) = two_choices(peers, noise) else {
+    let usable = two_choices(peers, is_usable, noise);
+    // A leaving target takes nothing, so even a full or cold peer, which queues, is better.
+    let choice = usable.or_else(|| two_choices(peers, |load| leaving && !load.leaving, noise));
+    let Some((index, peer)) = choice else {
         return Place::Local;
     };
     let gain = if local.is_full() {
@@ -71,13 +74,17 @@
     }
 }
 
-/// The less loaded of two random usable peers.
-fn two_choices(peers: &[PeerLoad], noise: u64) -> Option<(usize, Load)> {
+/// The less loaded of two random peers that are `usable`.
+fn two_choices(
+    peers: &[PeerLoad],
+    usable: impl Fn(Load) -> bool,
+    noise: u64,
+) -> Option<(usize, Load)> {
     let usable: Vec<_> = peers
         .iter()
         .map(|p| p.present())
         .enumerate()
-        .filter(|(_, load)| is_usable(*load))
+        .filter(|(_, load)| usable(*load))
         .collect();
     let count = usable.len() as u64;
     if count == 0 {
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -38,8 +38,10 @@
     pub sequence: u64,
     /// Balancer or agent.
     pub role: Role,
-    /// Data centre.
+    /// Data centre whose number is that of the membership group.
     pub data_centre: DataCentreId,
+    /// Data centre where the member runs.
+    pub place: DataCentreId,
     /// Service, zero for balancers.
     pub service: ServiceId,
     /// Address of the control socket.
@@ -67,7 +69,9 @@
     /// Hash of the fields that other members depend on.
     pub(crate) fn signature(&self) -> u64 {
         let kind = (self.state as u64) << 32 | u64::from(self.slots) << 8 | self.role as u64;
-        let place = u64::from(self.service.0) << 8 | u64::from(self.data_centre.0);
+        let place = u64::from(self.service.0) << 16
+            | u64::from(self.data_centre.0) << 8
+            | u64::from(self.place.0);
         let mut hash = mix(self.id.0, self.incarnation);
         for word in [
             kind,
@@ -120,6 +124,7 @@
     sequence: u64,
     kind: u8,
     data_centre: DataCentreId,
+    place: DataCentreId,
     service: ServiceId,
     data: SocketAddrV4,
     control: Near,
@@ -137,6 +142,7 @@
             sequence: m.sequence,
             kind: (m.role as u8) << 2 | m.state as u8,
             data_centre: m.data_centre,
+            place: m.place,
             service: m.service,
             data: m.data,
             control: Near::pack(m.control, m.data),
@@ -160,6 +166,7 @@
                 Role::Agent
             },
             data_centre: p.data_centre,
+            place: p.place,
             service: p.service,
             control: p.control.unpack(p.data),
             data: p.data,
--- a/crates/membership/src/simulation.rs
+++ b/crates/membership/src/simulation.rs
@@ -117,6 +117,7 @@
             sequence: 0,
             role,
             data_centre,
+            place: data_centre,
             service,
             control: address(7_000),
             data: SocketAddrV4::new(ip, 7_001),
--- a/crates/standin/src/caller/exchange.rs
+++ b/crates/standin/src/caller/exchange.rs
@@ -15,7 +15,7 @@
 use super::link::{Link, Links};
 
 /// Application close code of an agent whose data centre was taken out.
-pub const DATA_CENTRE_OUT: u32 = 0x104;
+pub const DATA_CENTRE_OUT: u32 = 0x4d01;
 
 /// Longest time of one attempt; afterwards the caller cancels it and counts it as broken.
 pub const PATIENCE: Duration = Duration::from_secs(15);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -127,7 +127,7 @@
 "$BIN/monsoon-standin" certs --dir "$DIR/certs" >"$DIR/certs.out"
 start platform "$BIN/monsoon-standin" platform --port 0
 PLATFORM=$(address platform address)
-CTL=("$BIN/monsoonctl" --store "$PLATFORM" --env production)
+CTL=("$BIN/monsoonctl" --store "$PLATFORM" --env production --author demo)
 "${CTL[@]}" apply examples/karavanex.toml
 
 start_balancer balancer-1 brno-a
@@ -161,7 +161,7 @@
 
 start caller "$BIN/monsoon-standin" caller --service "$FABRIC" --ca "$DIR/certs/ca.pem" \
     --server-name "$SERVICE" --seconds "$SECONDS_OF_LOAD" --boards 6 --holds-per-second 5 \
-    --uploads 8 --upload-bytes 1000000 --report "$DIR/report.json"
+    --uploads 8 --upload-bytes 1000000 --upload-path /uploads --report "$DIR/report.json"
 CALLER_PID=$LAST_PID
 
 sleep 4
@@ -184,4 +184,21 @@
 for index in 0 1 2; do
     get "${TARGETS[$index]}" /control/record >"$DIR/record-$index.json"
 done
-cat "$DIR/caller.out"
+
+# Each execution is recorded by the targets as "key":count; the caller's report names the outcome
+# of each key.
+cat "$DIR"/record-*.json | grep -oE '"[0-9a-f]+-[0-9]+":[0-9]+' | tr -d '"' | tr ':' ' ' |
+    awk '{ ran[$1] += $2 } END { for (key in ran) print key, ran[key] }' | sort >"$DIR/ran"
+grep -oE '\{"class":"hold"[^}]*"outcome":"answered"' "$DIR/report.json" |
+    sed -E 's/.*"key":"([^"]+)".*/\1/' | sort >"$DIR/answered"
+ANSWERED=$(wc -l <"$DIR/answered")
+TWICE=$(awk '$2 > 1' "$DIR/ran" | wc -l)
+MISSING=$(cut -d ' ' -f 1 "$DIR/ran" | comm -13 - "$DIR/answered" | wc -l)
+
+grep '^class=' "$DIR/caller.out"
+echo "demo: holds answered $ANSWERED, run twice $TWICE, answered but not run $MISSING"
+SUMMARY=$(sed -nE 's/^caller: (served .*)$/\1/p' "$DIR/caller.out")
+echo "demo: $SUMMARY"
+[[ $TWICE -eq 0 && $MISSING -eq 0 && $ANSWERED -gt 0 ]]
+[[ $SUMMARY =~ ^served\ ([0-9]+)\ of\ ([0-9]+),\ broken\ flows\ 0$ ]]
+[[ ${BASH_REMATCH[1]} -gt 0 && ${BASH_REMATCH[1]} -eq ${BASH_REMATCH[2]} ]]
