Split the store's requests and the fabric's start into modules

Change: platform/requests.rs holds reads, watches and writes; fabric/service.rs holds settings and shared state. No change of behaviour.

--- a/crates/standin/src/fabric/control.rs
+++ b/crates/standin/src/fabric/control.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use super::forward::Shared;
+use super::service::Shared;
 use super::spray::{MAX_BALANCERS, Rates};
 use crate::error::Error;
 use crate::web::{self, Body, Server};
--- a/crates/standin/src/fabric/forward.rs
+++ b/crates/standin/src/fabric/forward.rs
@@ -1,20 +1,17 @@
-//! Sockets of the fabric and the way of datagrams between them.
+//! Way of datagrams between the service address and the callers' sockets.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::net::UdpSocket;
-use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, interval, sleep};
 
-use super::control;
-use super::spray::{Arrival, Rates, Spray};
-use crate::error::Error;
-use crate::web::Server;
+use super::service::Shared;
+use super::spray::Arrival;
 
 /// Most callers; datagrams of further ones are dropped and counted.
 pub const MAX_CALLERS: usize = 4096;
@@ -29,34 +26,6 @@
 /// Largest UDP payload.
 const MAX_DATAGRAM: usize = 65_535;
 
-/// Parameters of the fabric.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Service address that callers send to.
-    pub listen: SocketAddr,
-    /// Port of the HTTP control on 127.0.0.1.
-    pub control: u16,
-    /// Balancers at the start.
-    pub balancers: Vec<SocketAddr>,
-    /// Faults at the start.
-    pub rates: Rates,
-    /// Seed of all random choices.
-    pub seed: u64,
-}
-
-impl Settings {
-    /// Fabric on free ports without faults.
-    pub fn new(balancers: impl Into<Vec<SocketAddr>>) -> Self {
-        Self {
-            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            control: 0,
-            balancers: balancers.into(),
-            rates: Rates::default(),
-            seed: 1,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Caller {
     socket: Arc<UdpSocket>,
@@ -70,88 +39,8 @@
     }
 }
 
-#[derive(Debug)]
-pub(super) struct Shared {
-    service: Arc<UdpSocket>,
-    held: Arc<Semaphore>,
-    spray: Mutex<Spray>,
-}
-
-impl Shared {
-    pub fn lock(&self) -> MutexGuard<'_, Spray> {
-        self.spray.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Datagrams that the operating system refuses are lost, as on a full link.
-    async fn send(&self, socket: &UdpSocket, data: &[u8], to: SocketAddr) {
-        if let Err(error) = socket.send_to(data, to).await {
-            log::debug!("fabric: sending to {to} failed: {error}");
-            self.lock().counts.dropped.send += 1;
-        }
-    }
-}
-
-/// Running fabric. Dropping it closes all its sockets.
-#[derive(Debug)]
-pub struct Fabric {
-    service: SocketAddr,
-    control: Server,
-    task: JoinHandle<()>,
-}
-
-impl Fabric {
-    /// Opens the service address and the control.
-    ///
-    /// # Errors
-    /// Returns an error when a setting is out of range or an address is taken.
-    pub async fn start(settings: Settings) -> Result<Self, Error> {
-        if !settings.listen.ip().is_loopback() {
-            return Err(Error::argument("--listen must be a loopback address"));
-        }
-        if !settings.rates.is_valid() {
-            return Err(Error::argument(
-                "--loss, --duplicate and --reorder must be 0 to 1",
-            ));
-        }
-        let socket = UdpSocket::bind(settings.listen)
-            .await
-            .map_err(Error::socket("open the service address"))?;
-        let service = socket
-            .local_addr()
-            .map_err(Error::socket("read the service address"))?;
-        let spray = Spray::new(settings.balancers, settings.rates, settings.seed);
-        let shared = Arc::new(Shared {
-            service: Arc::new(socket),
-            held: Arc::new(Semaphore::new(MAX_HELD)),
-            spray: Mutex::new(spray),
-        });
-        let control = control::start(settings.control, Arc::clone(&shared)).await?;
-        let task = tokio::spawn(forward_all(shared));
-        Ok(Self {
-            service,
-            control,
-            task,
-        })
-    }
-
-    /// Address that callers send to.
-    pub fn service(&self) -> SocketAddr {
-        self.service
-    }
-
-    /// Address of the HTTP control.
-    pub fn control(&self) -> SocketAddr {
-        self.control.address()
-    }
-}
-
-impl Drop for Fabric {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn forward_all(shared: Arc<Shared>) {
+/// Forwards datagrams of all callers; never returns.
+pub(super) async fn forward_all(shared: Arc<Shared>) {
     let mut callers: BTreeMap<SocketAddr, Caller> = BTreeMap::new();
     let mut buffer = vec![0; MAX_DATAGRAM];
     let mut sweep = interval(IDLE_TIME / 4);
--- a/crates/standin/src/fabric/mod.rs
+++ b/crates/standin/src/fabric/mod.rs
@@ -11,7 +11,9 @@
 
 mod control;
 mod forward;
+mod service;
 mod spray;
 
-pub use forward::{Fabric, IDLE_TIME, MAX_CALLERS, MAX_HELD, REORDER_DELAY, Settings};
+pub use forward::{IDLE_TIME, MAX_CALLERS, MAX_HELD, REORDER_DELAY};
+pub use service::{Fabric, Settings};
 pub use spray::{BalancerCount, Counts, Drops, MAX_BALANCERS, Rates};
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -11,7 +11,9 @@
 //! While the store is down, object requests and pending watches end without a reply.
 
 mod objects;
+mod requests;
 mod service;
 
 pub use objects::{MAX_NAME_BYTES, MAX_OBJECTS, MAX_VALUE_BYTES, Objects, Refusal, Value};
-pub use service::{Calls, Faults, Platform, WATCH_TIME};
+pub use requests::WATCH_TIME;
+pub use service::{Calls, Faults, Platform};
