Close connections when a cold target falls over

Cause: the target answered requests in flight with 500 in an overrun, which an agent takes for a response of the application and not for a failure.

Change: an overrun refuses the excess request with 503 and x-outcome not-run, and closes the connections of the requests in flight without a reply. The store refuses bodies above 1,000,000 bytes.

With 500 in place of the close, overrun_fails_the_requests_in_flight fails.

--- a/crates/standin/src/platform/objects.rs
+++ b/crates/standin/src/platform/objects.rs
@@ -5,8 +5,8 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-/// Largest value of an object, as on the platform.
-pub const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Largest body of a write, as on the platform (1 MB).
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
 /// Longest object name.
 pub const MAX_NAME_BYTES: usize = 256;
 /// Most objects; a write that would create a further one is refused.
--- a/crates/standin/src/target/mod.rs
+++ b/crates/standin/src/target/mod.rs
@@ -10,8 +10,9 @@
 //! | `GET /control/record` | what ran here |
 //!
 //! A response with `x-outcome: not-run` says that the request had no effect. A cold target carries
-//! `cold_share` of its slots in average concurrency. Above that it fails all requests in flight and
-//! its cold start begins again.
+//! `cold_share` of its slots in average concurrency. Above that it refuses the request with 503,
+//! closes the connections of all requests in flight without a reply, and its cold start begins
+//! again.
 
 mod board;
 mod capacity;
--- a/crates/standin/src/target/service.rs
+++ b/crates/standin/src/target/service.rs
@@ -199,14 +199,14 @@
     let path = request.uri().path().to_owned();
     let mut reply = match (&method, path.as_str()) {
         (&Method::GET, "/board" | "/catalogue") => board::open(&shared),
-        (&Method::POST, "/holds" | "/checks") => work::execute(&shared, request).await,
+        (&Method::POST, "/holds" | "/checks") => work::execute(&shared, request).await?,
         (&Method::GET | &Method::POST, "/health") => control::health(&shared),
         (&Method::GET, "/control/record") => control::record(&shared),
         (&Method::POST, control) if control.starts_with("/control/") => {
             control::change(&shared, control, request).await
         }
         (&Method::PUT | &Method::POST, upload) if work::is_upload(upload) => {
-            work::upload(&shared, request).await
+            work::upload(&shared, request).await?
         }
         _ => web::status(StatusCode::NOT_FOUND),
     };
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -15,7 +15,7 @@
 use super::record::Upload;
 use super::service::Shared;
 use crate::certs::hex;
-use crate::web::{self, Body};
+use crate::web::{self, Body, NoReply, Reply};
 
 /// Service time at speed 1 with an empty queue.
 pub const SERVICE_TIME: Duration = Duration::from_millis(20);
@@ -42,15 +42,15 @@
 enum Refused {
     /// The request had no effect.
     NotRun(StatusCode),
-    /// The request may have had an effect.
-    Failed(StatusCode),
+    /// The target fell over while the request ran.
+    Lost,
 }
 
-impl From<Refused> for Response<Body> {
+impl From<Refused> for Reply {
     fn from(refused: Refused) -> Self {
         match refused {
-            Refused::NotRun(code) => not_run(code),
-            Refused::Failed(code) => web::status(code),
+            Refused::NotRun(code) => Ok(not_run(code)),
+            Refused::Lost => Err(NoReply),
         }
     }
 }
@@ -64,14 +64,14 @@
 }
 
 /// Runs a hold or a check.
-pub(super) async fn execute(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+pub(super) async fn execute(shared: &Shared, request: Request<Incoming>) -> Reply {
     shared.note_arrival();
     let Some(key) = idempotency_key(request.headers()) else {
-        return not_run(StatusCode::BAD_REQUEST);
+        return Ok(not_run(StatusCode::BAD_REQUEST));
     };
     let deadline = deadline(request.headers());
     if let Err(reply) = web::read_body(request.into_body(), MAX_BODY_BYTES).await {
-        return reply;
+        return Ok(reply);
     }
     let slot = match take_slot(shared, deadline).await {
         Ok(slot) => slot,
@@ -79,10 +79,10 @@
     };
     shared.lock().record.execute(&key);
     match slot.serve().await {
-        Ok(()) => web::json(
+        Ok(()) => Ok(web::json(
             StatusCode::OK,
             &json!({ "key": key, "target": shared.settings.name }),
-        ),
+        )),
         Err(refused) => refused.into(),
     }
 }
@@ -93,7 +93,7 @@
 }
 
 /// Receives an upload.
-pub(super) async fn upload(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+pub(super) async fn upload(shared: &Shared, request: Request<Incoming>) -> Reply {
     shared.note_arrival();
     let path = request.uri().path().to_owned();
     let slot = match take_slot(shared, deadline(request.headers())).await {
@@ -102,7 +102,7 @@
     };
     let (bytes, sha256) = match digest_body(request.into_body()).await {
         Ok(read) => read,
-        Err(code) => return web::status(code),
+        Err(code) => return Ok(web::status(code)),
     };
     if let Err(refused) = slot.serve().await {
         return refused.into();
@@ -113,7 +113,7 @@
         bytes,
         sha256,
     });
-    reply
+    Ok(reply)
 }
 
 async fn digest_body(mut body: Incoming) -> Result<(u64, String), StatusCode> {
@@ -212,7 +212,7 @@
             drop(state);
             self.over = true;
             self.shared.overrun.send_replace(());
-            return Err(Refused::NotRun(StatusCode::INTERNAL_SERVER_ERROR));
+            return Err(Refused::NotRun(StatusCode::SERVICE_UNAVAILABLE));
         }
         state.queued -= 1;
         state.busy += 1;
@@ -239,7 +239,7 @@
         let mut state = self.shared.lock();
         if failed {
             state.record.failed += 1;
-            return Err(Refused::Failed(StatusCode::INTERNAL_SERVER_ERROR));
+            return Err(Refused::Lost);
         }
         state.record.served += 1;
         Ok(())
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -74,10 +74,14 @@
     };
     let target = Target::start(settings).await.unwrap();
     let address = target.address();
-    let first = tokio::spawn(async move { hold(address, "first").await });
+    let key = [("idempotency-key", "first")];
+    let first = tokio::spawn(async move { send(address, "POST", "/holds", &key, "").await });
     wait_for(address, "/health", |health| health["busy"] == 1).await;
-    assert_eq!(hold(address, "excess").await, not_run(500));
-    assert_eq!(first.await.unwrap(), (500, None));
+    assert_eq!(hold(address, "excess").await, not_run(503));
+    assert!(
+        first.await.unwrap().is_err(),
+        "the connection closes without a reply"
+    );
     assert_eq!(get_json(address, "/health").await["state"], "cold");
     let record = target.record();
     assert_eq!((record.overruns, record.failed, record.served), (1, 1, 0));
