Count a rejection after the start of a response as broken

Cause: the caller took H3_REQUEST_REJECTED as "not run" even after response bytes had arrived, which would have hidden broken board flows.

Change: after the head of a response a rejected stream counts as broken.

Without the rule incomplete_streams_count_as_broken and wrong_responses_count_as_broken fail.

--- a/crates/standin/src/caller/board.rs
+++ b/crates/standin/src/caller/board.rs
@@ -193,7 +193,7 @@
     let mut last = Instant::now();
     loop {
         let data = stream.recv_data().await;
-        let Some(mut data) = data.map_err(|error| classify(link, &error))? else {
+        let Some(mut data) = data.map_err(|error| classify(link, &error, true))? else {
             return Ok(end(&sequence));
         };
         note_gap(links, &mut last);
@@ -217,7 +217,7 @@
     };
     match exchange.await {
         Ok(response) => Ok((response, stream)),
-        Err(error) => Err(classify(link, &error)),
+        Err(error) => Err(classify(link, &error, false)),
     }
 }
 
--- a/crates/standin/src/caller/exchange.rs
+++ b/crates/standin/src/caller/exchange.rs
@@ -51,7 +51,7 @@
             link.retire();
             Err(Failure::NotSent)
         }
-        Err(error) => Err(classify(link, &error)),
+        Err(error) => Err(classify(link, &error, false)),
     }
 }
 
@@ -65,14 +65,16 @@
     // A peer that permits no further streams holds the request up here.
     let opened = timeout(PATIENCE, open(link, request)).await;
     let (mut upload, mut download) = opened.unwrap_or(Err(Failure::Broken))?.split();
-    let ended = timeout(PATIENCE, both_ways(&mut upload, &mut download, body)).await;
+    let mut started = false;
+    let exchange = both_ways(&mut upload, &mut download, body, &mut started);
+    let ended = timeout(PATIENCE, exchange).await;
     let failure = match ended {
         Ok(Ok(response)) => {
             // Has no effect when the body was sent as a whole.
             upload.stop_stream(Code::H3_NO_ERROR);
             return Ok(response);
         }
-        Ok(Err(error)) => classify(link, &error),
+        Ok(Err(error)) => classify(link, &error, started),
         Err(_elapsed) => Failure::Broken,
     };
     // Without the reset a dropped stream looks like the end of a shorter body. The receiving side
@@ -90,9 +92,10 @@
     upload: &mut Upload,
     download: &mut Download,
     body: Bytes,
+    started: &mut bool,
 ) -> Result<Response<Bytes>, StreamError> {
     let sending = send_body(upload, body);
-    let receiving = receive(download);
+    let receiving = receive(download, started);
     tokio::pin!(sending, receiving);
     tokio::select! {
         sent = &mut sending => match sent {
@@ -111,8 +114,13 @@
     upload.finish().await
 }
 
-async fn receive(download: &mut Download) -> Result<Response<Bytes>, StreamError> {
+/// Receives a whole response; sets `started` when its head has arrived.
+async fn receive(
+    download: &mut Download,
+    started: &mut bool,
+) -> Result<Response<Bytes>, StreamError> {
     let (head, ()) = download.recv_response().await?.into_parts();
+    *started = true;
     let mut body = BytesMut::new();
     while let Some(mut data) = download.recv_data().await? {
         if body.len() + data.remaining() > MAX_RESPONSE {
@@ -128,9 +136,10 @@
     matches!(error, StreamError::RemoteTerminate { code, .. } if *code == Code::H3_REQUEST_REJECTED)
 }
 
-/// Meaning of a stream error.
-pub(super) fn classify(link: &Link, error: &StreamError) -> Failure {
-    if is_rejected(error) {
+/// Meaning of a stream error. After the start of the response a rejection is no refusal any more:
+/// the request has run at least in part.
+pub(super) fn classify(link: &Link, error: &StreamError, started: bool) -> Failure {
+    if is_rejected(error) && !started {
         return Failure::Rejected;
     }
     match link.quic.close_reason() {
--- a/crates/standin/tests/caller/main.rs
+++ b/crates/standin/tests/caller/main.rs
@@ -66,10 +66,11 @@
 /// complete.
 #[tokio::test]
 async fn incomplete_streams_count_as_broken() {
-    let acts: [server::Choose; 4] = [
+    let acts: [server::Choose; 5] = [
         |_, _| Act::Cut,
         |_, _| Act::Gap,
         |_, _| Act::Reset(Code::H3_INTERNAL_ERROR),
+        |_, _| Act::LateReset(Code::H3_REQUEST_REJECTED),
         |_, _| Act::Close(DATA_CENTRE_OUT + 1),
     ];
     for (index, act) in acts.into_iter().enumerate() {
@@ -103,13 +104,25 @@
     assert_eq!((ledger.total(Outcome::Broken), ledger.sent()), (1, 1));
 }
 
-/// Guards against a response of another request that passes as one's own.
+/// Guards against a response of another request that passes as one's own, and against a rejection
+/// after the start of the response that passes as "not run".
 #[tokio::test]
-async fn foreign_response_counts_as_broken() {
-    let server = Server::start(|_, _| Act::Foreign);
-    let ledger = holds(&server).await;
-    assert_eq!(ledger.total(Outcome::Broken), ledger.sent());
-    assert!(ledger.sent() >= 3);
+async fn wrong_responses_count_as_broken() {
+    let acts: [server::Choose; 2] = [
+        |_, _| Act::Foreign,
+        |_, _| Act::LateReset(Code::H3_REQUEST_REJECTED),
+    ];
+    for act in acts {
+        let server = Server::start(act);
+        let ledger = holds(&server).await;
+        assert_eq!(
+            ledger.total(Outcome::Broken),
+            ledger.sent(),
+            "{:?}",
+            ledger.lines()
+        );
+        assert!(ledger.sent() >= 3);
+    }
 }
 
 /// Guards against a data centre taken out that counts as broken flows, and against a caller that
--- a/crates/standin/tests/caller/server.rs
+++ b/crates/standin/tests/caller/server.rs
@@ -32,6 +32,8 @@
     Gap,
     /// Stream reset with this code.
     Reset(Code),
+    /// Head of a response, then a reset with this code.
+    LateReset(Code),
     /// Status and `x-outcome`.
     Status(u16, &'static str),
     /// Close of the connection with this code after 2 ticks.
@@ -160,6 +162,12 @@
             stream.stop_stream(code);
             Ok(())
         }
+        Act::LateReset(code) => {
+            let sent = head(&mut stream, 200, "").await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            stream.stop_stream(code);
+            sent
+        }
         Act::Status(code, outcome) => status(&mut stream, code, outcome).await,
         Act::Close(code) => {
             let sent = head(&mut stream, 200, "").await;
