--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -38,6 +38,10 @@
 
 impl Router {
     /// Router without services.
+    ///
+    /// A new balancer has no history of replaced candidates. It feeds its router for
+    /// [`crate::PREVIOUS_TTL`] before it takes packets; otherwise packets of handshakes that are
+    /// in progress can reach a second agent.
     pub fn new() -> Self {
         Self::default()
     }
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -68,7 +68,23 @@
     (1 << INVERSE_BITS) / u64::from(weight)
 }
 
-/// Score of a target for a bucket; the smallest wins.
-pub(crate) fn score(seed: u64, inverse: u64, bucket: usize) -> u64 {
-    minus_log2(mix(seed, bucket as u64)) * inverse
+/// Uniform hash of a target and a bucket.
+pub(crate) fn draw(seed: u64, bucket: usize) -> u64 {
+    mix(seed, bucket as u64)
+}
+
+/// Score of a target for the bucket of a draw; the smallest wins.
+pub(crate) fn score(draw: u64, inverse: u64) -> u64 {
+    minus_log2(draw) * inverse
+}
+
+/// Lower bound of the score, from `-log2(u) >= 1 - u`. Most targets of a full ranking are decided
+/// by it, at half of the cost.
+pub(crate) fn at_least(draw: u64, inverse: u64) -> u64 {
+    let bound = (!draw >> (u64::BITS - LOG_BITS)) * inverse;
+    debug_assert!(
+        bound <= score(draw, inverse),
+        "bound exceeds the score of {draw:x}"
+    );
+    bound
 }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -76,7 +76,10 @@
 
     /// Rank for a bucket; the smallest wins, and the ID decides between equal scores.
     pub(crate) fn rank(&self, bucket: usize) -> Rank {
-        (score::score(self.seed, self.inverse, bucket), self.id)
+        (
+            score::score(score::draw(self.seed, bucket), self.inverse),
+            self.id,
+        )
     }
 }
 
--- a/crates/routing/src/update.rs
+++ b/crates/routing/src/update.rs
@@ -4,6 +4,7 @@
 //! costs a full ranking of the buckets in which it was a candidate, a new or heavier one costs one
 //! comparison in each bucket.
 
+use crate::score;
 use crate::table::{Bucket, Candidate, MAX_TARGETS, NONE, Place, Rank, Table, Target};
 
 /// First candidates that a change replaced.
@@ -164,7 +165,11 @@
 impl Best {
     fn offer_all(mut self, targets: &[(u16, Target)], bucket: usize) -> Self {
         for (key, target) in targets {
-            self.offer((target.rank(bucket), *key));
+            let draw = score::draw(target.seed, bucket);
+            let limit = self.second.map_or(u64::MAX, |((score, _), _)| score);
+            if score::at_least(draw, target.inverse) <= limit {
+                self.offer(((score::score(draw, target.inverse), target.id), *key));
+            }
         }
         self
     }
