Keep the index of replaced candidates within its type

Changes within one second share a batch of the history. The batch kept the agents of all its changes and indexed them with 16 bits, so that more than 65,535 replaced agents within a second led flows to wrong agents. Merging now keeps only agents that a bucket refers to, of which there are at most as many as buckets.

--- a/crates/routing/src/history.rs
+++ b/crates/routing/src/history.rs
@@ -4,7 +4,7 @@
 
 use monsoon_model::{Duration, Instant};
 
-use crate::table::Place;
+use crate::table::{NONE, Place};
 use crate::update::Changes;
 
 /// Time for which replaced candidates are asked first; longer than a handshake.
@@ -46,7 +46,7 @@
             .filter(|last| now.since(last.opened) < BATCH)
         {
             Some(last) => {
-                last.changes.merge(changes);
+                last.changes.merge(&changes);
                 last.until = until;
             }
             None => self.batches.push_back(Batch {
@@ -92,18 +92,30 @@
         self.places.get(usize::from(self.firsts[entry].1)).copied()
     }
 
-    /// Adds the buckets of a later change that are not present yet.
-    fn merge(&mut self, later: Changes) {
-        let offset = self.places.len() as u16;
-        self.places.extend(later.places);
-        self.firsts.extend(
-            later
-                .firsts
-                .into_iter()
-                .map(|(bucket, place)| (bucket, offset + place)),
-        );
-        // The sort is stable, so that the older entry of a bucket stays in front.
+    /// Adds the buckets of a later change that are not present yet, and only the places that
+    /// these refer to, so that there are never more places than buckets.
+    fn merge(&mut self, later: &Changes) {
+        let mut moved = vec![NONE; later.places.len()];
+        let present = self.firsts.len();
+        for (bucket, place) in &later.firsts {
+            let known = &self.firsts[..present];
+            if known.binary_search_by_key(bucket, |entry| entry.0).is_ok() {
+                continue;
+            }
+            let place = usize::from(*place);
+            if moved[place] == NONE {
+                moved[place] = self.places.len() as u16;
+                self.places.push(later.places[place]);
+            }
+            self.firsts.push((*bucket, moved[place]));
+        }
         self.firsts.sort_by_key(|entry| entry.0);
-        self.firsts.dedup_by_key(|entry| entry.0);
+        debug_assert!(
+            self.places.len() <= self.firsts.len(),
+            "place without a bucket"
+        );
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/routing/src/history/tests.rs
@@ -0,0 +1,43 @@
+//! Merging of changes that happen close together.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use monsoon_model::{DataCentreId, Instant};
+
+use super::History;
+use crate::table::Place;
+use crate::update::Changes;
+
+fn place(id: u32) -> Place {
+    let agent = SocketAddrV4::new(Ipv4Addr::from(id), 1);
+    Place {
+        agent,
+        data_centre: DataCentreId(1),
+    }
+}
+
+/// Guards against an index of a replaced candidate that overflows after many changes, which would
+/// lead flows to a wrong agent, and against a later change that hides the oldest candidate.
+#[test]
+fn merged_changes_keep_the_oldest_candidate() {
+    let mut history = History::default();
+    let now = Instant::from_secs(1);
+    for id in 0..70_000 {
+        // The other buckets follow when more places were replaced than an index can count.
+        let bucket = (id.max(69_900) - 69_900) as u16;
+        let changes = Changes {
+            places: vec![place(id)],
+            firsts: vec![(bucket, 0)],
+            refused: 0,
+        };
+        assert_eq!(history.push(now, changes), 0);
+    }
+    assert!(history.past(now, 0).eq([place(0)]));
+    for id in 69_901..70_000 {
+        assert!(
+            history.past(now, id as usize - 69_900).eq([place(id)]),
+            "{id}"
+        );
+    }
+    assert_eq!(history.past(Instant::from_secs(11), 1).count(), 0);
+}
