Avoid the place that refused when a request is retried

After a refusal by the local target the choice of the place could return the same target, which refused again and used up the retry budget. Pick now names the place that refused, and the request ends as not run when it is chosen again.

--- a/crates/execution/src/execution.rs
+++ b/crates/execution/src/execution.rs
@@ -10,6 +10,7 @@
 use monsoon_model::{Duration, Instant};
 
 use crate::budget::RetryBudget;
+use crate::place::Place;
 use crate::request::{Action, Event, Reply, Request};
 
 /// Most attempts of one request.
@@ -41,6 +42,8 @@
     request: Request,
     phase: Phase,
     attempt: u32,
+    /// Place of the present attempt, or of the previous one while a place is chosen.
+    place: Option<Place>,
     claimed: bool,
     replied: bool,
 }
@@ -56,6 +59,7 @@
             request,
             phase: Phase::New,
             attempt: 0,
+            place: None,
             claimed: false,
             replied: false,
         }
@@ -119,7 +123,7 @@
         budget.deposit();
         if self.request.idempotent {
             self.phase = Phase::Picking;
-            actions.push(Action::Pick);
+            actions.push(Action::Pick(None));
         } else {
             self.phase = Phase::Claiming;
             actions.push(Action::Claim);
--- a/crates/execution/src/execution/attempt.rs
+++ b/crates/execution/src/execution/attempt.rs
@@ -12,7 +12,7 @@
             (Phase::Claiming, ClaimResult::Run) => {
                 self.claimed = true;
                 self.phase = Phase::Picking;
-                actions.push(Action::Pick);
+                actions.push(Action::Pick(None));
             }
             (Phase::Claiming, ClaimResult::Replay(status)) => {
                 self.finish(Reply::Replay(status), actions);
@@ -32,6 +32,9 @@
         if self.phase != Phase::Picking {
             return;
         }
+        // A place that refused would refuse again.
+        let place = place.filter(|p| self.place != Some(*p));
+        self.place = place;
         match place {
             Some(Place::Local) => self.enqueue(actions),
             Some(Place::Peer(index)) => {
@@ -90,7 +93,7 @@
                 let retry = !self.request.from_peer && self.attempt < ATTEMPTS_MAX;
                 if retry && budget.take() {
                     self.phase = Phase::Picking;
-                    actions.push(Action::Pick);
+                    actions.push(Action::Pick(self.place));
                 } else {
                     self.finish_not_run(actions);
                 }
--- a/crates/execution/src/request.rs
+++ b/crates/execution/src/request.rs
@@ -57,8 +57,9 @@
 pub enum Action {
     /// Run a claim round for the request's key.
     Claim,
-    /// Choose a place and answer with [`Event::Picked`].
-    Pick,
+    /// Choose a place other than the given one, which refused the previous attempt, and answer with
+    /// [`Event::Picked`].
+    Pick(Option<Place>),
     /// Offer the attempt to local admission.
     Enqueue(u32),
     /// Send the attempt to the local target.
--- a/crates/execution/tests/execution/requests.rs
+++ b/crates/execution/tests/execution/requests.rs
@@ -53,7 +53,10 @@
     drive(&mut lost, &events, &mut budget(5));
     let actions = drive(&mut lost, &[Event::Lost(1)], &mut budget(5));
     assert_eq!(actions, [Action::Reply(Reply::Unknown)]);
-    for (retries, expected) in [(1, Action::Pick), (0, Action::Reply(Reply::NotRun))] {
+    for (retries, expected) in [
+        (1, Action::Pick(Some(Place::Peer(3)))),
+        (0, Action::Reply(Reply::NotRun)),
+    ] {
         let mut refused = request(true, false);
         drive(&mut refused, &events, &mut budget(0));
         let actions = drive(&mut refused, &[Event::NotRun(1)], &mut budget(retries));
@@ -61,6 +64,22 @@
     }
 }
 
+/// Guards against a retry at the place that has just refused.
+#[test]
+fn retry_avoids_the_place_that_refused() {
+    let mut execution = request(true, false);
+    let mut budget = budget(1);
+    let local = Event::Picked(Some(Place::Local));
+    let pick = drive(
+        &mut execution,
+        &[Event::Begin, local, Event::NotRun(1)],
+        &mut budget,
+    );
+    assert_eq!(pick, [Action::Pick(Some(Place::Local))]);
+    let again = drive(&mut execution, &[local], &mut budget);
+    assert_eq!(again, [Action::Reply(Reply::NotRun)]);
+}
+
 /// Guards against passing on the response of an earlier attempt.
 #[test]
 fn response_of_an_earlier_attempt_is_discarded() {
--- a/crates/lab/src/cluster/run.rs
+++ b/crates/lab/src/cluster/run.rs
@@ -191,7 +191,7 @@
         let (agent, node) = (flight.agent, flight.node);
         for action in actions {
             match action {
-                Action::Pick => self.pick(id, agent),
+                Action::Pick(refused) => self.pick(id, agent, refused),
                 Action::Enqueue(attempt) => {
                     self.place(id, agent);
                     self.offer(work(id, attempt), agent);
@@ -222,17 +222,18 @@
         }
     }
 
-    fn pick(&mut self, id: u64, agent: usize) {
+    fn pick(&mut self, id: u64, agent: usize, refused: Option<Place>) {
         let noise = self.draw(u64::MAX);
         let node = &self.nodes[agent];
         let place = match self.setup.policy {
             Policy::Ours | Policy::FixedSlots => {
                 let mut peers = node.peers.clone();
-                peers.remove(agent);
-                match pick_place(node.gate.load(), &peers, false, noise) {
-                    Place::Peer(peer) if peer >= agent => Place::Peer(peer + 1),
-                    other => other,
+                peers[agent].load.leaving = true;
+                if let Some(Place::Peer(peer)) = refused {
+                    peers[peer].load.leaving = true;
                 }
+                let away = refused == Some(Place::Local);
+                pick_place(node.gate.load(), &peers, away, noise)
             }
             Policy::Random | Policy::TwoChoices => Place::Local,
         };
