--- a/crates/lab/src/claims.rs
+++ b/crates/lab/src/claims.rs
@@ -20,6 +20,8 @@
     late: 20,
     change: 40,
     clean: 500,
+    group: 1,
+    cut: 300,
     suspicion: 2,
     refused: 100,
 };
@@ -30,6 +32,8 @@
     late: 0,
     change: 0,
     clean: 0,
+    group: 0,
+    cut: 0,
     suspicion: 0,
     refused: 0,
 };
@@ -42,7 +46,7 @@
 };
 
 /// Faults of each row.
-const ROWS: [(&str, Faults); 7] = [
+const ROWS: [(&str, Faults); 9] = [
     ("none", NONE),
     ("5 % loss, 10 % repeated, 2 % late by up to 200 s", NETWORK),
     (
@@ -71,6 +75,18 @@
             ..NONE
         },
     ),
+    (
+        "3 of 7 members crash at once every 300 s",
+        Faults {
+            change: 300,
+            group: 3,
+            ..NONE
+        },
+    ),
+    (
+        "the link between 3 and 4 members is cut for 100 s every 300 s",
+        Faults { cut: 300, ..NONE },
+    ),
     ("all, a member every 40 s", ALL),
 ];
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,11 +1,12 @@
 //! Members that claim keys over a network with loss, duplication and delay, while members crash,
 //! leave and join and each has its own view of the others.
 
+mod members;
+
 use std::collections::BTreeMap;
 
 use monsoon_execution::claim::{
-    Answer, CLAIM_WINDOW, ClaimId, ClaimResult, ClaimRound, Claims, Handed, KeyHash, Member,
-    RoundAction,
+    Answer, ClaimId, ClaimResult, ClaimRound, Claims, KeyHash, Member, RoundAction,
 };
 use monsoon_model::{AgentId, Duration, Instant, hash::mix};
 
@@ -23,6 +24,11 @@
     pub change: u64,
     /// Share of the changes in which the member that goes hands its claims over.
     pub clean: u64,
+    /// Members that go at each change; zero counts as one.
+    pub group: u64,
+    /// Mean time between cuts of the link between two halves of the members, in seconds; zero for
+    /// none. A cut lasts [`CUT`].
+    pub cut: u64,
     /// Mean time between false suspicions in one view, in seconds; zero for none.
     pub suspicion: u64,
     /// Share of granted claims whose request is then refused as not run.
@@ -63,6 +69,7 @@
         state: Option<bool>,
     },
     Change,
+    Cut,
     Suspect,
 }
 
@@ -94,6 +101,8 @@
     runs: BTreeMap<KeyHash, u64>,
     /// Departed members and when the first member forgets them.
     departed: Vec<(AgentId, Instant)>,
+    /// End of the present cut.
+    cut_until: Instant,
     pub totals: Totals,
 }
 
@@ -123,10 +132,12 @@
             rounds: BTreeMap::new(),
             runs: BTreeMap::new(),
             departed: Vec::new(),
+            cut_until: Instant::ZERO,
             totals: Totals::default(),
         };
         world.callers();
         world.again(faults.change, Event::Change);
+        world.again(faults.cut, Event::Cut);
         world.again(faults.suspicion, Event::Suspect);
         world
     }
@@ -178,7 +189,8 @@
                 about,
                 state,
             } => self.learn(agent, about, state),
-            Event::Change => self.change(),
+            Event::Change => self.changes(),
+            Event::Cut => self.cut(),
             Event::Suspect => self.suspect(),
         }
     }
@@ -202,6 +214,9 @@
 
     /// Sends a message over the network.
     fn post(&mut self, event: Event) {
+        if self.now < self.cut_until && crosses(event) {
+            return;
+        }
         let copies = 1 + u64::from(self.draw(1_000) < self.faults.repeat);
         for _ in 0..copies {
             if self.draw(1_000) < self.faults.loss {
@@ -315,101 +330,25 @@
             }
         }
     }
+}
 
-    /// Tells each member of a change after its own delay.
-    fn spread(&mut self, about: AgentId, state: Option<bool>, least: u64, most: u64) {
-        for agent in self.agents.keys().copied().collect::<Vec<_>>() {
-            let delay = least + self.draw(most - least);
-            self.at(
-                Duration::from_millis(delay),
-                Event::Learn {
-                    agent,
-                    about,
-                    state,
-                },
-            );
+/// Whether a message goes from one side of a cut to the other.
+fn crosses(event: Event) -> bool {
+    match event {
+        Event::Claim {
+            to: member, claim, ..
         }
-    }
-
-    fn learn(&mut self, agent: AgentId, about: AgentId, state: Option<bool>) {
-        let exists = self.agents.contains_key(&about);
-        let Some(agent) = self.agents.get_mut(&agent) else {
-            return;
-        };
-        match state {
-            // An outdated event: the member is gone already, or was suspected falsely.
-            Some(false) if !exists => {}
-            None if exists => {}
-            Some(departed) => {
-                agent.view.insert(about, departed);
-            }
-            None => {
-                agent.view.remove(&about);
-            }
+        | Event::Release {
+            to: member, claim, ..
         }
-    }
-
-    /// A member crashes or leaves, and a new one joins.
-    fn change(&mut self) {
-        self.again(self.faults.change, Event::Change);
-        let gone = self.pick();
-        let clean = self.draw(1_000) < self.faults.clean && self.hand_over(gone);
-        self.agents.remove(&gone);
-        let id = self.join();
-        let gone_for = if clean { Duration::ZERO } else { CLAIM_WINDOW };
-        let forget = gone_for + Duration::from_secs(3);
-        self.departed.push((gone, self.now + forget));
-        self.spread(gone, Some(true), 100, 3_000);
-        self.spread(gone, None, forget.as_millis(), forget.as_millis() + 2_000);
-        self.spread(id, Some(false), 0, 5_000);
-    }
-
-    /// A new member, which claims nothing before it knows the others and when to forget them.
-    fn join(&mut self) -> AgentId {
-        self.serial += 1;
-        let id = AgentId(self.serial);
-        let mut view = self.agents.values().next().expect("others").view.clone();
-        view.insert(id, false);
-        let claims = Claims::new(self.now);
-        self.agents.insert(id, Agent { claims, view });
-        for (about, at) in self.departed.clone() {
-            let after = at.since(self.now) + Duration::from_secs(2);
-            let event = Event::Learn {
-                agent: id,
-                about,
-                state: None,
-            };
-            self.at(after, event);
+        | Event::Store {
+            to: member, claim, ..
         }
-        id
-    }
-
-    /// Passes the claims of a leaving member to all others; false when one did not get them.
-    fn hand_over(&mut self, leaving: AgentId) -> bool {
-        let now = self.now;
-        let agent = self.agents.get_mut(&leaving).expect("present");
-        let handed: Vec<Handed> = agent.claims.leave(now);
-        let view = agent.view.clone();
-        let others = view.iter().filter(|(id, _)| **id != leaving);
-        others.into_iter().all(|(id, departed)| {
-            let other = self.agents.get_mut(id).filter(|_| !departed);
-            other.is_some_and(|o| handed.iter().all(|h| o.claims.adopt(now, *h)))
-        })
-    }
-
-    /// One member takes another for departed for a while.
-    fn suspect(&mut self) {
-        self.again(self.faults.suspicion, Event::Suspect);
-        let (agent, about) = (self.pick(), self.pick());
-        self.learn(agent, about, Some(true));
-        let back = Duration::from_millis(1_000 + self.draw(30_000));
-        self.at(
-            back,
-            Event::Learn {
-                agent,
-                about,
-                state: Some(false),
-            },
-        );
+        | Event::Answer {
+            from: member,
+            claim,
+            ..
+        } => members::half(member) != members::half(claim.agent),
+        _ => false,
     }
 }
