--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,12 +1,13 @@
 //! Members that claim keys over a network with loss, duplication and delay, while members crash,
 //! leave and join and each has its own view of the others.
 
-use std::collections::BTreeMap;
+mod members;
+mod requests;
 
-use monsoon_execution::claim::{
-    Answer, CLAIM_WINDOW, ClaimId, ClaimResult, ClaimRound, Claims, Handed, KeyHash, Member,
-    RoundAction,
-};
+use std::collections::{BTreeMap, BTreeSet};
+
+use monsoon_execution::claim::{Answer, ClaimId, ClaimRound, Claims, KeyHash};
+use monsoon_execution::{Event as Step, Execution, RetryBudget};
 use monsoon_model::{AgentId, Duration, Instant, hash::mix};
 
 /// Keys that callers use in one run.
@@ -23,9 +24,14 @@
     pub change: u64,
     /// Share of the changes in which the member that goes hands its claims over.
     pub clean: u64,
+    /// Members that go at each change; zero counts as one.
+    pub group: u64,
+    /// Mean time between cuts of the link between two halves of the members, in seconds; zero for
+    /// none. A cut lasts [`CUT`].
+    pub cut: u64,
     /// Mean time between false suspicions in one view, in seconds; zero for none.
     pub suspicion: u64,
-    /// Share of granted claims whose request is then refused as not run.
+    /// Share of attempts that a target refuses as not run.
     pub refused: u64,
 }
 
@@ -62,12 +68,33 @@
         about: AgentId,
         state: Option<bool>,
     },
+    /// The next event of a request, at its agent.
+    Step {
+        request: ClaimId,
+        step: Step,
+    },
+    /// An attempt that reaches a peer.
+    Work {
+        to: AgentId,
+        request: ClaimId,
+        attempt: u32,
+        until: Instant,
+    },
     Change,
+    Cut,
     Suspect,
 }
 
+/// Request that its agent still works on.
+struct Open {
+    key: KeyHash,
+    execution: Execution,
+    round: ClaimRound,
+}
+
 struct Agent {
     claims: Claims,
+    budget: RetryBudget,
     /// Other members, and whether they departed.
     view: BTreeMap<AgentId, bool>,
 }
@@ -76,6 +103,7 @@
 pub struct Totals {
     pub sends: u64,
     pub runs: u64,
+    pub answered: u64,
     pub replays: u64,
     pub unknown: u64,
     pub not_run: u64,
@@ -90,10 +118,14 @@
     end: Instant,
     events: BTreeMap<(Instant, u64), Event>,
     agents: BTreeMap<AgentId, Agent>,
-    rounds: BTreeMap<ClaimId, ClaimRound>,
+    requests: BTreeMap<ClaimId, Open>,
+    /// Requests whose caller was told that they did not run.
+    refused: BTreeSet<ClaimId>,
     runs: BTreeMap<KeyHash, u64>,
     /// Departed members and when the first member forgets them.
     departed: Vec<(AgentId, Instant)>,
+    /// End of the present cut.
+    cut_until: Instant,
     pub totals: Totals,
 }
 
@@ -107,6 +139,7 @@
         let agent = |id: AgentId| {
             let agent = Agent {
                 claims: Claims::new(joined),
+                budget: RetryBudget::default(),
                 view: view.clone(),
             };
             (id, agent)
@@ -120,13 +153,16 @@
             end: now + Duration::from_secs(900),
             events: BTreeMap::new(),
             agents: ids.iter().copied().map(agent).collect(),
-            rounds: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            refused: BTreeSet::new(),
             runs: BTreeMap::new(),
             departed: Vec::new(),
+            cut_until: Instant::ZERO,
             totals: Totals::default(),
         };
         world.callers();
         world.again(faults.change, Event::Change);
+        world.again(faults.cut, Event::Cut);
         world.again(faults.suspicion, Event::Suspect);
         world
     }
@@ -178,7 +214,15 @@
                 about,
                 state,
             } => self.learn(agent, about, state),
-            Event::Change => self.change(),
+            Event::Step { request, step } => self.drive(request, step),
+            Event::Work {
+                to,
+                request,
+                attempt,
+                until,
+            } => self.work(to, request, attempt, until),
+            Event::Change => self.changes(),
+            Event::Cut => self.cut(),
             Event::Suspect => self.suspect(),
         }
     }
@@ -202,6 +246,9 @@
 
     /// Sends a message over the network.
     fn post(&mut self, event: Event) {
+        if self.now < self.cut_until && crosses(event) {
+            return;
+        }
         let copies = 1 + u64::from(self.draw(1_000) < self.faults.repeat);
         for _ in 0..copies {
             if self.draw(1_000) < self.faults.loss {
@@ -235,181 +282,25 @@
             .nth(index)
             .expect("there is always a member")
     }
+}
 
-    fn send(&mut self, key: KeyHash) {
-        self.totals.sends += 1;
-        let id = self.pick();
-        self.serial += 1;
-        let claim = ClaimId {
-            agent: id,
-            serial: self.serial,
-        };
-        let view = self.agents[&id].view.iter();
-        let members: Vec<_> = view
-            .map(|(id, gone)| Member {
-                id: *id,
-                departed: *gone,
-            })
-            .collect();
-        self.rounds
-            .insert(claim, ClaimRound::new(key, claim, members));
-        self.with_round(claim, ClaimRound::start);
-    }
-
-    fn with_round(
-        &mut self,
-        claim: ClaimId,
-        step: impl FnOnce(&mut ClaimRound, Instant) -> Vec<RoundAction>,
-    ) {
-        // The rounds of a crashed agent are gone with it.
-        if !self.agents.contains_key(&claim.agent) {
-            self.rounds.remove(&claim);
-        }
-        let now = self.now;
-        let Some(round) = self.rounds.get_mut(&claim) else {
-            return;
-        };
-        let actions = step(round, now);
-        let (key, next) = (round.identity().0, round.next_tick());
-        if let Some(at) = next {
-            self.at(at.since(now), Event::Tick { claim });
-        }
-        for action in actions {
-            match action {
-                RoundAction::Ask(to) => self.post(Event::Claim { to, key, claim }),
-                RoundAction::Release(to) => self.post(Event::Release { to, key, claim }),
-                RoundAction::Done(result) => self.done(key, claim, result),
-            }
-        }
-    }
-
-    fn done(&mut self, key: KeyHash, claim: ClaimId, result: ClaimResult) {
-        let round = self.rounds.remove(&claim).expect("the round was open");
-        match result {
-            ClaimResult::Run if self.draw(1_000) < self.faults.refused => {
-                self.totals.not_run += 1;
-                for action in round.release() {
-                    if let RoundAction::Release(to) = action {
-                        self.post(Event::Release { to, key, claim });
-                    }
-                }
-            }
-            ClaimResult::Run => {
-                self.totals.runs += 1;
-                let runs = self.runs.entry(key).or_default();
-                *runs += 1;
-                assert_eq!(
-                    *runs, 1,
-                    "seed {}: key {key} ran twice at {:?}",
-                    self.seed, self.now
-                );
-                for to in round.asked().to_vec() {
-                    self.post(Event::Store { to, key, claim });
-                }
-            }
-            ClaimResult::Replay(_) => self.totals.replays += 1,
-            ClaimResult::Unknown => self.totals.unknown += 1,
-            ClaimResult::NotRun => {
-                assert!(!self.runs.contains_key(&key), "refusal of a key that ran");
-                self.totals.not_run += 1;
-            }
-        }
-    }
-
-    /// Tells each member of a change after its own delay.
-    fn spread(&mut self, about: AgentId, state: Option<bool>, least: u64, most: u64) {
-        for agent in self.agents.keys().copied().collect::<Vec<_>>() {
-            let delay = least + self.draw(most - least);
-            self.at(
-                Duration::from_millis(delay),
-                Event::Learn {
-                    agent,
-                    about,
-                    state,
-                },
-            );
+/// Whether a message goes from one side of a cut to the other.
+fn crosses(event: Event) -> bool {
+    match event {
+        Event::Claim {
+            to: member, claim, ..
         }
-    }
-
-    fn learn(&mut self, agent: AgentId, about: AgentId, state: Option<bool>) {
-        let exists = self.agents.contains_key(&about);
-        let Some(agent) = self.agents.get_mut(&agent) else {
-            return;
-        };
-        match state {
-            // An outdated event: the member is gone already, or was suspected falsely.
-            Some(false) if !exists => {}
-            None if exists => {}
-            Some(departed) => {
-                agent.view.insert(about, departed);
-            }
-            None => {
-                agent.view.remove(&about);
-            }
+        | Event::Release {
+            to: member, claim, ..
         }
-    }
-
-    /// A member crashes or leaves, and a new one joins.
-    fn change(&mut self) {
-        self.again(self.faults.change, Event::Change);
-        let gone = self.pick();
-        let clean = self.draw(1_000) < self.faults.clean && self.hand_over(gone);
-        self.agents.remove(&gone);
-        let id = self.join();
-        let gone_for = if clean { Duration::ZERO } else { CLAIM_WINDOW };
-        let forget = gone_for + Duration::from_secs(3);
-        self.departed.push((gone, self.now + forget));
-        self.spread(gone, Some(true), 100, 3_000);
-        self.spread(gone, None, forget.as_millis(), forget.as_millis() + 2_000);
-        self.spread(id, Some(false), 0, 5_000);
-    }
-
-    /// A new member, which claims nothing before it knows the others and when to forget them.
-    fn join(&mut self) -> AgentId {
-        self.serial += 1;
-        let id = AgentId(self.serial);
-        let mut view = self.agents.values().next().expect("others").view.clone();
-        view.insert(id, false);
-        let claims = Claims::new(self.now);
-        self.agents.insert(id, Agent { claims, view });
-        for (about, at) in self.departed.clone() {
-            let after = at.since(self.now) + Duration::from_secs(2);
-            let event = Event::Learn {
-                agent: id,
-                about,
-                state: None,
-            };
-            self.at(after, event);
+        | Event::Store {
+            to: member, claim, ..
         }
-        id
-    }
-
-    /// Passes the claims of a leaving member to all others; false when one did not get them.
-    fn hand_over(&mut self, leaving: AgentId) -> bool {
-        let now = self.now;
-        let agent = self.agents.get_mut(&leaving).expect("present");
-        let handed: Vec<Handed> = agent.claims.leave(now);
-        let view = agent.view.clone();
-        let others = view.iter().filter(|(id, _)| **id != leaving);
-        others.into_iter().all(|(id, departed)| {
-            let other = self.agents.get_mut(id).filter(|_| !departed);
-            other.is_some_and(|o| handed.iter().all(|h| o.claims.adopt(now, *h)))
-        })
-    }
-
-    /// One member takes another for departed for a while.
-    fn suspect(&mut self) {
-        self.again(self.faults.suspicion, Event::Suspect);
-        let (agent, about) = (self.pick(), self.pick());
-        self.learn(agent, about, Some(true));
-        let back = Duration::from_millis(1_000 + self.draw(30_000));
-        self.at(
-            back,
-            Event::Learn {
-                agent,
-                about,
-                state: Some(false),
-            },
-        );
+        | Event::Answer {
+            from: member,
+            claim,
+            ..
+        } => members::half(member) != members::half(claim.agent),
+        _ => false,
     }
 }
