--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -26,11 +26,11 @@
 ) {
     let page = Arc::new(page);
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    while let Ok(permit) = permits.clone().acquire_owned().await {
+    while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
-        let page = page.clone();
+        let page = Arc::clone(&page);
         tokio::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let response = respond(&request, page.as_ref());
--- a/crates/daemon/src/agent/attempt.rs
+++ b/crates/daemon/src/agent/attempt.rs
@@ -29,7 +29,7 @@
     pub fn local(agent: &Arc<Agent>, number: u32, class: ClassKey, head: ExecuteHead) -> Self {
         let (attempt, body, replies) = Self::channels(number);
         let body = ReceiverStream::new(body).boxed();
-        tokio::spawn(local::run(agent.clone(), class, head, body, replies));
+        tokio::spawn(local::run(Arc::clone(agent), class, head, body, replies));
         attempt
     }
 
--- a/crates/daemon/src/agent/claims.rs
+++ b/crates/daemon/src/agent/claims.rs
@@ -128,7 +128,7 @@
     message: ClaimMessage,
 ) -> impl Future<Output = Option<ClaimReply>> + Send + 'static {
     let address = held.addresses.get(&member).copied();
-    let agent = agent.clone();
+    let agent = Arc::clone(agent);
     let call = ClaimCall {
         service: agent.service,
         message,
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -26,7 +26,7 @@
         handle: AgentNode::handle,
         next_tick: AgentNode::next_tick,
     };
-    let (reader, clock) = (node.clone(), control.clock);
+    let (reader, clock) = (Arc::clone(&node), control.clock);
     control
         .run(node, machine, events, move |_| {
             let node = reader.lock().expect("no panic while the lock is held");
--- a/crates/daemon/src/agent/drive.rs
+++ b/crates/daemon/src/agent/drive.rs
@@ -6,7 +6,9 @@
 use monsoon_admission::{Load, TargetState};
 use monsoon_config::Class;
 use monsoon_execution::claim::{ClaimResult, KeyHash};
-use monsoon_execution::{Action, Event, Execution, PeerLoad, Place, Reply, Request, pick_place};
+use monsoon_execution::{
+    Action, Event, Execution, PeerLoad, PeerTallies, Place, Reply, Request, pick_place,
+};
 use monsoon_membership::{Peer, State};
 use monsoon_metrics::Outcome;
 use monsoon_model::{ClassKey, Instant};
@@ -20,6 +22,11 @@
 use super::respond::{self, Refusal, Sender};
 use crate::peer::{ExecuteHead, ResponseFrame, ResponseHead};
 
+/// Limit that stands for the percentages of announced loads, in thousandths of a slot.
+const ANNOUNCED_LIMIT: u32 = 100_000;
+/// Percent of a peer's limit that one request counts, for a target of four slots.
+const SENT_WEIGHT: u32 = 25;
+
 /// A caller's request with what its execution needs.
 pub struct Work {
     /// Agent that received it.
@@ -162,8 +169,8 @@
                 let result = self.run_claim().await;
                 self.events.push_back(Event::Claimed(result));
             }
-            Action::Pick => {
-                let place = self.pick();
+            Action::Pick(refused) => {
+                let place = self.pick(refused);
                 self.events.push_back(Event::Picked(place));
             }
             Action::Enqueue(number) => {
@@ -200,10 +207,26 @@
     }
 
     /// Chooses where the next attempt runs; nowhere once the body has been read.
-    fn pick(&mut self) -> Option<Place> {
+    fn pick(&mut self, refused: Option<Place>) -> Option<Place> {
         self.receiver.as_ref()?;
+        if let Some(Place::Peer(index)) = refused
+            && let Some(peer) = self.peers.get(index)
+        {
+            self.tallies().refused(self.agent.clock.now(), peer.id);
+        }
+        let (peers, loads) = self.usable_peers();
+        self.peers = peers;
+        let leaving = *self.agent.phase.borrow() != Phase::Serving;
+        let local = self.agent.gate.load();
+        let place = pick_place(local, &loads, leaving, rand::random());
+        // A local target that refused once is not asked again for the same request.
+        (refused != Some(Place::Local) || place != Place::Local).then_some(place)
+    }
+
+    /// Peers that did not refuse a request just now, with their loads.
+    fn usable_peers(&self) -> (Vec<Peer>, Vec<PeerLoad>) {
         let now = self.agent.clock.now();
-        self.peers = {
+        let peers = {
             let node = self
                 .agent
                 .node
@@ -211,10 +234,30 @@
                 .expect("no panic while the lock is held");
             node.peers(now)
         };
-        let loads: Vec<_> = self.peers.iter().map(peer_load).collect();
-        let leaving = *self.agent.phase.borrow() != Phase::Serving;
-        let local = self.agent.gate.load();
-        Some(pick_place(local, &loads, leaving, rand::random()))
+        let mut tallies = self.tallies();
+        let usable = peers
+            .into_iter()
+            .filter(|peer| !tallies.is_refusing(now, peer.id));
+        let usable: Vec<_> = usable.collect();
+        let report = |peer: &Peer| {
+            let age = peer.age.as_micros();
+            Instant::from_micros(now.as_micros().saturating_sub(age))
+        };
+        let loads = usable
+            .iter()
+            .map(|peer| PeerLoad {
+                load: announced_load(peer),
+                sent: tallies.sent_since(peer.id, report(peer)) * SENT_WEIGHT,
+            })
+            .collect();
+        (usable, loads)
+    }
+
+    fn tallies(&self) -> std::sync::MutexGuard<'_, PeerTallies> {
+        self.agent
+            .tallies
+            .lock()
+            .expect("no panic while the lock is held")
     }
 
     async fn forward(&mut self, number: u32, index: usize) {
@@ -222,6 +265,7 @@
             return self.events.push_back(Event::NotRun(number));
         };
         self.agent.counters.count("request_passed_on");
+        self.tallies().sent(self.agent.clock.now(), peer.id);
         let head = self.head_now();
         let mut attempt = Attempt::peer(&self.agent, number, peer.peer, head);
         let admitted = attempt.replies.recv().await;
@@ -278,20 +322,18 @@
     }
 }
 
-/// Load of a peer in the terms of the choice of place.
-fn peer_load(peer: &Peer) -> PeerLoad {
+/// Load of a peer as it announced it.
+fn announced_load(peer: &Peer) -> Load {
     let state = match peer.state {
         State::Cold => TargetState::Cold,
         State::Ready => TargetState::Ready,
         State::Leaving => TargetState::Leaving,
     };
-    // Announced loads are percentages of the limit, so the limit stands for 100 slots.
-    let load = Load {
+    Load {
         busy: u32::from(peer.load),
         queued: 0,
-        limit: 100_000,
+        limit: ANNOUNCED_LIMIT,
         state,
         leaving: peer.state == State::Leaving,
-    };
-    PeerLoad { load, sent: 0 }
+    }
 }
--- a/crates/daemon/src/agent/flows.rs
+++ b/crates/daemon/src/agent/flows.rs
@@ -61,7 +61,7 @@
 pub async fn accept(agent: Arc<Agent>, endpoint: Endpoint) {
     while let Some(incoming) = endpoint.accept().await {
         if *agent.phase.borrow() == Phase::Serving {
-            tokio::spawn(serve(agent.clone(), incoming));
+            tokio::spawn(serve(Arc::clone(&agent), incoming));
         } else {
             agent.counters.count("flow_refused");
             incoming.refuse();
@@ -77,7 +77,7 @@
             return;
         }
     };
-    let _open = OpenFlow::new(agent.clone());
+    let _open = OpenFlow::new(Arc::clone(&agent));
     agent.counters.count("flow_accepted");
     let built = h3::server::builder()
         .build(h3_quinn::Connection::new(connection.clone()))
@@ -98,7 +98,7 @@
             accepted = h3.accept() => match accepted {
                 Ok(Some(resolver)) => {
                     let flow = connection.clone();
-                    tokio::spawn(request::serve(agent.clone(), flow, resolver));
+                    tokio::spawn(request::serve(Arc::clone(&agent), flow, resolver));
                 }
                 Ok(None) => break,
                 Err(error) => {
--- a/crates/daemon/src/agent/gate.rs
+++ b/crates/daemon/src/agent/gate.rs
@@ -104,7 +104,7 @@
                 }
             };
             tokio::select! {
-                () = wait => self.with(|admission, now| admission.tick(now)),
+                () = wait => self.with(Admission::tick),
                 () = self.changed.notified() => {}
             }
         }
@@ -117,7 +117,7 @@
 
     /// Stops admitting new work.
     pub fn set_leaving(&self) {
-        self.with(|admission, now| admission.set_leaving(now));
+        self.with(Admission::set_leaving);
     }
 
     /// Present load.
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -24,7 +24,7 @@
 /// Serves one request of `connection`.
 pub async fn serve(agent: Arc<Agent>, connection: Connection, resolver: Resolver) {
     let (request, stream) = match resolver.resolve_request().await {
-        Ok(resolved) => resolved,
+        Ok(parts) => parts,
         Err(error) => return log::debug!("agent: request cannot be read: {error}"),
     };
     let (sender, receiver) = stream.split();
--- a/crates/daemon/src/agent/serve_peer.rs
+++ b/crates/daemon/src/agent/serve_peer.rs
@@ -17,9 +17,9 @@
 
 /// Handlers of the peer service.
 pub fn handlers(agent: &Arc<Agent>) -> Handlers {
-    let (executor, replica, reader) = (agent.clone(), agent.clone(), agent.clone());
+    let (executor, replica, reader) = (Arc::clone(agent), Arc::clone(agent), Arc::clone(agent));
     Handlers {
-        execute: Arc::new(move |frames| execute(executor.clone(), frames).boxed()),
+        execute: Arc::new(move |frames| execute(Arc::clone(&executor), frames).boxed()),
         claim: Arc::new(move |call| claims::answer(&replica, call)),
         fetch: Arc::new(move |call| reader.configuration.newer(call)),
     }
--- a/crates/daemon/src/agent/start.rs
+++ b/crates/daemon/src/agent/start.rs
@@ -77,7 +77,7 @@
     let builder = Builder { shell, placement };
     let agent = builder.agent(target);
     let socket = builder.socket(&agent, &sockets);
-    let endpoint = builder.endpoint(socket.clone())?;
+    let endpoint = builder.endpoint(Arc::clone(&socket))?;
     let (events, membership) = builder.join(&agent, socket);
     builder.spawn_services(&agent, &endpoint, sockets);
     log::info!("agent: serves {service} of {}", agent.tenant);
@@ -187,7 +187,7 @@
         agent: &Arc<Agent>,
         socket: Arc<AgentSocket>,
     ) -> (mpsc::Sender<Event>, JoinHandle<()>) {
-        let node = agent.node.clone();
+        let node = Arc::clone(&agent.node);
         let (events, inbox) = mpsc::channel(EVENT_QUEUE);
         let membership = tokio::spawn(control::run(
             self.shell.control.clone(),
@@ -196,18 +196,25 @@
             inbox,
         ));
         let slots = u16::try_from(self.placement.service.slots).unwrap_or(u16::MAX);
-        tokio::spawn(control::report_local(agent.clone(), slots, events.clone()));
+        tokio::spawn(control::report_local(
+            Arc::clone(agent),
+            slots,
+            events.clone(),
+        ));
         (events, membership)
     }
 
     fn spawn_services(&self, agent: &Arc<Agent>, endpoint: &Endpoint, sockets: Sockets) {
         tokio::spawn(agent.gate.clone().run_timer());
         tokio::spawn(health::poll(agent.target.clone(), agent.gate.clone()));
-        tokio::spawn(follow_places(agent.clone(), self.placement.place.number));
-        tokio::spawn(flows::accept(agent.clone(), endpoint.clone()));
-        let (handlers, tls) = (serve_peer::handlers(agent), self.shell.tls.clone());
+        tokio::spawn(follow_places(
+            Arc::clone(agent),
+            self.placement.place.number,
+        ));
+        tokio::spawn(flows::accept(Arc::clone(agent), endpoint.clone()));
+        let (handlers, tls) = (serve_peer::handlers(agent), Arc::clone(&self.shell.tls));
         tokio::spawn(async move { peer::serve(sockets.peer, &tls, handlers).await });
-        let reader = agent.clone();
+        let reader = Arc::clone(agent);
         tokio::spawn(admin::serve(sockets.admin, move |path| {
             admin_page(&reader, path)
         }));
@@ -233,34 +240,38 @@
             claims: Mutex::new(Claims::new(now)),
             budget: Mutex::default(),
             serial: AtomicU64::new(0),
+            tallies: Mutex::default(),
             histograms: Mutex::default(),
-            counters: control.counters.clone(),
+            counters: Arc::clone(&control.counters),
             phase,
             flows: FlowCount::default(),
         })
     }
 
     fn socket(&self, agent: &Arc<Agent>, sockets: &Sockets) -> Arc<AgentSocket> {
-        let reader = agent.clone();
+        let reader = Arc::clone(agent);
         Arc::new(AgentSocket::new(SocketParts {
-            udp: sockets.data.clone(),
+            udp: Arc::clone(&sockets.data),
             data: self.shell.addresses.data,
-            keys: self.shell.control.keys.clone(),
+            keys: Arc::clone(&self.shell.control.keys),
             service: agent.service,
             clock: agent.clock,
             load: Box::new(move || flow_load(&reader)),
-            counters: agent.counters.clone(),
+            counters: Arc::clone(&agent.counters),
         }))
     }
 
     fn endpoint(&self, socket: Arc<AgentSocket>) -> Result<Endpoint, AgentError> {
-        let (keys, data) = (self.shell.control.keys.clone(), self.shell.addresses.data);
+        let (keys, data) = (
+            Arc::clone(&self.shell.control.keys),
+            self.shell.addresses.data,
+        );
         let (service, data_centre) = (self.placement.service.number, self.placement.place.number);
         let mut config = EndpointConfig::new(Arc::new(keys.reset_key().clone()));
         config.cid_generator(move || {
             let nonce = rand::random();
             Box::new(CidGenerator::new(
-                keys.clone(),
+                Arc::clone(&keys),
                 data,
                 service,
                 data_centre,
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -6,6 +6,10 @@
 
 /// Options of `monsoonrouter`.
 #[derive(Debug, Options)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a flag of the command line"
+)]
 pub struct Args {
     /// Print help and exit
     pub help: bool,
--- a/crates/daemon/src/balancer/listeners.rs
+++ b/crates/daemon/src/balancer/listeners.rs
@@ -40,7 +40,7 @@
 
     /// Sockets for replies.
     pub fn sockets(&self) -> ServiceSockets {
-        self.sockets.clone()
+        Arc::clone(&self.sockets)
     }
 
     /// Opens sockets of new addresses and closes those of removed ones.
@@ -62,7 +62,7 @@
     }
 
     fn close_unwanted(&mut self, wanted: &BTreeMap<SocketAddr, ServiceId>) {
-        let sockets = self.sockets.clone();
+        let sockets = Arc::clone(&self.sockets);
         self.tasks.retain(|address, (service, task)| {
             let keep = wanted.get(address) == Some(service);
             if !keep {
@@ -90,7 +90,7 @@
             .sockets
             .lock()
             .expect("no panic while the lock is held");
-        sockets.insert(address, socket.clone());
+        sockets.insert(address, Arc::clone(&socket));
         let task = tokio::spawn(receive(self.forward.clone(), socket, address, service));
         self.tasks.insert(address, (service, task.abort_handle()));
     }
--- a/crates/daemon/src/balancer/start.rs
+++ b/crates/daemon/src/balancer/start.rs
@@ -62,13 +62,13 @@
         () = signals.stop() => return Ok(()),
     };
     let tables = tables(&shell, place);
-    node_known.send_replace(Some(tables.node.clone()));
+    node_known.send_replace(Some(Arc::clone(&tables.node)));
     let forward = Forward {
-        router: tables.router.clone(),
-        data: sockets.data.clone(),
-        keys: shell.control.keys.clone(),
+        router: Arc::clone(&tables.router),
+        data: Arc::clone(&sockets.data),
+        keys: Arc::clone(&shell.control.keys),
         clock: shell.control.clock,
-        counters: shell.control.counters.clone(),
+        counters: Arc::clone(&shell.control.counters),
     };
     let mut listeners = Listeners::new(binds, forward.clone());
     tokio::spawn(replies::run(forward, listeners.sockets()));
@@ -144,7 +144,7 @@
         next_tick: BalancerNode::next_tick,
     };
     let clock = control.clock;
-    let node = tables.node.clone();
+    let node = Arc::clone(&tables.node);
     control
         .run(node, machine, events, move |news| match news {
             News::Changed => tables.rebuild(clock.now()),
@@ -156,9 +156,9 @@
 fn spawn_services(shell: &Shell, tables: &Tables, sockets: Sockets) {
     let reader = shell.control.configuration.clone();
     let handlers = Handlers::fetch_only(Arc::new(move |call| reader.newer(call)));
-    let tls = shell.tls.clone();
+    let tls = Arc::clone(&shell.tls);
     tokio::spawn(async move { peer::serve(sockets.peer, &tls, handlers).await });
-    let (tables, counters) = (tables.clone(), shell.control.counters.clone());
+    let (tables, counters) = (tables.clone(), Arc::clone(&shell.control.counters));
     tokio::spawn(admin::serve(sockets.admin, move |path| match path {
         "/status" => Some(status(&tables)),
         "/counters" => serde_json::to_value(counters.snapshot()).ok(),
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -138,7 +138,7 @@
             return;
         }
         let (configuration, peers) = (self.configuration.clone(), self.peers.clone());
-        let fetching = fetching.clone();
+        let fetching = Arc::clone(fetching);
         tokio::spawn(async move {
             configuration.fetch(&peers, peer).await;
             fetching.store(false, Ordering::Relaxed);
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -61,13 +61,13 @@
 impl Shell {
     /// Parts for a process with open sockets.
     pub fn new(settings: Settings, sockets: &Sockets) -> Self {
-        let tls = settings.tls.clone();
+        let tls = Arc::clone(&settings.tls);
         let control = Control {
-            socket: sockets.control.clone(),
-            keys: settings.keys.clone(),
+            socket: Arc::clone(&sockets.control),
+            keys: Arc::clone(&settings.keys),
             clock: Clock::start(),
             configuration: Configuration::new(),
-            peers: Peers::new(tls.clone()),
+            peers: Peers::new(Arc::clone(&tls)),
             counters: Arc::<Counters>::default(),
         };
         Self {
