--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::{Rng, address, candidate};
-use monsoon_model::{Instant, ServiceId};
+use monsoon_model::{Hop, Instant, ServiceId, hash};
 use monsoon_routing::{BUCKETS, Candidate, FirstLook, Route, Router, Table};
 
 /// One key in every bucket.
@@ -15,13 +15,9 @@
 
 /// Agents of the first candidates, per bucket.
 fn firsts(table: &Table) -> Vec<u64> {
-    let agent = |key| {
-        table
-            .chain(key)
-            .hop(0)
-            .map_or(0, |hop| u64::from(hop.agent.ip().octets()[3]))
-    };
-    keys().map(agent).collect()
+    let last_byte = |hop: Hop| u64::from(hop.agent.ip().octets()[3]);
+    let first = |key| table.chain(key).hop(0).map_or(0, last_byte);
+    keys().map(first).collect()
 }
 
 fn share(firsts: &[u64], id: u64) -> f64 {
@@ -38,16 +34,16 @@
     for (id, weight) in (1..).zip(weights) {
         let expected = f64::from(weight) / f64::from(total);
         let deviation = (expected * (1.0 - expected) / BUCKETS as f64).sqrt();
-        let found = share(&firsts, id);
+        let excess = share(&firsts, id) - expected;
         assert!(
-            (found - expected).abs() < 4.0 * deviation,
-            "{id}: {found} for {expected}"
+            excess.abs() < 4.0 * deviation,
+            "{id}: {excess} over {expected}"
         );
     }
     // The second candidates take over from the first ones in the same proportion.
     let second = |key| table.chain(key).hop(1).map(|hop| hop.agent);
-    let heirs = keys().zip(&firsts).filter(|(_, first)| **first == 7);
-    let (nine, all) = heirs.fold((0, 0), |(nine, all), (key, _)| {
+    let taken = keys().zip(&firsts).filter(|(_, first)| **first == 7);
+    let (nine, all) = taken.fold((0, 0), |(nine, all), (key, _)| {
         (nine + u32::from(second(key) == Some(address(6))), all + 1)
     });
     let found = f64::from(nine) / f64::from(all);
@@ -66,11 +62,7 @@
     for round in 0..150 {
         let id = 1 + rng.below(25);
         let old = set.remove(&id).map_or(0, |entry| entry.weight);
-        let weight = if rng.below(3) == 0 {
-            0
-        } else {
-            1 + rng.below(9) as u32
-        };
+        let weight = rng.below(3).min(1) as u32 * (1 + rng.below(9) as u32);
         set.insert(id, candidate(id, weight));
         router.update(now, service, set.values().copied());
         let table = Table::new(set.values().copied());
@@ -79,7 +71,7 @@
             let allowed = was == is || weight < old && *was == id || weight > old && *is == id;
             assert!(
                 allowed,
-                "round {round}: bucket {bucket} moved from {was} to {is} by {id}"
+                "round {round}, bucket {bucket}: {was} to {is} by {id}"
             );
         }
         for key in keys().step_by(37) {
@@ -96,32 +88,22 @@
 /// Guards against flows sent to another region while the own one has ready targets.
 #[test]
 fn local_targets_are_preferred() {
-    let remote = |id| Candidate {
-        local: false,
-        ..candidate(id, 9)
-    };
-    let agents = |targets: &[Candidate]| -> BTreeSet<u64> {
-        firsts(&Table::new(targets.iter().copied()))
-            .into_iter()
-            .collect()
+    let agents = |local_weight| -> BTreeSet<u64> {
+        let mut targets = [1, 2, 3].map(|id| candidate(id, 9));
+        (targets[1].local, targets[2].local) = (false, false);
+        targets[0].weight = local_weight;
+        firsts(&Table::new(targets)).into_iter().collect()
     };
-    assert_eq!(
-        agents(&[candidate(1, 1), remote(2), remote(3)]),
-        BTreeSet::from([1])
-    );
-    assert_eq!(
-        agents(&[candidate(1, 0), remote(2), remote(3)]),
-        BTreeSet::from([2, 3])
-    );
-    assert_eq!(agents(&[]), BTreeSet::from([0]));
+    assert_eq!(agents(1), BTreeSet::from([1]));
+    assert_eq!(agents(0), BTreeSet::from([2, 3]));
+    assert!(Table::new([]).chain(0).is_empty());
 }
 
 /// Guards against a changed ranking, which would disagree with instances of an earlier release.
 #[test]
 fn ranking_is_stable() {
     let table = Table::new((1..=12).map(|id| candidate(id, 1 + id as u32 % 4)));
-    let digest = firsts(&table)
-        .iter()
-        .fold(0, |digest, id| monsoon_model::hash::mix(digest, *id));
-    insta::assert_snapshot!(format!("{:?} {digest:016x}", &firsts(&table)[..24]));
+    let firsts = firsts(&table);
+    let digest = firsts.iter().fold(0, |digest, id| hash::mix(digest, *id));
+    insta::assert_snapshot!(format!("{:?} {digest:016x}", &firsts[..24]));
 }
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -12,21 +12,25 @@
     format!("{:02x}", 0xa0 + phase).repeat(32)
 }
 
-/// Keyring of `phase`, with the phase before it if `previous`.
-pub fn keys(phase: u8, previous: bool) -> Keyring {
-    let previous = previous.then(|| secret((phase + 7) % 8));
-    Keyring::try_from(RawKeys {
+pub fn raw(phase: u8, current: &str, previous: Option<&str>) -> RawKeys {
+    let (current, previous) = (current.to_owned(), previous.map(str::to_owned));
+    RawKeys {
         phase,
-        current: secret(phase),
+        current,
         previous,
-    })
-    .expect("valid keys")
+    }
+}
+
+/// Keyring of `phase`, with the phase before it if `previous`.
+pub fn keys(phase: u8, previous: bool) -> Keyring {
+    let before = previous.then(|| secret((phase + 7) % 8));
+    let raw = raw(phase, &secret(phase), before.as_deref());
+    Keyring::try_from(raw).expect("valid keys")
 }
 
 pub fn hex(bytes: &[u8]) -> String {
-    bytes
-        .iter()
-        .fold(String::new(), |text, byte| text + &format!("{byte:02x}"))
+    let digits = |text: String, byte: &u8| text + &format!("{byte:02x}");
+    bytes.iter().fold(String::new(), digits)
 }
 
 /// Deterministic generator.
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{Rng, hex, keys};
+use common::{Rng, hex, keys, raw};
 use monsoon_model::{Chain, Hop};
-use monsoon_wire::{ConnectionId, Envelope, Keyring, KeysError, RawKeys, WireError};
+use monsoon_wire::{ConnectionId, Envelope, Keyring, KeysError, WireError};
 use monsoon_wire::{MAX_HEADER, control};
 
 /// Guards against a layout change that running instances would reject.
@@ -36,18 +36,16 @@
         for signer in [&old, &new] {
             assert_eq!(ConnectionId::open(&cid.seal(signer), &new), Some(cid));
             let datagram = envelope.seal(signer, &payload);
-            assert_eq!(
-                Envelope::open(&new, &datagram),
-                Ok((envelope.clone(), &payload[..]))
-            );
+            let opened = Envelope::open(&new, &datagram);
+            assert_eq!(opened, Ok((envelope.clone(), &payload[..])));
             let datagram = control::seal(signer, &cid.nonce).expect("fits");
             assert_eq!(control::open(&new, &datagram), Ok(cid.nonce));
         }
         let newer = envelope.seal(&new, &payload);
-        let phase = new.phase();
+        let found = new.phase();
         assert_eq!(
             Envelope::open(&old, &newer),
-            Err(WireError::Phase { found: phase })
+            Err(WireError::Phase { found })
         );
         assert_eq!(ConnectionId::open(&cid.seal(&new), &old), None);
     }
@@ -70,14 +68,9 @@
                 bytes
             };
             assert_eq!(ConnectionId::open(&flip(&cid), &keys), None, "bit {bit}");
-            assert!(
-                Envelope::open(&keys, &flip(&envelope)).is_err(),
-                "bit {bit}"
-            );
-            assert!(
-                control::open::<u64>(&keys, &flip(&message)).is_err(),
-                "bit {bit}"
-            );
+            let (envelope, message) = (flip(&envelope), flip(&message));
+            assert!(Envelope::open(&keys, &envelope).is_err(), "bit {bit}");
+            assert!(control::open::<u64>(&keys, &message).is_err(), "bit {bit}");
         }
     }
 }
@@ -89,17 +82,10 @@
     let envelope = Rng(4).envelope().seal(&keys, &[]);
     // The tag of an envelope covers the same bytes as that of a control message whose body starts
     // with the header length, so only the keys tell them apart.
-    let control = [
-        &envelope[..1],
-        &envelope[2..18],
-        &envelope[1..2],
-        &envelope[18..],
-    ]
-    .concat();
-    assert_eq!(
-        control::open::<(u8, u8)>(&keys, &control),
-        Err(WireError::Tag)
-    );
+    let (lead, tag, header) = (&envelope[..2], &envelope[2..18], &envelope[18..]);
+    let control = [&lead[..1], tag, &lead[1..], header].concat();
+    let opened = control::open::<(u8, u8)>(&keys, &control);
+    assert_eq!(opened, Err(WireError::Tag));
 }
 
 /// Guards against a header bound that is too small, and against messages past the datagram size.
@@ -113,26 +99,19 @@
     largest.address = largest.caller;
     let agent = "255.255.255.255:65535".parse().expect("address");
     largest.chain = Chain::default();
-    while largest
-        .chain
-        .push(Hop {
-            agent,
-            known_only: true,
-        })
-        .is_ok()
-    {}
+    let hop = Hop {
+        agent,
+        known_only: true,
+    };
+    while largest.chain.push(hop).is_ok() {}
     assert_eq!(largest.seal(&keys, &[]).len(), 18 + MAX_HEADER);
     let fits = rng.bytes(control::MAX_MESSAGE - 2);
     let datagram = control::seal(&keys, &fits).expect("fits");
     assert_eq!(datagram.len(), control::MAX_DATAGRAM);
     assert_eq!(control::open(&keys, &datagram), Ok(fits));
     let long = control::seal(&keys, &rng.bytes(control::MAX_MESSAGE - 1));
-    assert_eq!(
-        long,
-        Err(WireError::TooLong {
-            limit: control::MAX_MESSAGE
-        })
-    );
+    let limit = control::MAX_MESSAGE;
+    assert_eq!(long, Err(WireError::TooLong { limit }));
 }
 
 /// Guards against a key file with a typing error that would be accepted.
@@ -140,40 +119,23 @@
 fn faulty_key_files_are_rejected() {
     let (good, other) = ("0f".repeat(32), "F0".repeat(32));
     let load = |phase, current: &str, previous: Option<&str>| {
-        let (current, previous) = (current.to_owned(), previous.map(str::to_owned));
-        Keyring::try_from(RawKeys {
-            phase,
-            current,
-            previous,
-        })
-        .map(|_| ())
+        Keyring::try_from(raw(phase, current, previous)).map(|_| ())
     };
     assert_eq!(load(7, &good, Some(&other)), Ok(()));
     assert_eq!(load(8, &good, None), Err(KeysError::Phase { found: 8 }));
-    for bad in [
-        &good[1..],
-        &good.replace('f', "g"),
-        &format!("{good}00"),
-        "",
-        &"é".repeat(32),
-    ] {
+    let (letter, long, wide) = (good.replace('f', "g"), format!("{good}00"), "é".repeat(32));
+    for bad in [&good[1..], &letter, &long, &wide, ""] {
         assert_eq!(load(0, bad, None), Err(KeysError::Current), "{bad}");
         assert_eq!(load(0, &good, Some(bad)), Err(KeysError::Previous), "{bad}");
     }
-    assert_eq!(
-        load(0, &good, Some(&good.to_uppercase())),
-        Err(KeysError::Equal)
-    );
+    let upper = good.to_uppercase();
+    assert_eq!(load(0, &good, Some(&upper)), Err(KeysError::Equal));
 }
 
 /// Guards against secrets in logs.
 #[test]
 fn debug_output_holds_no_secret() {
-    let raw = RawKeys {
-        phase: 2,
-        current: "ab".repeat(32),
-        previous: None,
-    };
+    let raw = raw(2, &"ab".repeat(32), None);
     let text = format!("{raw:?} {:?}", Keyring::try_from(raw.clone()));
     insta::assert_snapshot!(text, @"RawKeys { phase: 2, .. } Ok(Keyring { phase: 2, previous: None, .. })");
 }
--- a/crates/wire/tests/quic.rs
+++ b/crates/wire/tests/quic.rs
@@ -30,14 +30,18 @@
             assert_eq!(first_look(&look(kind)), Packet::Long { dcid });
         }
     }
-    let handshake_form = long(0xe0, 0x0a0a_0a0a, &[7; 255], &[9; 255]);
+    let (longest, too_long) = ([7; 255], [7; 21]);
+    let unknown_version = long(0xe0, 0x0a0a_0a0a, &longest, &longest);
     assert_eq!(
-        first_look(&handshake_form),
-        Packet::Initial { dcid: &[7; 255] }
+        first_look(&unknown_version),
+        Packet::Initial { dcid: &longest }
     );
-    assert_eq!(first_look(&long(0xc0, 0, dcid, &[])), Packet::Unknown);
-    assert_eq!(first_look(&long(0xc0, 1, &[7; 21], &[])), Packet::Unknown);
-    assert_eq!(first_look(&long(0xc0, 1, dcid, &[7; 21])), Packet::Unknown);
+    for (version, dcid, scid) in [(0, dcid, dcid), (1, &too_long, dcid), (1, dcid, &too_long)] {
+        assert_eq!(
+            first_look(&long(0xc0, version, dcid, scid)),
+            Packet::Unknown
+        );
+    }
 }
 
 /// Guards against reads past the end of a truncated header.
@@ -48,12 +52,8 @@
         assert_eq!(first_look(&full[..length]), Packet::Unknown, "{length}");
     }
     let short = [0x40; 1 + CID_LEN];
-    assert_eq!(
-        first_look(&short),
-        Packet::Short {
-            dcid: &[0x40; CID_LEN]
-        }
-    );
+    let dcid = &short[1..];
+    assert_eq!(first_look(&short), Packet::Short { dcid });
     assert_eq!(first_look(&short[..CID_LEN]), Packet::Unknown);
 }
 
@@ -96,10 +96,6 @@
         assert_eq!(lengths, (MIN_RESET..=42).collect());
         assert_eq!(stateless_reset(&new, &cid[1..], 1_200, 0), None);
     }
-    let cid = rng.cid().seal(&new);
-    assert_eq!(
-        stateless_reset(&old, &cid, 1_200, 0),
-        None,
-        "phase is not loaded"
-    );
+    let newer = rng.cid().seal(&new);
+    assert_eq!(stateless_reset(&old, &newer, 1_200, 0), None);
 }
--- a/crates/wire/tests/reset.rs
+++ b/crates/wire/tests/reset.rs
@@ -11,6 +11,7 @@
 use quinn::{ClientConfig, ConnectionError, Endpoint, EndpointConfig, ServerConfig, TokioRuntime};
 use rustls::pki_types::PrivatePkcs8KeyDer;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 const LOOPBACK: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
 
@@ -44,20 +45,13 @@
     endpoint.cid_generator(move || Box::new(Issuer(Arc::clone(&issuer), Rng(9))));
     let socket = std::net::UdpSocket::bind(LOOPBACK).expect("socket");
     let runtime = Arc::new(TokioRuntime);
-    (
-        Endpoint::new(endpoint, Some(server), socket, runtime).expect("endpoint"),
-        client,
-    )
+    let endpoint = Endpoint::new(endpoint, Some(server), socket, runtime);
+    (endpoint.expect("endpoint"), client)
 }
 
 /// Forwards between a client and `server`, and answers short-header packets with resets once
 /// `dead` is notified.
-async fn relay(
-    front: UdpSocket,
-    server: SocketAddr,
-    keys: Keyring,
-    dead: Arc<tokio::sync::Notify>,
-) {
+async fn relay(front: UdpSocket, server: SocketAddr, keys: Keyring, dead: Arc<Notify>) {
     let back = UdpSocket::bind(LOOPBACK).await.expect("socket");
     let (mut client, mut is_dead) = (server, false);
     let (mut up, mut down) = ([0; 2_000], [0; 2_000]);
@@ -86,14 +80,11 @@
 /// when the balancer has a newer key than the agent.
 #[tokio::test]
 async fn clients_end_the_flow_on_a_reset() {
-    for (agent, balancer) in [
-        (keys(0, false), keys(0, false)),
-        (keys(0, false), keys(1, true)),
-    ] {
-        let (server, client_config) = server(&Arc::new(agent));
+    for balancer in [keys(0, false), keys(1, true)] {
+        let (server, client_config) = server(&Arc::new(keys(0, false)));
         let front = UdpSocket::bind(LOOPBACK).await.expect("socket");
         let address = front.local_addr().expect("address");
-        let dead = Arc::new(tokio::sync::Notify::new());
+        let dead = Arc::new(Notify::new());
         let target = server.local_addr().expect("address");
         let relay = tokio::spawn(relay(front, target, balancer, Arc::clone(&dead)));
         let accepting = server.clone();
