State the spread and memory of tables exactly

The comment on the number of buckets gave a bound for the shares of ten targets where the binomial distribution over 16,384 buckets gives a standard deviation of 2.3 %, and the bound of the history named no size.

Measured with INSTA_UPDATE=no cargo test -p monsoon-routing -p monsoon-wire: all pass. Only comments changed.

--- a/crates/routing/src/history.rs
+++ b/crates/routing/src/history.rs
@@ -14,8 +14,8 @@
 /// twice within a batch keeps its oldest candidate.
 const BATCH: Duration = Duration::from_secs(1);
 
-/// Most replaced candidates of one service, twice the buckets of its table. When there are more,
-/// the oldest batch is dropped and counted.
+/// Most replaced candidates of one service, twice the buckets of its table, in 128 KiB. When there
+/// are more, the oldest batch is dropped and counted.
 pub const MAX_PAST: usize = 2 * crate::BUCKETS;
 
 /// Replaced candidates of changes that happened close together.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -11,9 +11,9 @@
 /// Buckets of a table; a power of two.
 ///
 /// The number is fixed because all balancers must map a flow to the same bucket, whatever number
-/// of targets they know. A table takes 64 KiB, 360 of them 23 MiB. Ten targets have shares within
-/// about 3 % of their weight; with 3,700 targets of one service a target has only 4 buckets on
-/// average and the agents' load limit has to even out the rest.
+/// of targets they know. A table takes 64 KiB, 360 of them 23 MiB. The share of one of ten equal
+/// targets has a standard deviation of 2.3 %; with 3,700 targets of one service a target has only 4
+/// buckets on average and the agents' load limit has to even out the rest.
 pub const BUCKETS: usize = 1 << BUCKET_BITS;
 const BUCKET_BITS: u32 = 14;
 
