Use the usual terms in the lab and the limiter

Several names were figurative (gate, world, cut, debt). They are now control, simulation, partition and deficit. No behaviour changes.

--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -64,8 +64,8 @@
     limit: f64,
     dwell: Duration,
     round: Round,
-    recent: f64,
-    sudden: f64,
+    slow_ratio: f64,
+    fast_ratio: f64,
     gap: u32,
     plateau: Option<(f64, Instant)>,
     was_ready: bool,
@@ -85,8 +85,8 @@
             limit: (slots * cold_share).min(slots),
             dwell: DWELL_MIN,
             round: Round::default(),
-            recent: 1.0,
-            sudden: 1.0,
+            slow_ratio: 1.0,
+            fast_ratio: 1.0,
             gap: 0,
             plateau: None,
             was_ready: false,
@@ -123,7 +123,7 @@
         self.cold_report = cold.then_some(now);
         self.full_report = load.is_some_and(|l| l >= 1.0).then_some(now);
         if cold && self.phase != Phase::Cold {
-            self.fall(now);
+            self.enter_cold(now);
         }
     }
 
@@ -139,7 +139,7 @@
     pub(crate) fn suspect(&mut self, now: Instant) {
         match self.phase {
             Phase::Ready => self.enter(now, Phase::Suspect { good: 0 }),
-            Phase::Warming => self.fall(now),
+            Phase::Warming => self.enter_cold(now),
             Phase::Cold | Phase::Suspect { .. } => {}
         }
     }
@@ -147,7 +147,7 @@
     fn failed(&mut self, now: Instant, started: Instant) -> Option<f64> {
         match self.phase {
             Phase::Ready => self.enter(now, Phase::Suspect { good: 0 }),
-            Phase::Suspect { .. } | Phase::Warming => self.fall(now),
+            Phase::Suspect { .. } | Phase::Warming => self.enter_cold(now),
             // A failure of a request that the cold phase itself started restarts its time.
             Phase::Cold if started >= self.since => self.restart(now),
             Phase::Cold => {}
@@ -191,7 +191,7 @@
             .is_some_and(|at| now.since(at) < REPORT_TTL)
     }
 
-    fn fall(&mut self, now: Instant) {
+    fn enter_cold(&mut self, now: Instant) {
         if self.phase == Phase::Warming {
             let doubled = self.dwell + self.dwell;
             self.dwell = doubled.min(DWELL_MAX);
@@ -203,8 +203,8 @@
     fn enter(&mut self, now: Instant, phase: Phase) {
         self.phase = phase;
         self.since = now;
-        self.recent = 1.0;
-        self.sudden = 1.0;
+        self.slow_ratio = 1.0;
+        self.fast_ratio = 1.0;
         self.gap = 0;
         self.restart(now);
         debug_assert!(self.limit() <= self.slots, "limit exceeds the slots");
--- a/crates/admission/src/limit/evidence.rs
+++ b/crates/admission/src/limit/evidence.rs
@@ -70,7 +70,7 @@
             return;
         };
         if mean >= FAR {
-            self.fall(now);
+            self.enter_cold(now);
         } else if mean <= GOOD
             && self
                 .full_report
@@ -86,7 +86,7 @@
 
     pub(super) fn suspect_success(&mut self, now: Instant, ratio: f64, good: u32) {
         if ratio >= FAR {
-            self.fall(now);
+            self.enter_cold(now);
         } else if ratio <= HIGH && good + 1 >= CLEARING {
             self.limit = (self.limit / 2.0).max(1.0).min(self.slots);
             self.enter(now, Phase::Ready);
@@ -96,15 +96,15 @@
     }
 
     pub(super) fn ready_success(&mut self, now: Instant, ratio: f64, saturated: bool) {
-        self.recent += (ratio - self.recent) / 8.0;
-        self.sudden += (ratio - self.sudden) / 4.0;
+        self.slow_ratio += (ratio - self.slow_ratio) / 8.0;
+        self.fast_ratio += (ratio - self.fast_ratio) / 4.0;
         self.gap = self.gap.saturating_add(1);
-        if self.sudden >= FAR {
+        if self.fast_ratio >= FAR {
             self.enter(now, Phase::Suspect { good: 0 });
-        } else if self.recent >= HIGH && self.gap >= DECREASE_GAP {
+        } else if self.slow_ratio >= HIGH && self.gap >= DECREASE_GAP {
             self.limit = (self.limit * DECREASE).max(1.0).min(self.slots);
             self.gap = 0;
-        } else if saturated && self.recent <= GOOD && !self.reports_full(now) {
+        } else if saturated && self.slow_ratio <= GOOD && !self.reports_full(now) {
             self.limit = (self.limit + 1.0 / self.limit).min(self.slots);
         }
         if now.since(self.since) >= SETTLED {
--- a/crates/admission/tests/admission/sim.rs
+++ b/crates/admission/tests/admission/sim.rs
@@ -8,7 +8,7 @@
 };
 use monsoon_model::{ClassKey, Duration, Instant, hash::mix};
 
-/// Time in which a request fails at a target that fell over.
+/// Time in which a request fails at a target that was overrun.
 const FAIL: Duration = Duration::from_millis(2);
 
 pub struct Plan {
@@ -63,7 +63,7 @@
     works: BTreeMap<WorkId, Work>,
     draws: u64,
     /// Busy time that a cold target still has to recover from, in microseconds.
-    debt: f64,
+    deficit: f64,
     drained: Instant,
     /// Start of the cold episode that the agent has evidence of.
     known: Option<Instant>,
@@ -78,7 +78,7 @@
             events: BTreeMap::new(),
             works: BTreeMap::new(),
             draws: 0,
-            debt: 0.0,
+            deficit: 0.0,
             drained: Instant::ZERO,
             known: None,
             stats: Stats {
@@ -189,17 +189,18 @@
     fn start(&mut self, id: WorkId) {
         let share = self.plan.limits.cold_share * f64::from(self.plan.limits.slots);
         let running = self.works.values().filter(|w| w.started.is_some()).count();
-        self.debt = (self.debt - self.now.since(self.drained).as_micros() as f64 * share).max(0.0);
+        self.deficit =
+            (self.deficit - self.now.since(self.drained).as_micros() as f64 * share).max(0.0);
         self.drained = self.now;
         let cold = self.is_cold(self.now);
-        let over = running >= (share as usize).max(1) || (share < 1.0 && self.debt > 10.0);
+        let over = running >= (share as usize).max(1) || (share < 1.0 && self.deficit > 10.0);
         if let Some(from) = cold.filter(|_| over) {
             if self.known == Some(from) {
                 self.stats.later += 1;
             } else {
                 self.stats.first += 1;
             }
-            self.fall_over();
+            self.fail_all();
         }
         let factor = (0.5 + self.draw()) * if cold.is_some() { self.plan.slow } else { 1.0 };
         let now = self.now;
@@ -215,7 +216,7 @@
     }
 
     /// Fails everything in flight.
-    fn fall_over(&mut self) {
+    fn fail_all(&mut self) {
         let running: Vec<_> = self
             .works
             .iter()
@@ -235,7 +236,7 @@
         let started = work.started.expect("only started work ends");
         // Only busy time within the episode counts.
         let from = self.is_cold(self.now).unwrap_or(self.now);
-        self.debt += self.now.since(started.max(from)).as_micros() as f64;
+        self.deficit += self.now.since(started.max(from)).as_micros() as f64;
         if outcome == Outcome::Ok && self.now.as_micros() * 4 > self.plan.end.as_micros() {
             self.stats.good[work.class] += 1;
         }
@@ -246,7 +247,7 @@
         self.carry_out(actions);
     }
 
-    /// Health report, and the fall of a warm target whose requests exceed its cold share.
+    /// Health report, and the failure of a target that turned cold under more than its share.
     fn report(&mut self) {
         self.at(Duration::from_millis(100), Event::Report);
         let running = self.works.values().filter(|w| w.started.is_some()).count();
@@ -254,7 +255,7 @@
         if turned.is_some_and(|from| self.now.since(from) < Duration::from_millis(100))
             && running > 1
         {
-            self.fall_over();
+            self.fail_all();
         }
         let Some(lag) = self.plan.lag else {
             let report = HealthReport {
--- a/crates/admission/tests/admission/units.rs
+++ b/crates/admission/tests/admission/units.rs
@@ -73,7 +73,7 @@
     }
 }
 
-/// Guards against a rush of streams to a cold target, and against more streams than connections.
+/// Guards against a burst of streams to a cold target, and against more streams than connections.
 #[test]
 fn streams_are_bounded_and_paced_while_cold() {
     let mut admission = admission(4, 50, 0.2);
@@ -194,7 +194,7 @@
 
 /// Guards against a long cold phase after one lost connection, and against none after two.
 #[test]
-fn one_failure_is_checked_and_two_are_believed() {
+fn one_failure_is_checked_and_two_mean_cold() {
     for failures in [1, 2] {
         let (mut admission, mut now, mut id) = warm();
         for work in id + 1..=id + failures {
--- a/crates/execution/src/claim.rs
+++ b/crates/execution/src/claim.rs
@@ -46,7 +46,7 @@
 //!
 //! - A claimer whose list lacks a member that others rank. An agent makes no claims before its
 //!   list of members is complete.
-//! - A link cut for longer than the window, with callers that reach both sides: each side has then
+//! - A partition that lasts longer than the window, with callers that reach both sides: each side has then
 //!   forgotten the other's members.
 //! - All members that recorded a claim crash, and nobody remembers them as departed.
 //! - A caller that sends the request again later than the window after its claim.
--- a/crates/execution/tests/execution/place.rs
+++ b/crates/execution/tests/execution/place.rs
@@ -54,7 +54,7 @@
     }
 }
 
-/// Guards against a herd between two reports: what this agent sent counts as busy.
+/// Guards against a burst to one peer between two reports: what this agent sent counts as busy.
 #[test]
 fn own_requests_count_before_the_next_report() {
     let mut peers = [peer(0, TargetState::Ready), peer(1, TargetState::Ready)];
--- a/crates/execution/tests/execution/requests.rs
+++ b/crates/execution/tests/execution/requests.rs
@@ -99,7 +99,7 @@
 
 /// Guards against a false "not run" at the deadline, and against the loss of a late outcome.
 #[test]
-fn deadline_tells_the_truth() {
+fn deadline_reports_what_is_known() {
     let late = Instant::from_secs(2);
     let claimed = [
         Event::Begin,
--- a/crates/lab/src/claims.rs
+++ b/crates/lab/src/claims.rs
@@ -5,7 +5,7 @@
 
 use monsoon_model::Duration;
 
-use crate::world::{Faults, KEYS, World};
+use crate::simulation::{Faults, KEYS, Simulation};
 
 /// Members of the service, as in `prodejna`.
 const MEMBERS: u64 = 7;
@@ -21,7 +21,7 @@
     change: 40,
     clean: 500,
     group: 1,
-    cut: 300,
+    partition: 300,
     suspicion: 2,
     refused: 100,
 };
@@ -33,7 +33,7 @@
     change: 0,
     clean: 0,
     group: 0,
-    cut: 0,
+    partition: 0,
     suspicion: 0,
     refused: 0,
 };
@@ -84,8 +84,11 @@
         },
     ),
     (
-        "the link between 3 and 4 members is cut for 100 s every 300 s",
-        Faults { cut: 300, ..NONE },
+        "a partition into 3 and 4 members for 100 s every 300 s",
+        Faults {
+            partition: 300,
+            ..NONE
+        },
     ),
     ("all, a member every 40 s", ALL),
 ];
@@ -96,9 +99,9 @@
         "| faults | sends | keys run % | replayed | unknown % of sends | not run | second runs |\n|---|---|---|---|---|---|---|\n",
     );
     for (name, faults) in ROWS {
-        let mut world = World::new(seed, faults, MEMBERS, AGE);
-        world.run();
-        let sum = world.totals;
+        let mut simulation = Simulation::new(seed, faults, MEMBERS, AGE);
+        simulation.run();
+        let sum = simulation.totals;
         writeln!(
             text,
             "| {name} | {} | {:.1} | {} | {:.1} | {} | 0 |",
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -3,7 +3,7 @@
 //! Requests, admission and the choice of the place are the product's own code. The network has a
 //! fixed delay. Load reports have the age that announcements give them.
 
-mod gate;
+mod control;
 mod node;
 mod result;
 mod run;
--- a/crates/lab/src/cluster/gate.rs
+++ b/crates/lab/src/cluster/control.rs
@@ -7,12 +7,12 @@
 
 /// Admission in front of one target.
 #[derive(Clone, Debug)]
-pub enum Gate {
+pub enum Control {
     Adaptive(Box<Admission>),
     Fixed(Fixed),
 }
 
-impl Gate {
+impl Control {
     pub fn offer(
         &mut self,
         now: Instant,
@@ -21,50 +21,52 @@
         deadline: Instant,
     ) -> Vec<Action> {
         match self {
-            Self::Adaptive(gate) => gate.offer(now, id, ClassKey(class as u8), Some(deadline)),
-            Self::Fixed(gate) => gate.offer(id),
+            Self::Adaptive(control) => {
+                control.offer(now, id, ClassKey(class as u8), Some(deadline))
+            }
+            Self::Fixed(control) => control.offer(id),
         }
     }
 
     pub fn finish(&mut self, now: Instant, id: WorkId, outcome: Outcome) -> Vec<Action> {
         match self {
-            Self::Adaptive(gate) => gate.finish(now, id, outcome),
-            Self::Fixed(gate) => gate.finish(id),
+            Self::Adaptive(control) => control.finish(now, id, outcome),
+            Self::Fixed(control) => control.finish(id),
         }
     }
 
     pub fn cancel(&mut self, now: Instant, id: WorkId) -> Vec<Action> {
         match self {
-            Self::Adaptive(gate) => gate.cancel(now, id),
-            Self::Fixed(gate) => gate.cancel(id),
+            Self::Adaptive(control) => control.cancel(now, id),
+            Self::Fixed(control) => control.cancel(id),
         }
     }
 
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         match self {
-            Self::Adaptive(gate) => gate.tick(now),
+            Self::Adaptive(control) => control.tick(now),
             Self::Fixed(_) => Vec::new(),
         }
     }
 
     pub fn report(&mut self, now: Instant, report: HealthReport) -> Vec<Action> {
         match self {
-            Self::Adaptive(gate) => gate.report(now, report),
+            Self::Adaptive(control) => control.report(now, report),
             Self::Fixed(_) => Vec::new(),
         }
     }
 
     pub fn next_tick(&self) -> Option<Instant> {
         match self {
-            Self::Adaptive(gate) => gate.next_tick(),
+            Self::Adaptive(control) => control.next_tick(),
             Self::Fixed(_) => None,
         }
     }
 
     pub fn load(&self) -> Load {
         match self {
-            Self::Adaptive(gate) => gate.load(),
-            Self::Fixed(gate) => gate.load(),
+            Self::Adaptive(control) => control.load(),
+            Self::Fixed(control) => control.load(),
         }
     }
 }
--- a/crates/lab/src/cluster/node.rs
+++ b/crates/lab/src/cluster/node.rs
@@ -6,7 +6,7 @@
 use monsoon_execution::{PeerLoad, RetryBudget};
 use monsoon_model::Instant;
 
-use super::gate::Gate;
+use super::control::Control;
 use super::{Policy, Setup};
 use crate::fixed::Fixed;
 
@@ -20,7 +20,7 @@
 /// Agent and target.
 #[derive(Clone, Debug)]
 pub struct Node {
-    pub gate: Gate,
+    pub control: Control,
     pub budget: RetryBudget,
     pub running: BTreeMap<WorkId, Running>,
     /// Load as last announced.
@@ -30,7 +30,7 @@
     /// Time of the tick that is scheduled.
     pub ticks_at: Option<Instant>,
     /// Busy time of a cold target that it has not recovered from, in microseconds.
-    pub debt: f64,
+    pub deficit: f64,
     pub drained: Instant,
     pub turned: bool,
     /// Whether the agent has evidence of the present cold episode.
@@ -39,23 +39,23 @@
 
 impl Node {
     pub fn new(setup: &Setup) -> Self {
-        let gate = match setup.policy {
-            Policy::Ours => Gate::Adaptive(Box::new(Admission::new(setup.limits()))),
-            _ => Gate::Fixed(Fixed::new(setup.slots)),
+        let control = match setup.policy {
+            Policy::Ours => Control::Adaptive(Box::new(Admission::new(setup.limits()))),
+            _ => Control::Fixed(Fixed::new(setup.slots)),
         };
-        let announced = gate.load();
+        let announced = control.load();
         let peer = PeerLoad {
             load: announced,
             sent: 0,
         };
         Self {
-            gate,
+            control,
             budget: RetryBudget::default(),
             running: BTreeMap::new(),
             announced,
             peers: vec![peer; setup.speeds.len()],
             ticks_at: None,
-            debt: 0.0,
+            deficit: 0.0,
             drained: Instant::ZERO,
             turned: false,
             known: false,
@@ -65,9 +65,9 @@
     /// Whether one more request overruns the cold target, given its cold share in slots.
     pub fn overruns(&mut self, now: Instant, share: f64) -> bool {
         let recovered = now.since(self.drained).as_micros() as f64 * share;
-        self.debt = (self.debt - recovered).max(0.0);
+        self.deficit = (self.deficit - recovered).max(0.0);
         self.drained = now;
         let busy = self.running.len() >= (share as usize).max(1);
-        busy || (share < 1.0 && self.debt > 10.0)
+        busy || (share < 1.0 && self.deficit > 10.0)
     }
 }
--- a/crates/lab/src/cluster/result.rs
+++ b/crates/lab/src/cluster/result.rs
@@ -20,7 +20,7 @@
     pub retries: f64,
     pub forwards: u64,
     /// Starts that overran a cold target before any evidence of the episode: a failure or a report.
-    pub surprised: u64,
+    pub unforeseen: u64,
     /// Starts that overran a cold target after that.
     pub overruns: u64,
     /// Starts at cold targets.
--- a/crates/lab/src/cluster/run.rs
+++ b/crates/lab/src/cluster/run.rs
@@ -105,7 +105,7 @@
             Event::Deadline(request) => self.drive(request, Step::Tick),
             Event::Tick(node) => {
                 self.nodes[node].ticks_at = None;
-                let actions = self.nodes[node].gate.tick(self.now);
+                let actions = self.nodes[node].control.tick(self.now);
                 self.admit(node, actions);
             }
             Event::Announce(node) => self.announce(node),
@@ -233,7 +233,7 @@
                     peers[peer].load.leaving = true;
                 }
                 let away = refused == Some(Place::Local);
-                pick_place(node.gate.load(), &peers, away, noise)
+                pick_place(node.control.load(), &peers, away, noise)
             }
             Policy::Random | Policy::TwoChoices => Place::Local,
         };
@@ -271,7 +271,7 @@
             return;
         }
         // The reply carries the peer's present load.
-        self.nodes[agent].peers[node].load = self.nodes[node].gate.load();
+        self.nodes[agent].peers[node].load = self.nodes[node].control.load();
         self.nodes[agent].peers[node].sent = 0;
         self.at(HOP, Event::Back(id, step));
     }
@@ -279,7 +279,7 @@
     /// Announces the node's load and receives the others' announced loads.
     fn announce(&mut self, node: usize) {
         self.at(ANNOUNCE, Event::Announce(node));
-        self.nodes[node].announced = self.nodes[node].gate.load();
+        self.nodes[node].announced = self.nodes[node].control.load();
         let announced: Vec<_> = self.nodes.iter().map(|n| n.announced).collect();
         for (peer, load) in self.nodes[node].peers.iter_mut().zip(announced) {
             peer.load = load;
--- a/crates/lab/src/cluster/run/target.rs
+++ b/crates/lab/src/cluster/run/target.rs
@@ -7,7 +7,7 @@
 use super::{Cluster, Event, REPORT, outcome, parts};
 use crate::cluster::node::Running;
 
-/// Time in which a request fails at a target that fell over.
+/// Time in which a request fails at a target that was overrun.
 const FAIL: Duration = Duration::from_millis(2);
 
 /// Share of requests that take [`TAIL`] times as long.
@@ -24,9 +24,11 @@
         };
         let class = flight.class;
         let deadline = flight.offered + self.setup.classes[class].deadline;
-        let actions = self.nodes[node].gate.offer(self.now, id, class, deadline);
+        let actions = self.nodes[node]
+            .control
+            .offer(self.now, id, class, deadline);
         self.admit(node, actions);
-        let queued = self.nodes[node].gate.load().queued;
+        let queued = self.nodes[node].control.load().queued;
         self.results.queued_max = self.results.queued_max.max(queued);
     }
 
@@ -45,7 +47,7 @@
     }
 
     fn schedule(&mut self, node: usize) {
-        let Some(next) = self.nodes[node].gate.next_tick() else {
+        let Some(next) = self.nodes[node].control.next_tick() else {
             return;
         };
         let next = next.max(self.now + Duration::from_micros(1));
@@ -59,7 +61,7 @@
         let (request, attempt) = parts(id);
         let Some(class) = self.requests.get(&request).map(|f| f.class) else {
             let actions = self.nodes[node]
-                .gate
+                .control
                 .finish(self.now, id, Outcome::Cancelled);
             return self.admit(node, actions);
         };
@@ -70,8 +72,8 @@
         if over {
             let known = self.nodes[node].known;
             self.results.overruns += u64::from(known);
-            self.results.surprised += u64::from(!known);
-            self.fall_over(node);
+            self.results.unforeseen += u64::from(!known);
+            self.fail_all(node);
         }
         let tail = if self.unit() < TAIL_SHARE { TAIL } else { 1.0 };
         let slow = if cold { self.setup.slow } else { 1.0 };
@@ -89,7 +91,7 @@
     }
 
     /// Fails everything in flight at a target.
-    fn fall_over(&mut self, node: usize) {
+    fn fail_all(&mut self, node: usize) {
         let ids: Vec<_> = self.nodes[node].running.keys().copied().collect();
         for id in ids {
             if let Some(running) = self.nodes[node].running.get_mut(&id) {
@@ -105,7 +107,7 @@
         };
         self.account(node, running);
         let actions = self.nodes[node]
-            .gate
+            .control
             .finish(self.now, id, outcome(running.fails));
         let (request, attempt) = parts(id);
         let step = if running.fails {
@@ -122,11 +124,11 @@
         if let Some(running) = self.nodes[node].running.remove(&id) {
             self.account(node, running);
             let actions = self.nodes[node]
-                .gate
+                .control
                 .finish(self.now, id, Outcome::Cancelled);
             self.admit(node, actions);
         } else {
-            let actions = self.nodes[node].gate.cancel(self.now, id);
+            let actions = self.nodes[node].control.cancel(self.now, id);
             self.admit(node, actions);
         }
     }
@@ -136,16 +138,16 @@
         let busy = self.now.since(measured);
         self.results.busy[node] = self.results.busy[node] + busy;
         if self.setup.is_cold(node, running.started) {
-            self.nodes[node].debt += self.now.since(running.started).as_micros() as f64;
+            self.nodes[node].deficit += self.now.since(running.started).as_micros() as f64;
         }
     }
 
-    /// Health report of a node's target, and its fall when it turned cold under more than its share.
+    /// Health report of a node's target, and the failure of a target that turned cold under more than its share.
     pub(super) fn report(&mut self, node: usize) {
         self.at(REPORT, Event::Report(node));
         let cold = self.setup.is_cold(node, self.now);
         if cold && !self.nodes[node].turned && self.nodes[node].running.len() > 1 {
-            self.fall_over(node);
+            self.fail_all(node);
         }
         self.nodes[node].turned = cold;
         self.nodes[node].known &= cold;
@@ -157,7 +159,7 @@
         };
         self.nodes[node].known |= cold && state == ReportedState::Cold;
         let report = HealthReport { state, load: None };
-        let actions = self.nodes[node].gate.report(self.now, report);
+        let actions = self.nodes[node].control.report(self.now, report);
         self.admit(node, actions);
     }
 }
--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -23,7 +23,7 @@
             text,
             "| {policy:?} | {} | {} | {} | {:.1} {}| {refused:.2} | {unknown:.2} |",
             results.cold_starts,
-            results.surprised,
+            results.unforeseen,
             results.overruns,
             100.0 * results.goodput(&setup) / LOAD,
             results.classes(&setup),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,9 +7,9 @@
 mod imbalance;
 mod options;
 mod overload;
+mod simulation;
 #[cfg(test)]
 mod tests;
-mod world;
 
 use gumdrop::Options as _;
 use options::{Command, Options};
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/simulation.rs
@@ -26,9 +26,9 @@
     pub clean: u64,
     /// Members that go at each change; zero counts as one.
     pub group: u64,
-    /// Mean time between cuts of the link between two halves of the members, in seconds; zero for
-    /// none. A cut lasts [`CUT`].
-    pub cut: u64,
+    /// Mean time between partitions into two halves of the members, in seconds; zero for
+    /// none. A partition lasts [`PARTITION`].
+    pub partition: u64,
     /// Mean time between false suspicions in one view, in seconds; zero for none.
     pub suspicion: u64,
     /// Share of attempts that a target refuses as not run.
@@ -81,7 +81,7 @@
         until: Instant,
     },
     Change,
-    Cut,
+    Partition,
     Suspect,
 }
 
@@ -109,7 +109,7 @@
     pub not_run: u64,
 }
 
-pub struct World {
+pub struct Simulation {
     seed: u64,
     faults: Faults,
     draws: u64,
@@ -124,12 +124,12 @@
     runs: BTreeMap<KeyHash, u64>,
     /// Departed members and when the first member forgets them.
     departed: Vec<(AgentId, Instant)>,
-    /// End of the present cut.
-    cut_until: Instant,
+    /// End of the present partition.
+    partitioned_until: Instant,
     pub totals: Totals,
 }
 
-impl World {
+impl Simulation {
     /// `count` members that joined `age` before the start.
     pub fn new(seed: u64, faults: Faults, count: u64, age: Duration) -> Self {
         let now = Instant::from_secs(1_000);
@@ -144,7 +144,7 @@
             };
             (id, agent)
         };
-        let mut world = Self {
+        let mut simulation = Self {
             seed,
             faults,
             draws: 0,
@@ -157,14 +157,14 @@
             refused: BTreeSet::new(),
             runs: BTreeMap::new(),
             departed: Vec::new(),
-            cut_until: Instant::ZERO,
+            partitioned_until: Instant::ZERO,
             totals: Totals::default(),
         };
-        world.callers();
-        world.again(faults.change, Event::Change);
-        world.again(faults.cut, Event::Cut);
-        world.again(faults.suspicion, Event::Suspect);
-        world
+        simulation.callers();
+        simulation.again(faults.change, Event::Change);
+        simulation.again(faults.partition, Event::Partition);
+        simulation.again(faults.suspicion, Event::Suspect);
+        simulation
     }
 
     pub fn run(&mut self) {
@@ -222,7 +222,7 @@
                 until,
             } => self.work(to, request, attempt, until),
             Event::Change => self.changes(),
-            Event::Cut => self.cut(),
+            Event::Partition => self.partition(),
             Event::Suspect => self.suspect(),
         }
     }
@@ -246,7 +246,7 @@
 
     /// Sends a message over the network.
     fn post(&mut self, event: Event) {
-        if self.now < self.cut_until && crosses(event) {
+        if self.now < self.partitioned_until && crosses(event) {
             return;
         }
         let copies = 1 + u64::from(self.draw(1_000) < self.faults.repeat);
@@ -284,7 +284,7 @@
     }
 }
 
-/// Whether a message goes from one side of a cut to the other.
+/// Whether a message goes from one side of a partition to the other.
 fn crosses(event: Event) -> bool {
     match event {
         Event::Claim {
--- a/crates/lab/src/world/members.rs
+++ b/crates/lab/src/simulation/members.rs
@@ -1,15 +1,15 @@
-//! Members that crash, leave, join and suspect each other, and cuts between them.
+//! Members that crash, leave, join and suspect each other, and partitions between them.
 
 use monsoon_execution::RetryBudget;
 use monsoon_execution::claim::{CLAIM_WINDOW, Claims, Handed};
 use monsoon_model::{AgentId, Duration};
 
-use super::{Agent, Event, World};
+use super::{Agent, Event, Simulation};
 
-/// Length of a cut, shorter than the claim window.
-const CUT: Duration = Duration::from_secs(100);
+/// Length of a partition, shorter than the claim window.
+const PARTITION: Duration = Duration::from_secs(100);
 
-impl World {
+impl Simulation {
     /// Tells each member of a change after its own delay.
     fn spread(&mut self, about: AgentId, state: Option<bool>, least: u64, most: u64) {
         for agent in self.agents.keys().copied().collect::<Vec<_>>() {
@@ -51,13 +51,13 @@
         }
     }
 
-    /// Cuts the link between the halves. Each side soon takes the other for departed.
-    pub(super) fn cut(&mut self) {
-        self.again(self.faults.cut, Event::Cut);
-        if self.now < self.cut_until + CLAIM_WINDOW {
+    /// Partitions the members into halves. Each side soon takes the other for departed.
+    pub(super) fn partition(&mut self) {
+        self.again(self.faults.partition, Event::Partition);
+        if self.now < self.partitioned_until + CLAIM_WINDOW {
             return;
         }
-        self.cut_until = self.now + CUT;
+        self.partitioned_until = self.now + PARTITION;
         let ids: Vec<_> = self.agents.keys().copied().collect();
         for agent in ids.iter().copied() {
             for about in ids
@@ -74,7 +74,7 @@
                         state: Some(true),
                     },
                 );
-                let back = CUT + Duration::from_millis(self.draw(5_000));
+                let back = PARTITION + Duration::from_millis(self.draw(5_000));
                 self.at(
                     back,
                     Event::Learn {
@@ -173,7 +173,7 @@
     }
 }
 
-/// Side of a cut on which a member is.
+/// Side of a partition on which a member is.
 pub(super) fn half(id: AgentId) -> u64 {
     id.0 % 2
 }
--- a/crates/lab/src/world/requests.rs
+++ b/crates/lab/src/simulation/requests.rs
@@ -5,12 +5,12 @@
 use monsoon_model::{AgentId, Duration, Instant};
 
 use super::members::half;
-use super::{Event, Open, World};
+use super::{Event, Open, Simulation};
 
 /// Time that callers wait.
 const DEADLINE: Duration = Duration::from_secs(2);
 
-impl World {
+impl Simulation {
     /// A caller sends a key to any agent.
     pub(super) fn send(&mut self, key: KeyHash) {
         self.totals.sends += 1;
@@ -185,8 +185,8 @@
 
     /// An attempt reaches a peer, unless the connection fails.
     pub(super) fn work(&mut self, to: AgentId, request: ClaimId, attempt: u32, until: Instant) {
-        let cut = self.now < self.cut_until && half(to) != half(request.agent);
-        let broken = cut || !self.agents.contains_key(&to) || self.happens(self.faults.loss);
+        let apart = self.now < self.partitioned_until && half(to) != half(request.agent);
+        let broken = apart || !self.agents.contains_key(&to) || self.happens(self.faults.loss);
         let key = self.requests.get(&request).map(|open| open.key);
         let delay = self.delay(40);
         match key {
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -6,16 +6,16 @@
 
 use crate::claims::ALL;
 use crate::cluster::{Cluster, Episode, Policy, Results, Setup};
-use crate::world::{Faults, Totals, World};
+use crate::simulation::{Faults, Simulation, Totals};
 
 fn claims(seed: u64, faults: Faults, members: u64, age: Duration) -> Totals {
-    let mut world = World::new(seed, faults, members, age);
-    world.run();
-    world.totals
+    let mut simulation = Simulation::new(seed, faults, members, age);
+    simulation.run();
+    simulation.totals
 }
 
 /// Guards against a second run of a key when members crash, leave and join, views differ and
-/// messages are lost, repeated or late. The world asserts it on each run; the totals show that the
+/// messages are lost, repeated or late. The simulation asserts it on each run; the totals show that the
 /// runs are not empty.
 #[test]
 fn keys_run_at_most_once() {
