--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Open streams.
+    pub fn streams(&self) -> u32 {
+        self.streams.len() as u32
+    }
+
     /// Present state.
     pub fn state(&self) -> TargetState {
         if self.is_leaving() {
--- a/crates/admission/src/streams.rs
+++ b/crates/admission/src/streams.rs
@@ -58,6 +58,11 @@
         self.open.remove(&id)
     }
 
+    /// Number of open streams.
+    pub(crate) fn len(&self) -> usize {
+        self.open.len()
+    }
+
     fn refill(&mut self, now: Instant) {
         let rate = self.cold_connections / COLD_FILL_SECS;
         let earned = now.since(self.refilled).as_secs_f64() * rate;
--- a/crates/admission/tests/admission/units.rs
+++ b/crates/admission/tests/admission/units.rs
@@ -89,6 +89,7 @@
         "{opened:?} streams opened in 5 s and 95 s"
     );
     assert_eq!(opened[0] + opened[1], 10);
+    assert_eq!(admission.streams(), 10);
     assert_eq!(admission.load().busy, 0, "streams take no slots");
 }
 
@@ -232,3 +233,30 @@
     assert_eq!(admission.state(), TargetState::Ready);
     assert_eq!(admission.load().limit, 4_000);
 }
+
+/// Guards against reports that raise the limit: without responses "ready" changes nothing, and a
+/// report of full load holds a lowered limit until it is outdated.
+#[test]
+fn reports_only_hold_the_limit_down() {
+    let ready = |load| HealthReport {
+        state: ReportedState::Ready,
+        load,
+    };
+    let mut idle = admission(4, 10, 0.1);
+    for secs in 0..100 {
+        idle.report(Instant::from_secs(secs), ready(Some(0.0)));
+        assert_eq!(idle.load().limit, 400);
+    }
+    let (mut admission, mut now, mut id) = warm();
+    rounds(&mut admission, &mut now, &mut id, 30, 35);
+    let low = admission.load().limit;
+    admission.report(now, ready(Some(1.0)));
+    rounds(&mut admission, &mut now, &mut id, 100, 10);
+    assert!(
+        admission.load().limit <= low,
+        "limit rose against a report of full load"
+    );
+    now += Duration::from_secs(10);
+    rounds(&mut admission, &mut now, &mut id, 100, 10);
+    assert_eq!(admission.load().limit, 4_000);
+}
