--- a/crates/lab/src/cluster/run/target.rs
+++ b/crates/lab/src/cluster/run/target.rs
@@ -4,7 +4,8 @@
 use monsoon_execution::Event as Step;
 use monsoon_model::{Duration, Instant};
 
-use super::{Cluster, Event, REPORT, outcome, parts};
+use super::requests::parts;
+use super::{Cluster, Event, REPORT, outcome};
 use crate::cluster::node::Running;
 
 /// Time in which a request fails at a target that was overrun.
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -1,13 +1,15 @@
 //! Members that claim keys over a network with loss, duplication and delay, while members crash,
 //! leave and join and each has its own view of the others.
 
+mod event;
 mod members;
 mod requests;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use monsoon_execution::claim::{Answer, ClaimId, ClaimRound, Claims, KeyHash};
-use monsoon_execution::{Event as Step, Execution, RetryBudget};
+use event::{Event, crosses};
+use monsoon_execution::claim::{ClaimId, ClaimRound, Claims, KeyHash};
+use monsoon_execution::{Execution, RetryBudget};
 use monsoon_model::{AgentId, Duration, Instant, hash::mix};
 
 /// Keys that callers use in one run.
@@ -35,56 +37,6 @@
     pub refused: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    Send {
-        key: KeyHash,
-    },
-    Claim {
-        to: AgentId,
-        key: KeyHash,
-        claim: ClaimId,
-    },
-    Answer {
-        from: AgentId,
-        claim: ClaimId,
-        answer: Answer,
-    },
-    Release {
-        to: AgentId,
-        key: KeyHash,
-        claim: ClaimId,
-    },
-    Store {
-        to: AgentId,
-        key: KeyHash,
-        claim: ClaimId,
-    },
-    Tick {
-        claim: ClaimId,
-    },
-    Learn {
-        agent: AgentId,
-        about: AgentId,
-        state: Option<bool>,
-    },
-    /// The next event of a request, at its agent.
-    Step {
-        request: ClaimId,
-        step: Step,
-    },
-    /// An attempt that reaches a peer.
-    Work {
-        to: AgentId,
-        request: ClaimId,
-        attempt: u32,
-        until: Instant,
-    },
-    Change,
-    Partition,
-    Suspect,
-}
-
 /// Request that its agent still works on.
 struct Open {
     key: KeyHash,
@@ -283,24 +235,3 @@
             .expect("there is always a member")
     }
 }
-
-/// Whether a message goes from one side of a partition to the other.
-fn crosses(event: Event) -> bool {
-    match event {
-        Event::Claim {
-            to: member, claim, ..
-        }
-        | Event::Release {
-            to: member, claim, ..
-        }
-        | Event::Store {
-            to: member, claim, ..
-        }
-        | Event::Answer {
-            from: member,
-            claim,
-            ..
-        } => members::half(member) != members::half(claim.agent),
-        _ => false,
-    }
-}
