--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -112,7 +112,7 @@
         name: reader.string(section, "name"),
         number: reader.integer(section, "number"),
         region: reader.string(section, "region"),
-        group: reader.integer(section, "group"),
+        group: reader.maybe_integer(section, "group"),
     }
 }
 
