Write status objects under a lease and follow changed service parameters

- One balancer of a membership group writes env/ENV/status/DC, so that monsoonctl status shows the versions that run.
- Admission kept the slots and classes of the document that an agent started with.
Admission::reconfigure takes over new ones; without it the new test fails, as nothing offers the parameters.
- Balancers mark the address of an agent that left as dead, so that its late packets are answered with resets.
Agents hidden by a cut link are not marked: their flows may go on.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -141,6 +141,25 @@
         self.advance(now)
     }
 
+    /// Takes over changed service parameters. Queued work is shed, because its class may mean
+    /// something else now; work in flight goes on.
+    pub fn reconfigure(&mut self, now: Instant, limits: Limits) -> Vec<Action> {
+        if limits == self.limits {
+            return Vec::new();
+        }
+        let share = limits.cold_share.clamp(COLD_SHARE_MIN, 1.0);
+        let queued = self.queues.truncate(0);
+        let shed = |work: &Queued| Action::Shed(work.id, ShedReason::Reconfigured);
+        let mut actions: Vec<_> = queued.iter().map(shed).collect();
+        self.queues = Queues::new(&limits.classes);
+        self.limiter.resize(limits.slots, share);
+        self.streams.resize(limits.connections, share);
+        self.estimates.grow(limits.classes.len());
+        self.limits = limits;
+        actions.extend(self.advance(now));
+        actions
+    }
+
     /// Present load.
     pub fn load(&self) -> Load {
         let pausing = u32::from(self.paused && self.flight.len() == 0);
--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Makes room for more classes. Fewer classes keep their estimates, for work in flight.
+    pub(crate) fn grow(&mut self, classes: usize) {
+        let classes = classes.max(self.classes.len());
+        self.classes.resize(classes, Estimate::default());
+    }
+
     /// Records the latency of a success and returns its ratio to the baseline before it.
     pub(crate) fn record(&mut self, class: usize, latency: Duration, learn: Learn) -> f64 {
         let sample = (latency.as_micros() as f64).max(1.0);
--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -75,6 +75,16 @@
 }
 
 impl Limiter {
+    /// Changes the slots; the limit keeps what evidence has shown, up to the new slots.
+    pub(crate) fn resize(&mut self, slots: u32, cold_share: f64) {
+        self.slots = f64::from(slots.max(1));
+        self.cold = (self.slots * cold_share).min(self.slots);
+        self.limit = self.limit.min(self.slots);
+        if self.phase == Phase::Cold {
+            self.limit = self.cold;
+        }
+    }
+
     pub(crate) fn new(slots: u32, cold_share: f64) -> Self {
         let slots = f64::from(slots.max(1));
         Self {
--- a/crates/admission/src/streams.rs
+++ b/crates/admission/src/streams.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Changes the connections; open streams above them stay.
+    pub(crate) fn resize(&mut self, connections: u32, cold_share: f64) {
+        self.connections = connections as usize;
+        self.cold_connections = f64::from(connections) * cold_share;
+    }
+
     /// Opens a stream, or gives the reason for the refusal.
     pub(crate) fn open(&mut self, now: Instant, id: WorkId, cold: bool) -> Result<(), ShedReason> {
         if self.open.len() >= self.connections {
--- a/crates/admission/src/types.rs
+++ b/crates/admission/src/types.rs
@@ -59,6 +59,9 @@
     /// The caller cancelled the work while it was queued.
     #[display("cancelled while queued")]
     Cancelled,
+    /// The service parameters changed while the work was queued.
+    #[display("service parameters changed")]
+    Reconfigured,
     /// The class is not in the target's service parameters.
     #[display("class is not configured")]
     UnknownClass,
--- a/crates/admission/tests/admission/units.rs
+++ b/crates/admission/tests/admission/units.rs
@@ -10,6 +10,10 @@
 const BOARD: ClassKey = ClassKey(1);
 
 fn admission(slots: u32, connections: u32, cold_share: f64) -> Admission {
+    Admission::new(limits(slots, connections, cold_share))
+}
+
+fn limits(slots: u32, connections: u32, cold_share: f64) -> Limits {
     let classes = vec![
         ClassLimits {
             weight: 1,
@@ -20,12 +24,12 @@
             stream: true,
         },
     ];
-    Admission::new(Limits {
+    Limits {
         slots,
         connections,
         cold_share,
         classes,
-    })
+    }
 }
 
 /// Guards against one request after the other without a pause: a cold target of 4 slots and 10 %
@@ -260,3 +264,33 @@
     rounds(&mut admission, &mut now, &mut id, 100, 10);
     assert_eq!(admission.load().limit, 4_000);
 }
+
+/// Guards against parameters of an old document: fewer slots bound new starts at once, work in
+/// flight goes on, and queued work is refused instead of being run as another class.
+#[test]
+fn changed_parameters_hold_at_once() {
+    let (mut admission, now, _) = warm();
+    let ids = |range: std::ops::Range<u64>| range.map(|id| WorkId(1_000 + id));
+    for id in ids(0..6) {
+        admission.offer(now, id, HOLD, None);
+    }
+    assert_eq!(admission.load().busy, 4);
+    let mut fewer = limits(2, 10, 0.1);
+    fewer.classes.truncate(1);
+    let shed = admission.reconfigure(now, fewer.clone());
+    // The newest are dropped first, as everywhere.
+    let expected = ids(4..6).rev().map(|id| Action::Shed(id, ShedReason::Reconfigured));
+    assert_eq!(shed, expected.collect::<Vec<_>>());
+    assert_eq!(admission.reconfigure(now, fewer), []);
+    let unknown = admission.offer(now, WorkId(2_000), BOARD, None);
+    assert_eq!(
+        unknown,
+        [Action::Shed(WorkId(2_000), ShedReason::UnknownClass)]
+    );
+    assert_eq!(admission.offer(now, WorkId(2_001), HOLD, None), []);
+    for id in ids(0..2) {
+        assert_eq!(admission.finish(now, id, Outcome::Ok), []);
+    }
+    let started = admission.finish(now, WorkId(1_002), Outcome::Ok);
+    assert_eq!(started, [Action::Start(WorkId(2_001))]);
+}
--- a/crates/daemon/src/agent/gate.rs
+++ b/crates/daemon/src/agent/gate.rs
@@ -115,6 +115,11 @@
         self.with(|admission, now| admission.report(now, report));
     }
 
+    /// Takes over changed service parameters.
+    pub fn reconfigure(&self, limits: Limits) {
+        self.with(|admission, now| admission.reconfigure(now, limits));
+    }
+
     /// Stops admitting new work.
     pub fn set_leaving(&self) {
         self.with(Admission::set_leaving);
--- a/crates/daemon/src/agent/start.rs
+++ b/crates/daemon/src/agent/start.rs
@@ -116,11 +116,20 @@
     }
 }
 
-/// Closes or reopens the agent when its data centre is taken out or brought back.
-async fn follow_places(agent: Arc<Agent>, data_centre: DataCentreId) {
+/// Applies each accepted configuration: service parameters, and closing or reopening the agent when
+/// its data centre is taken out or brought back.
+async fn follow_configuration(agent: Arc<Agent>, data_centre: DataCentreId) {
     let mut changes = agent.configuration.subscribe();
     changes.mark_changed();
     while changes.changed().await.is_ok() {
+        let limits = agent
+            .configuration
+            .with_document(|document| document.services.get(&agent.service).map(limits));
+        match limits.flatten() {
+            Some(limits) => agent.gate.reconfigure(limits),
+            // Flows go on under the last parameters; the balancers send no new ones.
+            None => log::warn!("agent: the document no longer has this service"),
+        }
         let out = agent.configuration.out().contains(&data_centre);
         agent.phase.send_if_modified(|phase| {
             let next = match (*phase, out) {
@@ -207,7 +216,7 @@
     fn spawn_services(&self, agent: &Arc<Agent>, endpoint: &Endpoint, sockets: Sockets) {
         tokio::spawn(agent.gate.clone().run_timer());
         tokio::spawn(health::poll(agent.target.clone(), agent.gate.clone()));
-        tokio::spawn(follow_places(
+        tokio::spawn(follow_configuration(
             Arc::clone(agent),
             self.placement.place.number,
         ));
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -1,11 +1,12 @@
 //! Membership of the balancer and the routing tables that follow from it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
 
 use monsoon_config::Document;
-use monsoon_membership::{BalancerNode, Member, State};
-use monsoon_model::{DataCentreId, Instant, ServiceId};
+use monsoon_membership::{BalancerNode, Member, State, Status};
+use monsoon_model::{AgentId, DataCentreId, Instant, ServiceId};
 use monsoon_routing::{Candidate, Router};
 
 use crate::configuration::Configuration;
@@ -24,6 +25,8 @@
     pub configuration: Configuration,
     /// Name of the own data centre.
     pub data_centre: String,
+    /// Encapsulation addresses of the agents seen at the last rebuild.
+    pub seen: Arc<Mutex<BTreeMap<AgentId, SocketAddrV4>>>,
 }
 
 impl Tables {
@@ -38,8 +41,12 @@
             .configuration
             .with_document(|document| candidates(document, &self.data_centre, &agents, &out))
             .unwrap_or_default();
+        let departed = self.note_seen(&agents);
         let mut router = self.router.lock().expect("no panic while the lock is held");
         router.set_out(now, out);
+        for agent in departed {
+            router.mark_dead(now, agent);
+        }
         for agent in &agents {
             router.mark_alive(agent.data);
         }
@@ -48,6 +55,22 @@
         }
     }
 
+    /// Replaces the agents seen and returns the addresses of those that left by themselves.
+    ///
+    /// An agent that is only hidden behind a cut link may still serve its flows.
+    fn note_seen(&self, agents: &[Member]) -> Vec<SocketAddrV4> {
+        let present = agents.iter().map(|agent| (agent.id, agent.data)).collect();
+        let mut seen = self.seen.lock().expect("no panic while the lock is held");
+        let before = std::mem::replace(&mut *seen, present);
+        let node = self.node.lock().expect("no panic while the lock is held");
+        let left = |id: &AgentId| node.status(*id) == Some(Status::Left);
+        before
+            .into_iter()
+            .filter(|(id, _)| left(id))
+            .map(|(_, agent)| agent)
+            .collect()
+    }
+
     /// Notes the death of a member.
     pub fn mark_dead(&self, now: Instant, member: &Member) {
         let mut router = self.router.lock().expect("no panic while the lock is held");
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -5,6 +5,7 @@
 mod listeners;
 mod replies;
 mod start;
+mod status_writer;
 mod store_watch;
 
 pub use start::run;
--- a/crates/daemon/src/balancer/start.rs
+++ b/crates/daemon/src/balancer/start.rs
@@ -16,6 +16,7 @@
 use super::forward::Forward;
 use super::listeners::Listeners;
 use super::replies;
+use super::status_writer::StatusWriter;
 use super::store_watch::{self, Object};
 use crate::admin;
 use crate::control::{Machine, News};
@@ -25,12 +26,14 @@
 use crate::signals::Signals;
 use crate::sockets::{BindError, Sockets};
 
-/// Number of balancers of a data centre that watch the store.
-const STORE_WATCHERS: usize = 2;
+/// Number of balancers of a group that use the store for one purpose.
+const STORE_USERS: usize = 2;
 /// Time for which a leaving balancer still forwards what reaches it.
 const LEAVING_NOTICE: Duration = Duration::from_secs(2);
 /// Salt of the ranking that chooses the store watchers.
 const WATCHER_SALT: u64 = hash::bytes(b"store-watcher");
+/// Salt of the ranking that chooses the candidates for the status lease.
+const STATUS_SALT: u64 = hash::bytes(b"status-writer");
 
 /// A balancer cannot start.
 #[derive(Debug, Display, Error, From)]
@@ -75,6 +78,7 @@
     let (events, inbox) = mpsc::channel(EVENT_QUEUE);
     let membership = tokio::spawn(follow_members(shell.control.clone(), tables.clone(), inbox));
     spawn_services(&shell, &tables, sockets);
+    spawn_status_writer(&shell, &tables);
     let following = follow_configuration(&shell, &tables, &mut listeners, &events);
     tokio::select! {
         () = following => {}
@@ -103,25 +107,19 @@
         router: Arc::new(Mutex::new(Router::default())),
         configuration: shell.control.configuration.clone(),
         data_centre: shell.settings.data_centre.clone(),
+        seen: Arc::default(),
     }
 }
 
 /// Watches the store: alone until the own data centre is known, by rank afterwards.
 fn spawn_store_watch(shell: &Shell, node: &watch::Receiver<Option<Node>>) {
-    if shell.settings.store.is_empty() {
-        return;
-    }
     for object in [Object::Document, Object::Places] {
-        let client = match Client::new(shell.settings.store.clone()) {
-            Ok(client) => client,
-            Err(error) => return log::error!("store: {error}"),
+        let Some(client) = client(shell) else {
+            return;
         };
         let node = node.clone();
         let is_watcher = move || match &*node.borrow() {
-            Some(node) => {
-                let node = node.lock().expect("no panic while the lock is held");
-                node.rank_of_self(WATCHER_SALT) < STORE_WATCHERS
-            }
+            Some(node) => is_first(node, WATCHER_SALT),
             None => true,
         };
         tokio::spawn(store_watch::run(
@@ -134,6 +132,36 @@
     }
 }
 
+fn spawn_status_writer(shell: &Shell, tables: &Tables) {
+    let Some(client) = client(shell) else {
+        return;
+    };
+    let writer = StatusWriter {
+        client,
+        environment: shell.settings.environment.clone(),
+        tables: tables.clone(),
+        clock: shell.control.clock,
+    };
+    let node = Arc::clone(&tables.node);
+    tokio::spawn(writer.run(move || is_first(&node, STATUS_SALT)));
+}
+
+/// Client of the store, if the settings name one.
+fn client(shell: &Shell) -> Option<Client> {
+    if shell.settings.store.is_empty() {
+        return None;
+    }
+    Client::new(shell.settings.store.clone())
+        .inspect_err(|error| log::error!("store: {error}"))
+        .ok()
+}
+
+/// Whether this balancer is among the first of its group in the ranking of `salt`.
+fn is_first(node: &Node, salt: u64) -> bool {
+    let node = node.lock().expect("no panic while the lock is held");
+    node.rank_of_self(salt) < STORE_USERS
+}
+
 async fn follow_members(
     control: crate::control::Control,
     tables: Tables,
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -179,6 +179,11 @@
         list
     }
 
+    /// Status of a member, `None` when it was never seen or is forgotten.
+    pub fn status(&self, id: AgentId) -> Option<Status> {
+        self.members.get(id).map(|row| row.status)
+    }
+
     /// Position of this balancer among the live ones of its data centre, zero for the first.
     pub fn rank_of_self(&self, salt: u64) -> usize {
         rank::position(salt, self.team.iter().copied(), self.me.id)
