membership: ask a suspected member before declaring it dead

A vote was also counted after it was answered with later news.

Requests for lists have a long-run rate, and an agent without lists asks one seed instead of three.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -10,7 +10,7 @@
 
 pub use lists::{Peer, ServiceMember};
 
-use crate::bounds::{ANNOUNCE_EVERY, FREEZE_GAP, Rule, SUSPECT_AFTER, WATCHERS};
+use crate::bounds::{ANNOUNCE_EVERY, FREEZE_GAP, Rule, SUSPECT_AFTER};
 use crate::freshness::Freshness;
 use crate::rng::Rng;
 use crate::{Action, Body, Event, Head, LocalState, Member, Message, Role, rank};
@@ -265,7 +265,7 @@
             self.unanswered.entry(id).or_insert(now);
         }
         if ids.iter().all(|&id| self.is_silent(now, id)) {
-            to.extend(self.rng.pick(&self.seeds, WATCHERS));
+            to.extend(self.rng.pick(&self.seeds, 1));
         }
         to
     }
--- a/crates/membership/src/agent/lists.rs
+++ b/crates/membership/src/agent/lists.rs
@@ -5,7 +5,7 @@
 
 use monsoon_model::{AgentId, DataCentreId, Duration, Instant};
 
-use crate::bounds::{ASK_EVERY, DEPARTED_FOR, MAX_SERVICE, SAMPLE_TTL};
+use crate::bounds::{ASK_BURST, ASK_COST, ASK_EVERY, DEPARTED_FOR, MAX_SERVICE, SAMPLE_TTL};
 use crate::listing::Pages;
 use crate::members::before;
 use crate::{BalancerInfo, Body, Member, Sample, State, TargetInfo};
@@ -68,7 +68,10 @@
     service_hash: u32,
     service_pages: Pages<TargetInfo>,
     samples: BTreeMap<AgentId, (Sample, Instant)>,
-    asked: Option<Instant>,
+    /// Earliest next request.
+    allowed: Instant,
+    /// Point up to which the rate of requests is used up, at most the burst after now.
+    spent: Instant,
     later: Option<Later>,
 }
 
@@ -84,7 +87,8 @@
             service_hash: 0,
             service_pages: Pages::default(),
             samples: BTreeMap::new(),
-            asked: None,
+            allowed: now,
+            spent: now,
             later: None,
         }
     }
@@ -93,8 +97,8 @@
         &self.balancers
     }
 
-    /// Request for the lists whose hashes differ, at most once in [`ASK_EVERY`]. A request that
-    /// comes too early is due later.
+    /// Request for the lists whose hashes differ, at most once in [`ASK_EVERY`] and in the long run
+    /// in [`ASK_COST`]. A request that comes too early is due later.
     pub(crate) fn ask(
         &mut self,
         now: Instant,
@@ -109,12 +113,13 @@
         if !(balancers || service) {
             return None;
         }
-        let due = self.asked.map_or(now, |at| at + ASK_EVERY);
+        let due = self.allowed.max(before(self.spent, ASK_BURST));
         if now < due {
             self.later = Some(Later { due, to, hashes });
             return None;
         }
-        self.asked = Some(now);
+        self.allowed = now + ASK_EVERY;
+        self.spent = self.spent.max(now) + ASK_COST;
         Some((to, Body::Ask { balancers, service }))
     }
 
--- a/crates/membership/src/balancer/receive.rs
+++ b/crates/membership/src/balancer/receive.rs
@@ -6,6 +6,7 @@
 
 use super::{BalancerNode, Client};
 use crate::bounds::{CONNECTED, LOAD_STEP, MAX_MEMBERS};
+use crate::probes::Suspect;
 use crate::watcher::Opinion;
 use crate::{Body, Entry, LoadRecord, Member, Message, Role, Status};
 
@@ -46,7 +47,22 @@
                 }
             }
             Body::Entries { entries } => self.learn_all(now, &entries),
-            Body::Suspect { id, incarnation } => self.voted(now, from, head.id, (id, incarnation)),
+            Body::Suspect {
+                id,
+                incarnation,
+                control,
+            } => {
+                self.voted(
+                    now,
+                    from,
+                    head.id,
+                    Suspect {
+                        id,
+                        incarnation,
+                        control,
+                    },
+                );
+            }
             Body::Probe => self.announce_to(from),
             Body::Heard {
                 id,
@@ -110,7 +126,7 @@
     /// Tells a watcher that suspects a member that it answered.
     fn probed(&mut self, member: &Member) {
         let (id, incarnation) = (member.id, member.incarnation);
-        if let Some(to) = self.probes.close(id) {
+        if let Some(to) = self.probes.close(id).filter(|&to| to != self.me.control) {
             self.send(
                 to,
                 Body::Heard {
@@ -188,8 +204,10 @@
         }
     }
 
-    fn voted(&mut self, now: Instant, from: SocketAddr, voter: AgentId, vote: (AgentId, u64)) {
-        let (id, incarnation) = vote;
+    fn voted(&mut self, now: Instant, from: SocketAddr, voter: AgentId, suspect: Suspect) {
+        let Suspect {
+            id, incarnation, ..
+        } = suspect;
         match self.watcher.vote(now, voter, id, incarnation) {
             Opinion::Heard(age, incarnation) => {
                 let age = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
@@ -202,7 +220,7 @@
                     },
                 );
             }
-            Opinion::Unknown => self.probes.open(now, id, incarnation, from),
+            Opinion::Unknown => self.probes.open(now, suspect, from),
             Opinion::Counted => {}
         }
         self.bury(now);
--- a/crates/membership/src/balancer/rounds.rs
+++ b/crates/membership/src/balancer/rounds.rs
@@ -10,6 +10,7 @@
     REMOTE_DOUBT, REMOTE_EVERY, SUSPECT_AFTER, WATCHERS,
 };
 use crate::message::room;
+use crate::probes::Suspect;
 use crate::{Body, Entry, LoadRecord, Status};
 
 /// Interval of digests between data centres, one data centre at a time.
@@ -60,16 +61,57 @@
     }
 
     fn vote(&mut self, now: Instant) {
-        for (id, incarnation) in self.watcher.tick(now) {
-            for watcher in self.watchers(id) {
-                if watcher == self.me.id {
-                    continue;
-                }
-                if let Some(to) = self.control(watcher) {
-                    self.send(to, Body::Suspect { id, incarnation });
-                }
+        let due = self.watcher.tick(now);
+        for (id, incarnation) in due.ask {
+            if let Some(control) = self.control(id) {
+                self.probes.open(
+                    now,
+                    Suspect {
+                        id,
+                        incarnation,
+                        control,
+                    },
+                    self.me.control,
+                );
             }
         }
+        for (id, incarnation) in due.tell {
+            let Some(control) = self.control(id) else {
+                continue;
+            };
+            let others = self
+                .watchers(id)
+                .into_iter()
+                .filter(|&watcher| watcher != self.me.id);
+            let others = others.filter_map(|watcher| self.control(watcher));
+            for to in others.collect::<Vec<_>>() {
+                self.suspect(
+                    to,
+                    Suspect {
+                        id,
+                        incarnation,
+                        control,
+                    },
+                );
+            }
+            self.send(control, Body::Probe);
+        }
+    }
+
+    fn suspect(&mut self, to: SocketAddr, suspect: Suspect) {
+        let Suspect {
+            id,
+            incarnation,
+            control,
+        } = suspect;
+        self.send(
+            to,
+            Body::Suspect {
+                id,
+                incarnation,
+                control,
+            },
+        );
     }
 
     pub(super) fn announce(&mut self, now: Instant) {
@@ -103,13 +145,15 @@
 
     fn probe(&mut self, now: Instant) {
         let due = self.probes.tick(now);
-        for id in due.ask {
-            if let Some(to) = self.control(id) {
-                self.send(to, Body::Probe);
-            }
+        for to in due.ask {
+            self.send(to, Body::Probe);
         }
-        for (id, to, incarnation) in due.silent {
-            self.send(to, Body::Suspect { id, incarnation });
+        for (suspect, asker) in due.silent {
+            if asker == self.me.control {
+                self.watcher.unanswered(suspect.id);
+            } else {
+                self.suspect(asker, suspect);
+            }
         }
     }
 
--- a/crates/membership/src/bounds.rs
+++ b/crates/membership/src/bounds.rs
@@ -52,6 +52,12 @@
 pub const DEPARTED_FOR: Duration = Duration::from_secs(120);
 /// Age at which a sampled load is no longer used.
 pub const SAMPLE_TTL: Duration = Duration::from_secs(5);
+/// Interval of requests for lists in the long run. While a whole data centre starts, every balancer
+/// changes the lists, and each answer is several datagrams.
+pub const ASK_COST: Duration = Duration::from_secs(1);
+/// Requests for lists that may come before that rate applies, in intervals of [`ASK_COST`]. A lost
+/// rack changes the lists a few times in a row.
+pub const ASK_BURST: u32 = 4;
 /// Interval at which a node asks again for a list or a configuration.
 pub const ASK_EVERY: Duration = Duration::from_millis(200);
 
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -139,6 +139,8 @@
         id: AgentId,
         /// Last incarnation heard.
         incarnation: u64,
+        /// Control address of the member, which the receiver may not know yet.
+        control: SocketAddr,
     },
     /// Asks the receiver to announce itself to the sender.
     Probe,
--- a/crates/membership/src/probes.rs
+++ b/crates/membership/src/probes.rs
@@ -14,18 +14,28 @@
 struct Probe {
     /// Watcher that suspects the member.
     asker: SocketAddr,
+    /// Control address of the member.
+    control: SocketAddr,
     incarnation: u64,
     since: Instant,
     sent: Option<Instant>,
 }
 
+/// A suspected member.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Suspect {
+    pub(crate) id: AgentId,
+    pub(crate) incarnation: u64,
+    pub(crate) control: SocketAddr,
+}
+
 /// What is due.
 #[derive(Debug, Default)]
 pub(crate) struct Due {
-    /// Members to be asked.
-    pub(crate) ask: Vec<AgentId>,
-    /// Members that gave no answer, with the asker and the suspected incarnation.
-    pub(crate) silent: Vec<(AgentId, SocketAddr, u64)>,
+    /// Control addresses of members to be asked.
+    pub(crate) ask: Vec<SocketAddr>,
+    /// Members that gave no answer, with the asker.
+    pub(crate) silent: Vec<(Suspect, SocketAddr)>,
 }
 
 /// Open questions.
@@ -35,11 +45,17 @@
 }
 
 impl Probes {
-    /// Starts to ask `id`. At the bound nothing happens; the asker repeats its vote.
-    pub(crate) fn open(&mut self, now: Instant, id: AgentId, incarnation: u64, asker: SocketAddr) {
+    /// Starts to ask a member. At the bound nothing happens; the asker repeats its vote.
+    pub(crate) fn open(&mut self, now: Instant, suspect: Suspect, asker: SocketAddr) {
+        let Suspect {
+            id,
+            incarnation,
+            control,
+        } = suspect;
         if self.open.len() < MAX_PROBES {
             let probe = Probe {
                 asker,
+                control,
                 incarnation,
                 since: now,
                 sent: None,
@@ -62,14 +78,26 @@
         let mut due = Due::default();
         for (&id, probe) in &mut self.open {
             if now.since(probe.since) >= PROBE_FOR {
-                due.silent.push((id, probe.asker, probe.incarnation));
+                let Probe {
+                    incarnation,
+                    control,
+                    ..
+                } = *probe;
+                due.silent.push((
+                    Suspect {
+                        id,
+                        incarnation,
+                        control,
+                    },
+                    probe.asker,
+                ));
             } else if probe.sent.is_none_or(|at| now.since(at) >= PROBE_EVERY) {
                 probe.sent = Some(now);
-                due.ask.push(id);
+                due.ask.push(probe.control);
             }
         }
-        for (id, ..) in &due.silent {
-            self.open.remove(id);
+        for (suspect, _) in &due.silent {
+            self.open.remove(&suspect.id);
         }
         due
     }
--- a/crates/membership/src/watcher.rs
+++ b/crates/membership/src/watcher.rs
@@ -2,20 +2,21 @@
 //!
 //! Silence for [`SUSPECT_AFTER`] is a suspicion, which becomes a vote. A member is dead when a
 //! quorum of its watchers suspects it. A watcher that has heard the member more recently says so,
-//! and the suspecting watcher takes over that time. A watcher whose votes nobody answers is the only
+//! and the suspecting watcher takes over that time. The member is asked too, and has time for one
+//! answer: it may have changed to other watchers that this one does not know. A watcher whose votes nobody answers is the only
 //! live one, and its own suspicion is enough.
 
 use std::collections::BTreeMap;
 
 use monsoon_model::{AgentId, Duration, Instant};
 
-use crate::bounds::{LONE_AFTER, SUSPECT_AFTER, VOTE_EVERY, VOTE_TTL};
+use crate::bounds::{LONE_AFTER, PROBE_EVERY, SUSPECT_AFTER, VOTE_EVERY, VOTE_TTL};
 
 #[derive(Debug)]
 struct Track {
     /// Last announcement, or the start of the watch.
     heard: Instant,
-    /// Whether there was an announcement.
+    /// Whether there was an announcement, or no answer to a question.
     evidence: bool,
     incarnation: u64,
     /// When the present suspicion was first told.
@@ -49,7 +50,7 @@
     }
 
     fn suspect(&self, now: Instant) -> bool {
-        now.since(self.heard) >= SUSPECT_AFTER
+        self.evidence && now.since(self.heard) >= SUSPECT_AFTER
     }
 }
 
@@ -64,6 +65,15 @@
     Heard(Duration, u64),
 }
 
+/// Suspicions that are due, each with the last incarnation known.
+#[derive(Debug, Default)]
+pub(crate) struct Due {
+    /// To be told (again) to the other watchers.
+    pub(crate) tell: Vec<(AgentId, u64)>,
+    /// Members never heard. Whether they know of this watcher is open, so they are asked first.
+    pub(crate) ask: Vec<(AgentId, u64)>,
+}
+
 /// Members watched by this balancer.
 #[derive(Debug, Default)]
 pub(crate) struct Watcher {
@@ -103,22 +113,33 @@
         track.evidence = true;
     }
 
-    /// Members whose suspicion is to be told (again) to the other watchers.
-    pub(crate) fn tick(&mut self, now: Instant) -> Vec<(AgentId, u64)> {
-        let mut due = Vec::new();
+    /// Suspicions that are due.
+    pub(crate) fn tick(&mut self, now: Instant) -> Due {
+        let mut due = Due::default();
         for (&id, track) in &mut self.tracks {
             let recent = track.voted.is_some_and(|at| now.since(at) < VOTE_EVERY);
-            if recent || !track.suspect(now) {
+            if recent || now.since(track.heard) < SUSPECT_AFTER {
+                continue;
+            }
+            if !track.evidence {
+                due.ask.push((id, track.incarnation));
                 continue;
             }
             self.suspicions += u64::from(track.voted.is_none());
             track.told.get_or_insert(now);
             track.voted = Some(now);
-            due.push((id, track.incarnation));
+            due.tell.push((id, track.incarnation));
         }
         due
     }
 
+    /// Notes that a member did not answer this watcher's own question.
+    pub(crate) fn unanswered(&mut self, id: AgentId) {
+        if let Some(track) = self.tracks.get_mut(&id) {
+            track.evidence = true;
+        }
+    }
+
     /// Counts another watcher's vote.
     pub(crate) fn vote(
         &mut self,
@@ -130,14 +151,15 @@
         let Some(track) = self.tracks.get_mut(&id) else {
             return Opinion::Unknown;
         };
-        track.votes.insert(voter, now);
         track.answered = true;
         if !track.evidence {
             return Opinion::Unknown;
         }
         if !track.suspect(now) && track.incarnation >= incarnation {
+            // The voter takes over this time, so its vote is void.
             return Opinion::Heard(now.since(track.heard), track.incarnation);
         }
+        track.votes.insert(voter, now);
         Opinion::Counted
     }
 
@@ -161,7 +183,8 @@
         for (&id, track) in &mut self.tracks {
             track.votes.retain(|_, at| now.since(*at) < VOTE_TTL);
             let lone = connected && track.is_lone(now);
-            if track.suspect(now) && (lone || 1 + track.votes.len() >= quorum(id)) {
+            let asked = track.told.is_some_and(|at| now.since(at) >= PROBE_EVERY);
+            if asked && track.suspect(now) && (lone || 1 + track.votes.len() >= quorum(id)) {
                 dead.push(id);
             }
         }
