--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -139,7 +139,11 @@
         id: AgentId,
         /// Last incarnation heard.
         incarnation: u64,
+        /// Control address of the member, which the receiver may not know yet.
+        control: SocketAddr,
     },
+    /// Asks the receiver to announce itself to the sender.
+    Probe,
     /// Another watcher has heard from the suspected member.
     Heard {
         /// Member.
