Bound the wait for a peer's admission and add a key for the next phase

- A request waited without bound for a frozen peer to admit it.
The driver now gives the attempt up after 500 ms as not run, which is true because the first body frame is sent only after the admission.
- With current and previous keys alone, an instance on the older file rejected messages of the first one on the newer.
A verify-only next key closes the gap; the new test fails without it.

--- a/crates/admission/tests/admission/units.rs
+++ b/crates/admission/tests/admission/units.rs
@@ -279,7 +279,9 @@
     fewer.classes.truncate(1);
     let shed = admission.reconfigure(now, fewer.clone());
     // The newest are dropped first, as everywhere.
-    let expected = ids(4..6).rev().map(|id| Action::Shed(id, ShedReason::Reconfigured));
+    let expected = ids(4..6)
+        .rev()
+        .map(|id| Action::Shed(id, ShedReason::Reconfigured));
     assert_eq!(shed, expected.collect::<Vec<_>>());
     assert_eq!(admission.reconfigure(now, fewer), []);
     let unknown = admission.offer(now, WorkId(2_000), BOARD, None);
--- a/crates/daemon/src/agent/claims.rs
+++ b/crates/daemon/src/agent/claims.rs
@@ -82,14 +82,9 @@
     round: &mut ClaimRound,
     answers: &mut mpsc::Receiver<Answered>,
 ) -> Vec<RoundAction> {
-    let tick = async {
-        match round.next_tick() {
-            Some(at) => tokio::time::sleep_until(agent.clock.deadline(at)).await,
-            None => std::future::pending().await,
-        }
-    };
+    let next = round.next_tick();
     tokio::select! {
-        () = tick => round.tick(agent.clock.now()),
+        () = agent.clock.sleep_until(next) => round.tick(agent.clock.now()),
         Some(answered) = answers.recv() => match answered.answer {
             Some(answer) => round.answer(agent.clock.now(), answered.from, answer),
             None => round.unreachable(agent.clock.now(), answered.from),
--- a/crates/daemon/src/agent/drive.rs
+++ b/crates/daemon/src/agent/drive.rs
@@ -11,7 +11,7 @@
 };
 use monsoon_membership::{Peer, State};
 use monsoon_metrics::Outcome;
-use monsoon_model::{ClassKey, Instant};
+use monsoon_model::{ClassKey, Duration, Instant};
 use quinn::Connection;
 
 use super::Agent;
@@ -24,6 +24,8 @@
 
 /// Limit that stands for the percentages of announced loads, in thousandths of a slot.
 const ANNOUNCED_LIMIT: u32 = 100_000;
+/// Longest wait for a peer to admit a request. A frozen peer must not hold it until its deadline.
+const ADMISSION_PATIENCE: Duration = Duration::from_millis(500);
 /// Percent of a peer's limit that one request counts, for a target of four slots.
 const SENT_WEIGHT: u32 = 25;
 
@@ -71,6 +73,7 @@
         response: None,
         held: None,
         peers: Vec::new(),
+        admitted_by: None,
     };
     driver.run().await;
 }
@@ -91,6 +94,8 @@
     response: Option<ResponseHead>,
     held: Option<Held>,
     peers: Vec<Peer>,
+    /// Point at which a peer must have admitted the attempt.
+    admitted_by: Option<Instant>,
 }
 
 impl Driver {
@@ -121,21 +126,17 @@
 
     /// Waits for the next thing that happens to the request.
     async fn wait(&mut self) -> Event {
-        let deadline = self.execution.deadline().filter(|_| self.sender.is_some());
         let clock = self.agent.clock;
-        let expired = async {
-            match deadline {
-                Some(at) => tokio::time::sleep_until(clock.deadline(at)).await,
-                None => std::future::pending().await,
-            }
-        };
         let caller_waits = self.sender.is_some();
+        let deadline = self.execution.deadline().filter(|_| caller_waits);
+        let admitted_by = self.admitted_by;
         let Some(attempt) = &mut self.attempt else {
             return Event::Lost(self.execution.attempt());
         };
         tokio::select! {
             frame = attempt.replies.recv() => self.on_frame(frame),
-            () = expired => Event::Tick,
+            () = clock.sleep_until(deadline) => Event::Tick,
+            () = clock.sleep_until(admitted_by) => self.give_up_peer(),
             _ = self.connection.closed(), if caller_waits => {
                 self.sender = None;
                 self.agent.record(&self.class.name, Outcome::Cancelled, None);
@@ -144,12 +145,27 @@
         }
     }
 
+    /// Ends an attempt that its peer did not admit in time. The peer's target has seen nothing of
+    /// it and will not, because the first body frame was not sent.
+    fn give_up_peer(&mut self) -> Event {
+        self.admitted_by = None;
+        self.agent.counters.count("peer_too_slow");
+        self.attempt
+            .take()
+            .map_or(Event::Tick, |attempt| Event::NotRun(attempt.number))
+    }
+
     fn on_frame(&mut self, frame: Option<ResponseFrame>) -> Event {
+        let for_peer = self.admitted_by.take().is_some();
         let Some(attempt) = &mut self.attempt else {
             return Event::Tick;
         };
         let number = attempt.number;
         match frame {
+            Some(ResponseFrame::Admitted) if for_peer => {
+                self.send_body();
+                Event::Tick
+            }
             Some(ResponseFrame::Admitted) if attempt.is_unsent() => Event::Started(number),
             Some(ResponseFrame::Head(head)) => {
                 let status = head.status;
@@ -177,7 +193,7 @@
                 let head = self.head_now();
                 self.attempt = Some(Attempt::local(&self.agent, number, self.key, head));
             }
-            Action::Forward(number, index) => self.forward(number, index).await,
+            Action::Forward(number, index) => self.forward(number, index),
             Action::Send(_) => self.send_body(),
             Action::Cancel(number) => {
                 self.attempt = None;
@@ -260,20 +276,19 @@
             .expect("no panic while the lock is held")
     }
 
-    async fn forward(&mut self, number: u32, index: usize) {
+    fn forward(&mut self, number: u32, index: usize) {
         let Some(peer) = self.peers.get(index).copied() else {
             return self.events.push_back(Event::NotRun(number));
         };
         self.agent.counters.count("request_passed_on");
         self.tallies().sent(self.agent.clock.now(), peer.id);
-        let head = self.head_now();
-        let mut attempt = Attempt::peer(&self.agent, number, peer.peer, head);
-        let admitted = attempt.replies.recv().await;
-        self.attempt = Some(attempt);
-        match admitted {
-            Some(ResponseFrame::Admitted) => self.send_body(),
-            _ => self.events.push_back(Event::NotRun(number)),
-        }
+        self.attempt = Some(Attempt::peer(
+            &self.agent,
+            number,
+            peer.peer,
+            self.head_now(),
+        ));
+        self.admitted_by = Some(self.agent.clock.now() + ADMISSION_PATIENCE);
     }
 
     /// Lets the target see the request.
--- a/crates/daemon/src/agent/gate.rs
+++ b/crates/daemon/src/agent/gate.rs
@@ -93,18 +93,10 @@
     pub async fn run_timer(self) {
         loop {
             let next = self.lock().admission.next_tick();
-            let wait = async {
-                match next {
-                    Some(at) => {
-                        // A tick that is overdue must not keep the loop from other tasks.
-                        let at = at.max(self.clock.now() + MIN_TICK);
-                        tokio::time::sleep_until(self.clock.deadline(at)).await;
-                    }
-                    None => std::future::pending().await,
-                }
-            };
+            // A tick that is overdue must not keep the loop from other tasks.
+            let next = next.map(|at| at.max(self.clock.now() + MIN_TICK));
             tokio::select! {
-                () = wait => self.with(Admission::tick),
+                () = self.clock.sleep_until(next) => self.with(Admission::tick),
                 () = self.changed.notified() => {}
             }
         }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -22,6 +22,14 @@
         Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
+    /// Waits until `at`, for ever without one.
+    pub async fn sleep_until(self, at: Option<Instant>) {
+        match at {
+            Some(at) => tokio::time::sleep_until(self.deadline(at)).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// The `tokio` instant that corresponds to `at`.
     pub fn deadline(&self, at: Instant) -> tokio::time::Instant {
         let offset = std::time::Duration::from_micros(at.as_micros());
--- a/crates/wire/benches/wire.rs
+++ b/crates/wire/benches/wire.rs
@@ -24,6 +24,7 @@
         phase: 1,
         current: "5a".repeat(32),
         previous: Some("a5".repeat(32)),
+        next: None,
     };
     Keyring::try_from(raw).expect("valid keys")
 }
--- a/crates/wire/src/keys.rs
+++ b/crates/wire/src/keys.rs
@@ -42,6 +42,10 @@
     /// Secret of the phase before, which only verifies, 64 hex digits.
     #[serde(default)]
     pub previous: Option<String>,
+    /// Secret of the phase after it, which only verifies, 64 hex digits. Every instance must hold
+    /// it before the first one signs with it.
+    #[serde(default)]
+    pub next: Option<String>,
 }
 
 impl fmt::Debug for RawKeys {
@@ -68,8 +72,11 @@
     /// The previous secret is not a 32-byte hex string.
     #[display("secret `previous` is invalid; use 64 hex digits or leave it out")]
     Previous,
-    /// Both secrets are the same.
-    #[display("secrets `current` and `previous` are equal; generate a new `current`")]
+    /// The next secret is not a 32-byte hex string.
+    #[display("secret `next` is invalid; use 64 hex digits or leave it out")]
+    Next,
+    /// Two secrets are the same.
+    #[display("two secrets are equal; generate each anew")]
     Equal,
 }
 
@@ -102,10 +109,11 @@
     }
 }
 
-/// Keys of the current phase and of the phase before it.
+/// Keys of the current phase and of the phases before and after it.
 pub struct Keyring {
     current: PhaseKeys,
-    previous: Option<PhaseKeys>,
+    /// Keys that only verify.
+    others: Vec<PhaseKeys>,
 }
 
 impl Keyring {
@@ -129,7 +137,7 @@
         if phase == self.current.phase {
             return Some(&self.current);
         }
-        self.previous.as_ref().filter(|keys| keys.phase == phase)
+        self.others.iter().find(|keys| keys.phase == phase)
     }
 }
 
@@ -137,7 +145,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Keyring")
             .field("phase", &self.current.phase)
-            .field("previous", &self.previous.as_ref().map(|keys| keys.phase))
+            .field(
+                "others",
+                &self
+                    .others
+                    .iter()
+                    .map(|keys| keys.phase)
+                    .collect::<Vec<_>>(),
+            )
             .finish_non_exhaustive()
     }
 }
@@ -150,21 +165,27 @@
             return Err(KeysError::Phase { found: raw.phase });
         }
         let current = secret(&raw.current).ok_or(KeysError::Current)?;
-        let previous = match &raw.previous {
-            Some(text) => Some(secret(text).ok_or(KeysError::Previous)?),
-            None => None,
-        };
-        if previous == Some(current) {
+        let previous = optional(raw.previous.as_deref(), KeysError::Previous)?;
+        let next = optional(raw.next.as_deref(), KeysError::Next)?;
+        let equal = previous == Some(current) || next == Some(current);
+        if equal || (next.is_some() && next == previous) {
             return Err(KeysError::Equal);
         }
         let before = (raw.phase + PHASES - 1) % PHASES;
+        let after = (raw.phase + 1) % PHASES;
+        let others = [(before, previous), (after, next)];
+        let derive = |(phase, secret): (u8, Option<_>)| Some(PhaseKeys::derive(phase, &secret?));
         Ok(Self {
             current: PhaseKeys::derive(raw.phase, &current),
-            previous: previous.map(|secret| PhaseKeys::derive(before, &secret)),
+            others: others.into_iter().filter_map(derive).collect(),
         })
     }
 }
 
+fn optional(text: Option<&str>, error: KeysError) -> Result<Option<[u8; SECRET_LEN]>, KeysError> {
+    text.map(|text| secret(text).ok_or(error)).transpose()
+}
+
 /// Decodes 64 hex digits.
 fn secret(text: &str) -> Option<[u8; SECRET_LEN]> {
     let (pairs, rest) = text.as_bytes().as_chunks::<2>();
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -18,6 +18,7 @@
         phase,
         current,
         previous,
+        next: None,
     }
 }
 
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -4,7 +4,7 @@
 
 use common::{Rng, hex, keys, raw};
 use monsoon_model::{Chain, Hop};
-use monsoon_wire::{ConnectionId, Envelope, Keyring, KeysError, WireError};
+use monsoon_wire::{ConnectionId, Envelope, Keyring, KeysError, RawKeys, WireError};
 use monsoon_wire::{MAX_HEADER, control};
 
 /// Guards against a layout change that running instances would reject.
@@ -132,10 +132,38 @@
     assert_eq!(load(0, &good, Some(&upper)), Err(KeysError::Equal));
 }
 
+/// Guards against a rotation that cuts off instances: in each of its steps an instance that has
+/// taken the step and one that has not verify each other's control messages.
+#[test]
+fn rotation_steps_verify_each_other() {
+    let (old, new) = ("0a".repeat(32), "0b".repeat(32));
+    let step = |phase, current: &str, previous: Option<&str>, next: Option<&str>| {
+        let raw = RawKeys {
+            next: next.map(str::to_owned),
+            ..raw(phase, current, previous)
+        };
+        Keyring::try_from(raw).expect("valid keys")
+    };
+    let steps = [
+        step(7, &old, None, None),
+        step(7, &old, None, Some(&new)),
+        step(0, &new, Some(&old), None),
+        step(0, &new, None, None),
+    ];
+    for pair in steps.windows(2) {
+        for (from, to) in [(&pair[0], &pair[1]), (&pair[1], &pair[0])] {
+            let datagram = control::seal(from, &7_u32).expect("fits");
+            assert_eq!(control::open(to, &datagram), Ok(7_u32));
+        }
+    }
+    let datagram = control::seal(&steps[3], &7_u32).expect("fits");
+    assert!(control::open::<u32>(&steps[0], &datagram).is_err());
+}
+
 /// Guards against secrets in logs.
 #[test]
 fn debug_output_holds_no_secret() {
     let raw = raw(2, &"ab".repeat(32), None);
     let text = format!("{raw:?} {:?}", Keyring::try_from(raw.clone()));
-    insta::assert_snapshot!(text, @"RawKeys { phase: 2, .. } Ok(Keyring { phase: 2, previous: None, .. })");
+    insta::assert_snapshot!(text, @"RawKeys { phase: 2, .. } Ok(Keyring { phase: 2, others: [], .. })");
 }
