Let requests in progress end before the flows of a data centre are closed

A take-out cut the hold that was in progress (1 of 101 given up). The agent now sends GOAWAY and waits up to 400 ms for requests other than streams, which is within the 1 s for which balancers still forward. The caller stand-in counts given-up flows apart from the served ones.

--- a/crates/daemon/src/agent/flows.rs
+++ b/crates/daemon/src/agent/flows.rs
@@ -18,6 +18,12 @@
 /// the response is delivered before the connection goes away.
 const LINGER: Duration = Duration::from_secs(3);
 
+/// Longest time for which requests in progress delay the close of a flow whose data centre was taken
+/// out. Balancers forward for longer than this after they learn of it.
+const OUT_PATIENCE: Duration = Duration::from_millis(400);
+/// Time between two looks whether the requests in progress are done.
+const OUT_POLL: Duration = Duration::from_millis(10);
+
 /// What happens to flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -42,6 +48,45 @@
     }
 }
 
+/// A flow and its requests in progress.
+#[derive(Clone, Debug)]
+pub struct Flow {
+    /// QUIC connection.
+    pub connection: Connection,
+    running: Arc<AtomicU64>,
+}
+
+/// A request in progress, until it is dropped.
+#[derive(Debug)]
+pub struct Running(Arc<AtomicU64>);
+
+impl Flow {
+    fn new(connection: Connection) -> Self {
+        Self {
+            connection,
+            running: Arc::default(),
+        }
+    }
+
+    /// Counts a request that the close of the flow waits for.
+    pub fn begin(&self) -> Running {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Running(Arc::clone(&self.running))
+    }
+
+    async fn wait_for_requests(&self) {
+        while self.running.load(Ordering::Relaxed) > 0 {
+            tokio::time::sleep(OUT_POLL).await;
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 struct OpenFlow(Arc<Agent>);
 
 impl OpenFlow {
@@ -83,13 +128,13 @@
         .build(h3_quinn::Connection::new(connection.clone()))
         .await;
     match built {
-        Ok(h3) => drive(agent, connection, h3).await,
+        Ok(h3) => drive(agent, Flow::new(connection), h3).await,
         Err(error) => log::debug!("agent: HTTP/3 set-up failed: {error}"),
     }
 }
 
 /// Accepts the requests of one flow and follows the phase.
-async fn drive(agent: Arc<Agent>, connection: Connection, mut h3: H3Connection) {
+async fn drive(agent: Arc<Agent>, flow: Flow, mut h3: H3Connection) {
     let mut phase = agent.phase.subscribe();
     // The phase may have changed between the accept decision and now.
     phase.mark_changed();
@@ -97,7 +142,7 @@
         tokio::select! {
             accepted = h3.accept() => match accepted {
                 Ok(Some(resolver)) => {
-                    let flow = connection.clone();
+                    let flow = flow.clone();
                     tokio::spawn(request::serve(Arc::clone(&agent), flow, resolver));
                 }
                 Ok(None) => break,
@@ -107,28 +152,27 @@
                 }
             },
             changed = phase.changed() => {
-                if changed.is_err() || !apply(&mut phase, &connection, &mut h3).await {
+                if changed.is_err() || !apply(&mut phase, &flow, &mut h3).await {
                     return;
                 }
             }
         }
     }
     // Every request of a connection that was told to go away is complete.
-    let _ = tokio::time::timeout(LINGER, connection.closed()).await;
+    let _ = tokio::time::timeout(LINGER, flow.connection.closed()).await;
 }
 
 /// Applies a new phase; false when the flow is over.
-async fn apply(
-    phase: &mut watch::Receiver<Phase>,
-    connection: &Connection,
-    h3: &mut H3Connection,
-) -> bool {
+async fn apply(phase: &mut watch::Receiver<Phase>, flow: &Flow, h3: &mut H3Connection) -> bool {
     let now = *phase.borrow_and_update();
     match now {
         Phase::Serving => true,
         Phase::Leaving => h3.shutdown(0).await.is_ok(),
         Phase::Out => {
-            connection.close(
+            // Callers learn of it by the close even if the GOAWAY cannot be sent.
+            let _ = h3.shutdown(0).await;
+            let _ = tokio::time::timeout(OUT_PATIENCE, flow.wait_for_requests()).await;
+            flow.connection.close(
                 VarInt::from_u32(DATA_CENTRE_OUT),
                 b"data centre is out of service",
             );
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -6,10 +6,10 @@
 use h3::server::{RequestResolver, RequestStream};
 use http::Request;
 use monsoon_model::ServiceId;
-use quinn::Connection;
 use tokio::sync::mpsc;
 
 use super::drive::{Work, drive};
+use super::flows::Flow;
 use super::respond::{self, Refusal};
 use super::{Agent, claims};
 use crate::peer::{ExecuteHead, RequestFrame};
@@ -21,8 +21,8 @@
 pub type Receiver = RequestStream<h3_quinn::RecvStream, Bytes>;
 type Resolver = RequestResolver<h3_quinn::Connection, Bytes>;
 
-/// Serves one request of `connection`.
-pub async fn serve(agent: Arc<Agent>, connection: Connection, resolver: Resolver) {
+/// Serves one request of `flow`.
+pub async fn serve(agent: Arc<Agent>, flow: Flow, resolver: Resolver) {
     let (request, stream) = match resolver.resolve_request().await {
         Ok(parts) => parts,
         Err(error) => return log::debug!("agent: request cannot be read: {error}"),
@@ -32,6 +32,7 @@
         respond::refuse(sender, Refusal::NoClass).await;
         return;
     };
+    let _running = (!class.stream).then(|| flow.begin());
     let claim = request
         .headers()
         .get(IDEMPOTENCY_KEY)
@@ -44,7 +45,7 @@
     let head = head(agent.service, &request);
     drive(Work {
         agent,
-        connection,
+        connection: flow.connection,
         key,
         class,
         head,
--- a/crates/standin/src/caller/ledger.rs
+++ b/crates/standin/src/caller/ledger.rs
@@ -145,7 +145,8 @@
         self.classes.values().map(|totals| totals.sent).sum()
     }
 
-    /// Lines for people and scripts: one per class, then the sum.
+    /// Lines for people and scripts: one per class, then the sum of all but what was given up with
+    /// its data centre.
     pub fn lines(&self) -> Vec<String> {
         let line = |(class, totals): (&&str, &Totals)| {
             let fields = totals
@@ -157,7 +158,7 @@
         lines.push(format!(
             "caller: served {} of {}, broken flows {}",
             self.total(Outcome::Answered),
-            self.sent(),
+            self.sent() - self.total(Outcome::GivenUp),
             self.total(Outcome::Broken),
         ));
         lines
