--- a/crates/daemon/src/agent/attempt.rs
+++ b/crates/daemon/src/agent/attempt.rs
@@ -1,10 +1,10 @@
 //! One try of a request at one target.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures::StreamExt;
-use monsoon_model::ClassKey;
+use monsoon_membership::Peer;
+use monsoon_model::{AgentId, ClassKey};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -19,6 +19,8 @@
 pub struct Attempt {
     /// Number of the try.
     pub number: u32,
+    /// Peer whose target is tried, `None` for the local one.
+    pub peer: Option<AgentId>,
     /// Frames of the target's response.
     pub replies: mpsc::Receiver<ResponseFrame>,
     body: Option<mpsc::Sender<RequestFrame>>,
@@ -27,15 +29,16 @@
 impl Attempt {
     /// Offers the request to the local target.
     pub fn local(agent: &Arc<Agent>, number: u32, class: ClassKey, head: ExecuteHead) -> Self {
-        let (attempt, body, replies) = Self::channels(number);
+        let (attempt, body, replies) = Self::channels(number, None);
         let body = ReceiverStream::new(body).boxed();
         tokio::spawn(local::run(Arc::clone(agent), class, head, body, replies));
         attempt
     }
 
     /// Sends the request to the target behind `peer`.
-    pub fn peer(agent: &Arc<Agent>, number: u32, peer: SocketAddr, head: ExecuteHead) -> Self {
-        let (attempt, body, replies) = Self::channels(number);
+    pub fn peer(agent: &Arc<Agent>, number: u32, peer: &Peer, head: ExecuteHead) -> Self {
+        let (attempt, body, replies) = Self::channels(number, Some(peer.id));
+        let peer = peer.peer;
         let first = futures::stream::once(std::future::ready(RequestFrame::Head(head)));
         let frames = first.chain(ReceiverStream::new(body));
         let peers = agent.peers.clone();
@@ -61,6 +64,7 @@
 
     fn channels(
         number: u32,
+        peer: Option<AgentId>,
     ) -> (
         Self,
         mpsc::Receiver<RequestFrame>,
@@ -71,6 +75,7 @@
         (
             Self {
                 number,
+                peer,
                 replies,
                 body: Some(body),
             },
--- a/crates/daemon/src/agent/drive.rs
+++ b/crates/daemon/src/agent/drive.rs
@@ -7,7 +7,8 @@
 use monsoon_config::Class;
 use monsoon_execution::claim::{ClaimResult, KeyHash};
 use monsoon_execution::{
-    Action, Event, Execution, PeerLoad, PeerTallies, Place, Reply, Request, pick_place,
+    ANNOUNCED_LIMIT, Action, Event, Execution, PeerLoad, PeerTallies, Place, Reply, Request,
+    pick_place,
 };
 use monsoon_membership::{Peer, State};
 use monsoon_metrics::Outcome;
@@ -22,13 +23,8 @@
 use super::respond::{self, Refusal, Sender};
 use crate::peer::{ExecuteHead, ResponseFrame, ResponseHead};
 
-/// Limit that stands for the percentages of announced loads, in thousandths of a slot.
-const ANNOUNCED_LIMIT: u32 = 100_000;
 /// Longest wait for a peer to admit a request. A frozen peer must not hold it until its deadline.
 const ADMISSION_PATIENCE: Duration = Duration::from_millis(500);
-/// Percent of a peer's limit that one request counts, for a target of four slots.
-const SENT_WEIGHT: u32 = 25;
-
 /// A caller's request with what its execution needs.
 pub struct Work {
     /// Agent that received it.
@@ -157,28 +153,39 @@
 
     fn on_frame(&mut self, frame: Option<ResponseFrame>) -> Event {
         let for_peer = self.admitted_by.take().is_some();
+        self.note_load(frame.as_ref());
         let Some(attempt) = &mut self.attempt else {
             return Event::Tick;
         };
         let number = attempt.number;
         match frame {
-            Some(ResponseFrame::Admitted) if for_peer => {
+            Some(ResponseFrame::Admitted(_)) if for_peer => {
                 self.send_body();
                 Event::Tick
             }
-            Some(ResponseFrame::Admitted) if attempt.is_unsent() => Event::Started(number),
+            Some(ResponseFrame::Admitted(_)) if attempt.is_unsent() => Event::Started(number),
             Some(ResponseFrame::Head(head)) => {
                 let status = head.status;
                 self.response = Some(head);
                 Event::Response(number, status)
             }
-            Some(ResponseFrame::NotRun) => Event::NotRun(number),
+            Some(ResponseFrame::NotRun(_)) => Event::NotRun(number),
             // The connection ended before the target could see the request.
             None if attempt.is_unsent() => Event::NotRun(number),
             _ => Event::Lost(number),
         }
     }
 
+    /// Keeps the load that a peer sent with its answer; it is newer than any announcement.
+    fn note_load(&self, frame: Option<&ResponseFrame>) {
+        let peer = self.attempt.as_ref().and_then(|attempt| attempt.peer);
+        if let (Some(peer), Some(ResponseFrame::Admitted(load) | ResponseFrame::NotRun(load))) =
+            (peer, frame)
+        {
+            self.tallies().reported(self.agent.clock.now(), peer, *load);
+        }
+    }
+
     async fn carry_out(&mut self, action: Action) {
         match action {
             Action::Claim => {
@@ -255,15 +262,12 @@
             .into_iter()
             .filter(|peer| !tallies.is_refusing(now, peer.id));
         let usable: Vec<_> = usable.collect();
-        let report = |peer: &Peer| {
-            let age = peer.age.as_micros();
-            Instant::from_micros(now.as_micros().saturating_sub(age))
-        };
         let loads = usable
             .iter()
-            .map(|peer| PeerLoad {
-                load: announced_load(peer),
-                sent: tallies.sent_since(peer.id, report(peer)) * SENT_WEIGHT,
+            .map(|peer| {
+                let age = peer.age.as_micros();
+                let at = Instant::from_micros(now.as_micros().saturating_sub(age));
+                tallies.load(peer.id, announced_load(peer), at)
             })
             .collect();
         (usable, loads)
@@ -282,12 +286,7 @@
         };
         self.agent.counters.count("request_passed_on");
         self.tallies().sent(self.agent.clock.now(), peer.id);
-        self.attempt = Some(Attempt::peer(
-            &self.agent,
-            number,
-            peer.peer,
-            self.head_now(),
-        ));
+        self.attempt = Some(Attempt::peer(&self.agent, number, &peer, self.head_now()));
         self.admitted_by = Some(self.agent.clock.now() + ADMISSION_PATIENCE);
     }
 
--- a/crates/daemon/src/agent/local.rs
+++ b/crates/daemon/src/agent/local.rs
@@ -66,15 +66,15 @@
         Err(reason) => {
             log::debug!("admission: request refused: {reason}");
             agent.counters.count("request_shed");
-            return reply(&replies, ResponseFrame::NotRun).await;
+            return reply(&replies, ResponseFrame::NotRun(agent.gate.load())).await;
         }
     };
     // Connecting before the answer keeps a dead target's requests free to run elsewhere.
     let mut exchange = match agent.target.connect().await {
         Ok(exchange) => exchange,
-        Err(error) => return give_up(&mut permit, &replies, &error).await,
+        Err(error) => return give_up(agent, &mut permit, &replies, &error).await,
     };
-    reply(&replies, ResponseFrame::Admitted).await?;
+    reply(&replies, ResponseFrame::Admitted(agent.gate.load())).await?;
     let Some(first) = body.next().await else {
         return Ok(());
     };
@@ -82,20 +82,25 @@
         Ok(request) => request,
         Err(reason) => {
             log::warn!("target: request cannot be passed on: {reason}");
-            return reply(&replies, ResponseFrame::NotRun).await;
+            return reply(&replies, ResponseFrame::NotRun(agent.gate.load())).await;
         }
     };
     match exchange.send(request).await {
         Ok(response) => deliver(&mut permit, &replies, exchange, response).await,
-        Err(error) => give_up(&mut permit, &replies, &error).await,
+        Err(error) => give_up(agent, &mut permit, &replies, &error).await,
     }
 }
 
-async fn give_up(permit: &mut Permit, replies: &Replies, error: &TargetError) -> Result<(), Gone> {
+async fn give_up(
+    agent: &Agent,
+    permit: &mut Permit,
+    replies: &Replies,
+    error: &TargetError,
+) -> Result<(), Gone> {
     log::warn!("target: {error}");
     permit.set_outcome(Outcome::Failed);
     let frame = match error {
-        TargetError::NotRun { .. } => ResponseFrame::NotRun,
+        TargetError::NotRun { .. } => ResponseFrame::NotRun(agent.gate.load()),
         TargetError::Unknown { .. } => ResponseFrame::Unknown,
     };
     reply(replies, frame).await
--- a/crates/daemon/src/agent/serve_peer.rs
+++ b/crates/daemon/src/agent/serve_peer.rs
@@ -41,7 +41,7 @@
         }
         _ => {
             // The channel is new and empty, so the only frame always fits.
-            let _ = sender.try_send(ResponseFrame::NotRun);
+            let _ = sender.try_send(ResponseFrame::NotRun(agent.gate.load()));
         }
     }
     Ok(ReceiverStream::new(replies).map(Ok).boxed())
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -1,6 +1,7 @@
 //! Messages of the peer service.
 
 use bytes::Bytes;
+use monsoon_admission::Load;
 use monsoon_execution::claim::{Answer, ClaimId, Handed, KeyHash};
 use monsoon_model::{ServiceId, Version, Versions};
 use serde::{Deserialize, Serialize};
@@ -43,10 +44,10 @@
 /// Frame of a response on its way back.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ResponseFrame {
-    /// The request was admitted and its body may follow.
-    Admitted,
-    /// The request was not run and will not be.
-    NotRun,
+    /// The request was admitted and its body may follow. Carries the target's present load.
+    Admitted(Load),
+    /// The request was not run and will not be. Carries the target's present load.
+    NotRun(Load),
     /// The request may have run, and its response is lost.
     Unknown,
     /// Status and headers of the target's response.
--- a/crates/execution/src/lib.rs
+++ b/crates/execution/src/lib.rs
@@ -18,4 +18,4 @@
 pub use execution::{ATTEMPTS_MAX, Execution, RUN_WITHIN};
 pub use place::{PeerLoad, Place, pick_place};
 pub use request::{Action, Event, Reply, Request};
-pub use tally::{PEERS_MAX, PeerTallies, REFUSAL_PAUSE, SENDS_MAX};
+pub use tally::{ANNOUNCED_LIMIT, PEERS_MAX, PeerTallies, REFUSAL_PAUSE, SENDS_MAX};
--- a/crates/execution/src/tally.rs
+++ b/crates/execution/src/tally.rs
@@ -6,8 +6,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use monsoon_admission::Load;
 use monsoon_model::{AgentId, Duration, Instant};
 
+use crate::place::PeerLoad;
+
 /// Time for which a peer that refused a request is not chosen again; two announcement intervals.
 pub const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
 
@@ -18,10 +21,18 @@
 /// Most sends remembered for one peer; further ones are not counted.
 pub const SENDS_MAX: usize = 64;
 
+/// Limit that stands for the percentages of an announced load, in thousandths of a slot.
+pub const ANNOUNCED_LIMIT: u32 = 100_000;
+
+/// Percent of an announced limit that one request counts, for a target of four slots.
+const ANNOUNCED_REQUEST: u32 = 25;
+
 #[derive(Clone, Debug, Default)]
 struct Tally {
     sends: VecDeque<Instant>,
     refused: Option<Instant>,
+    /// Load that came with the peer's last answer.
+    answered: Option<(Instant, Load)>,
     last: Instant,
 }
 
@@ -51,15 +62,38 @@
         refused.is_some_and(|at| now.since(at) < REFUSAL_PAUSE)
     }
 
-    /// Requests sent to a peer after its load was reported at `report`.
-    pub fn sent_since(&mut self, peer: AgentId, report: Instant) -> u32 {
+    /// Notes the load that came with a peer's answer.
+    pub fn reported(&mut self, now: Instant, peer: AgentId, load: Load) {
+        self.entry(now, peer).answered = Some((now, load));
+    }
+
+    /// Newest known load of a peer that announced `announced` at `at`, with the requests sent to
+    /// it since.
+    pub fn load(&mut self, peer: AgentId, announced: Load, at: Instant) -> PeerLoad {
         let Some(tally) = self.peers.get_mut(&peer) else {
-            return 0;
+            return PeerLoad {
+                load: announced,
+                sent: 0,
+            };
+        };
+        let (at, load) = match tally.answered {
+            Some((answered, load)) if answered >= at => (answered, load),
+            _ => (at, announced),
         };
-        while tally.sends.front().is_some_and(|at| *at <= report) {
+        while tally.sends.front().is_some_and(|sent| *sent <= at) {
             tally.sends.pop_front();
         }
-        tally.sends.len() as u32
+        // An announced load counts percentages of the limit; a request weighs by the real limit
+        // of the last answer, or as one of four slots.
+        let weight = if load.limit == ANNOUNCED_LIMIT {
+            ANNOUNCED_REQUEST
+        } else {
+            1
+        };
+        PeerLoad {
+            load,
+            sent: tally.sends.len() as u32 * weight,
+        }
     }
 
     fn entry(&mut self, now: Instant, peer: AgentId) -> &mut Tally {
--- a/crates/execution/tests/execution/main.rs
+++ b/crates/execution/tests/execution/main.rs
@@ -3,3 +3,4 @@
 mod claims;
 mod place;
 mod requests;
+mod tally;
