Push departures to other data centres at once, and claim on complete lists only

Cause: a departure reached other data centres with the next contact of a speaker (up to 500 ms) and then by gossip there. When the crashed member was a speaker this came on top of the detection. Ruled out: detection in the own data centre (p90 2.5 s). Change: a speaker that learns of a departure sends it to the other data centres at once.

A balancer that had just started answered agents with its still partial lists, and an agent without any list claimed idempotency keys on itself alone. Balancers now withhold lists until they caught up (at most 3 s), and an agent without a list answers unknown.

--- a/crates/daemon/src/agent/drive.rs
+++ b/crates/daemon/src/agent/drive.rs
@@ -224,6 +224,11 @@
         let Some(key) = self.claim else {
             return ClaimResult::NotRun;
         };
+        if !self.agent.is_listed() {
+            // Another agent may know the key.
+            self.agent.counters.count("claim_without_members");
+            return ClaimResult::Unknown;
+        }
         let (result, held) = claims::claim(&self.agent, key).await;
         self.held = Some(held);
         result
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -79,6 +79,12 @@
         node.service_members(self.clock.now())
     }
 
+    /// Whether the list of members can be claimed on.
+    fn is_listed(&self) -> bool {
+        let node = self.node.lock().expect("no panic while the lock is held");
+        node.is_listed()
+    }
+
     /// Number of an attempt to claim, never used again by this process.
     fn next_serial(&self) -> u64 {
         self.serial.fetch_add(1, Ordering::Relaxed)
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -128,6 +128,12 @@
         self.lists.service(now, &self.me)
     }
 
+    /// Whether a balancer has listed the members of the own service. Before that, `service_members`
+    /// knows this agent alone, and no idempotency key may be claimed on it.
+    pub fn is_listed(&self) -> bool {
+        self.lists.has_service()
+    }
+
     /// This agent as it announces itself.
     pub fn member(&self) -> &Member {
         &self.me
--- a/crates/membership/src/agent/lists.rs
+++ b/crates/membership/src/agent/lists.rs
@@ -93,6 +93,10 @@
         }
     }
 
+    pub(crate) fn has_service(&self) -> bool {
+        self.service_hash != 0
+    }
+
     pub(crate) fn balancers(&self) -> &[BalancerInfo] {
         &self.balancers
     }
@@ -107,8 +111,9 @@
         service: u32,
     ) -> Option<(SocketAddr, Body)> {
         let hashes = (balancers, service);
-        let balancers = balancers != self.balancers_hash;
-        let service = service != self.service_hash;
+        // A hash of 0 comes from a balancer that does not know its own lists yet.
+        let balancers = balancers != 0 && balancers != self.balancers_hash;
+        let service = service != 0 && service != self.service_hash;
         self.later = None;
         if !(balancers || service) {
             return None;
--- a/crates/membership/src/balancer/answer.rs
+++ b/crates/membership/src/balancer/answer.rs
@@ -5,7 +5,7 @@
 use monsoon_model::{AgentId, DataCentreId, Instant};
 
 use super::BalancerNode;
-use crate::bounds::{ANSWER_PAGES, BUCKETS, SAMPLES};
+use crate::bounds::{ANSWER_PAGES, BUCKETS, CATCH_UP_FOR, LIST_AFTER, SAMPLES};
 use crate::members::{Row, seconds};
 use crate::message::{pages, room};
 use crate::{BalancerInfo, Body, Entry, Member, Role, Sample, Status, TargetInfo, listing};
@@ -26,11 +26,13 @@
             sample: Vec::new(),
         };
         if member.role == Role::Agent {
-            let service = listing::hash(self.service(now, &member).0);
+            let lists = self.has_lists(now);
+            let service = || listing::hash(self.service(now, &member).0);
+            let service = if lists { service() } else { 0 };
             let sample = self.sample(&member);
             body = Body::Reply {
                 dead: None,
-                balancers: self.list_hash,
+                balancers: if lists { self.list_hash } else { 0 },
                 service,
                 sample,
             };
@@ -38,6 +40,12 @@
         self.send(to, body);
     }
 
+    /// Whether the tables can stand for the whole group. Agents claim idempotency keys at the listed
+    /// members, so a list of a node that has just started must not shorten theirs.
+    fn has_lists(&self, now: Instant) -> bool {
+        !self.catching || now + CATCH_UP_FOR >= self.catch_until + LIST_AFTER
+    }
+
     /// Some other targets of the member's service, those of its data centre if there are any.
     fn sample(&mut self, member: &Member) -> Vec<Sample> {
         let rows = self.members.service(member.service);
@@ -84,6 +92,9 @@
         balancers: bool,
         service: bool,
     ) {
+        if !self.has_lists(now) {
+            return;
+        }
         if balancers {
             self.send_balancers(from);
         }
--- a/crates/membership/src/balancer/learn.rs
+++ b/crates/membership/src/balancer/learn.rs
@@ -188,5 +188,28 @@
                 self.send_gossip(to, page.clone(), Vec::new());
             }
         }
+        self.push_away(now, ids);
+    }
+
+    /// Tells the other data centres at once of departures in the own one. Waiting for the next
+    /// contact, and then for gossip there, took up to 2.5 s more than the detection.
+    fn push_away(&mut self, now: Instant, ids: &[AgentId]) {
+        if !self.is_speaker() {
+            return;
+        }
+        let own = self.me.data_centre;
+        let rows = ids.iter().filter_map(|&id| self.members.get(id));
+        let rows = rows.filter(|row| row.member.data_centre == own);
+        let entries = rows.map(|row| row.entry(now)).collect::<Vec<_>>();
+        let pages = pages(room(&self.beats.list()), entries);
+        let pages = pages.into_iter().filter(|page| !page.is_empty());
+        let pages = pages.collect::<Vec<_>>();
+        for place in self.places() {
+            for page in &pages {
+                if let Some(to) = self.contact(now, place) {
+                    self.send_gossip(to, page.clone(), Vec::new());
+                }
+            }
+        }
     }
 }
--- a/crates/membership/src/balancer/rounds.rs
+++ b/crates/membership/src/balancer/rounds.rs
@@ -252,7 +252,7 @@
     }
 
     /// A speaker of `place`, any balancer of it once it is silent.
-    fn contact(&mut self, now: Instant, place: DataCentreId) -> Option<SocketAddr> {
+    pub(super) fn contact(&mut self, now: Instant, place: DataCentreId) -> Option<SocketAddr> {
         let mut choice = self.speakers(place);
         if choice.is_empty() || self.beats.silent(now, place, REMOTE_DOUBT) {
             choice = self.members.balancers(place).map(|m| m.control).collect();
@@ -261,7 +261,7 @@
     }
 
     /// Other data centres with known balancers.
-    fn places(&self) -> Vec<DataCentreId> {
+    pub(super) fn places(&self) -> Vec<DataCentreId> {
         let own = self.me.data_centre;
         let rows = self.members.service(monsoon_model::ServiceId(0));
         let places = rows
--- a/crates/membership/src/bounds.rs
+++ b/crates/membership/src/bounds.rs
@@ -14,6 +14,9 @@
 pub const CATCH_UP_EVERY: Duration = Duration::from_millis(200);
 /// Longest time after a start or a pause in which a node compares tables at the faster rate.
 pub const CATCH_UP_FOR: Duration = Duration::from_secs(30);
+/// Time after a start or a pause from which a node answers with its lists although it may not have
+/// caught up: several comparisons of tables, and short against the start of a target.
+pub const LIST_AFTER: Duration = Duration::from_secs(3);
 /// Interval of timer checks. Adds to every detection time, so it is small against the 3 s bound.
 pub const TICK_EVERY: Duration = Duration::from_millis(50);
 /// Silence after which a watcher suspects a member: four announcements.
--- a/crates/membership/tests/nodes/lifecycle.rs
+++ b/crates/membership/tests/nodes/lifecycle.rs
@@ -4,18 +4,21 @@
 use monsoon_membership::simulation::Loss;
 use monsoon_model::Duration;
 
-/// Guards against crashed members that stay in a table beyond the bound.
+/// Guards against crashed members that stay in a table beyond the bound, also in that of another
+/// data centre when the crashed one was its speaker.
 #[test]
 fn crashed_members_leave_every_table_in_time() {
-    let mut net = cluster(11, 2, 6, 12);
-    for node in [2, 9] {
-        net.crash(node);
-        let gone = id(&net, node);
-        let taken = net.run_until(BOUND, |net| absent(net, gone));
-        assert!(
-            taken.is_some(),
-            "node {node} is still listed after {BOUND:?}"
-        );
+    for seed in [11, 101, 104, 122, 124, 147] {
+        let mut net = cluster(seed, 2, 6, 12);
+        for node in [2, 9] {
+            net.crash(node);
+            let gone = id(&net, node);
+            let taken = net.run_until(BOUND, |net| absent(net, gone));
+            assert!(
+                taken.is_some(),
+                "seed {seed}: node {node} is still listed after {BOUND:?}"
+            );
+        }
     }
 }
 
