membership: bound the steady control traffic by a test

Cause: the traffic of the design size and the bursts had no recorded figures, and nothing failed when a message grew.

--- a/crates/membership/examples/capacity/main.rs
+++ b/crates/membership/examples/capacity/main.rs
@@ -1,7 +1,7 @@
 //! Measures what membership costs a node, by size, and what bursts of change cost.
 //!
 //! `cargo run --release -p monsoon-membership --example capacity -- SEED PART`, where PART is
-//! `slopes`, `full`, `bursts`, `cut` or `quick`.
+//! `slopes`, `large`, `full`, `bursts`, `cut` or `quick`.
 
 mod bursts;
 mod cluster;
@@ -18,10 +18,11 @@
     println!("seed {seed}, part {part}");
     match part.as_str() {
         "slopes" => slopes::run(seed, &[5, 10, 20, 40, 86], &[1, 2, 3, 4, 5, 6, 7]),
-        "full" => slopes::full(seed),
+        "large" => slopes::full(seed, 3),
+        "full" => slopes::full(seed, 7),
         "bursts" => bursts::run(seed),
         "cut" => bursts::cut(seed, 3_600),
         "quick" => slopes::run(seed, &[5, 10, 20, 30], &[1, 2, 3, 4]),
-        other => eprintln!("unknown part {other}; use slopes, full, bursts, cut or quick"),
+        other => eprintln!("unknown part {other}; use slopes, large, full, bursts, cut or quick"),
     }
 }
--- a/crates/membership/examples/capacity/slopes.rs
+++ b/crates/membership/examples/capacity/slopes.rs
@@ -45,14 +45,15 @@
     lines("data centre", &rows.map(with_x).collect::<Vec<_>>());
 }
 
-/// The whole design size: 7 data centres with 86 balancers and 529 agents each.
-pub fn full(seed: u64) {
+/// Data centres of the design size: 86 balancers and 529 agents each.
+pub fn full(seed: u64, places: u8) {
     println!("\nDesign size:\n\n{HEADER}");
     let before = resident();
-    let row = measure(seed, 7, 86);
+    let row = measure(seed, places, 86);
     let grown = resident().saturating_sub(before);
     println!(
-        "\nresident memory grew by at most {} MB for 4,305 nodes at the end",
+        "
+resident memory grew by {} MB for all nodes",
         grown / 1_000_000
     );
     println!("entries in each balancer: {}", row.entries);
--- a/crates/membership/tests/nodes/lists.rs
+++ b/crates/membership/tests/nodes/lists.rs
@@ -1,7 +1,7 @@
 //! What agents learn, message sizes, configuration versions, and rankings.
 
-use monsoon_membership::simulation::{Loss, Network, Node};
-use monsoon_membership::{Action, Body, Event, Head, LocalState, Message, State, bounds};
+use monsoon_membership::simulation::{Loss, Network, Node, Traffic};
+use monsoon_membership::{Action, Body, Event, Head, LocalState, Message, Role, State, bounds};
 use monsoon_model::{Duration, Version, Versions};
 
 use crate::common::{cluster, converged};
@@ -183,3 +183,26 @@
         assert!(silent(actions), "node {node} acted after its end");
     }
 }
+
+/// Guards against a change that raises the control traffic unnoticed, and against more than the
+/// 29 KB/s that a node may use.
+#[test]
+fn control_traffic_is_bounded() {
+    let mut net = cluster(58, 3, 8, 48);
+    for slot in &mut net.slots {
+        slot.traffic = Traffic::default();
+    }
+    net.run(Duration::from_secs(20));
+    let mut lines = Vec::new();
+    for role in [Role::Balancer, Role::Agent] {
+        let slots = net.slots.iter().filter(|slot| slot.member.role == role);
+        let bytes = slots
+            .map(|slot| slot.traffic.bytes / 20)
+            .collect::<Vec<_>>();
+        let most = bytes.iter().max().copied().unwrap_or_default();
+        assert!(most <= 29_000, "a node uses {most} B/s");
+        let mean = bytes.iter().sum::<u64>() / bytes.len() as u64;
+        lines.push(format!("{role:?}: mean {mean} B/s, largest {most} B/s"));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
