Simulate a whole fleet on virtual time in the lab

The randomised proofs covered one decision crate each. The module fleet wires membership, routing tables, handoff, configuration and conditional writes as the daemon does, with fakes of network, store, operators, callers and targets, and checks the invariants inside the run.

--- /dev/null
+++ b/crates/lab/src/fleet/balancers.rs
@@ -0,0 +1,165 @@
+//! Data path of balancers.
+
+use monsoon_model::{Chain, Hop, ServiceId, hash::mix};
+use monsoon_routing::{Destination, FirstLook, Route};
+use monsoon_wire::{CID_LEN, ConnectionId, flow_key};
+
+use super::flow::{Forwarded, Packet, Reply};
+use super::process::{Condition, Node};
+use super::{Due, Fleet, Policy};
+
+impl Fleet {
+    /// A caller's packet arrives at a balancer.
+    pub(super) fn entry(
+        &mut self,
+        at: usize,
+        flow: usize,
+        packet: Packet,
+        cid: Option<[u8; CID_LEN]>,
+    ) {
+        let process = &self.processes[at];
+        if !process.is_running() || !process.started {
+            return;
+        }
+        let service = self.flows[flow].service;
+        let is_served = process
+            .document()
+            .is_some_and(|document| document.services.contains_key(&service));
+        if !is_served {
+            return;
+        }
+        self.check_forwarding(at);
+        let look = self.look(flow, packet, cid);
+        let key = match look {
+            FirstLook::New { key } => key,
+            _ => 0,
+        };
+        let place = process.place;
+        match self.route(at, service, look, flow) {
+            Route::Established(agent) => {
+                let sent = Forwarded {
+                    flow,
+                    packet,
+                    cid,
+                    service,
+                    key: 0,
+                    chain: Chain::default(),
+                    hop: 0,
+                    via: Some(at),
+                };
+                self.send_data(place, agent, &sent);
+            }
+            Route::New(chain) => {
+                let Some(first) = chain.hop(0) else { return };
+                let sent = Forwarded {
+                    flow,
+                    packet,
+                    cid,
+                    service,
+                    key,
+                    chain,
+                    hop: 0,
+                    via: Some(at),
+                };
+                self.send_data(place, first.agent, &sent);
+            }
+            // A reset answers only short headers.
+            Route::Reset if matches!(packet, Packet::Data(_) | Packet::Close) => {
+                self.reply_to_caller(flow, Reply::Reset);
+            }
+            Route::Reset | Route::Drop(_) => {}
+        }
+    }
+
+    fn look(&self, flow: usize, packet: Packet, cid: Option<[u8; CID_LEN]>) -> FirstLook {
+        if let Some(id) = cid.and_then(|cid| ConnectionId::open(&cid, &self.keys)) {
+            return FirstLook::Established(Destination {
+                agent: id.agent,
+                service: id.service,
+                data_centre: id.data_centre,
+            });
+        }
+        let flow = &self.flows[flow];
+        match packet {
+            Packet::Hello(_) => FirstLook::New {
+                key: flow_key(&self.keys, flow.caller, &flow.dcid),
+            },
+            _ => FirstLook::Unverified,
+        }
+    }
+
+    fn route(&mut self, at: usize, service: ServiceId, look: FirstLook, flow: usize) -> Route {
+        let now = self.now;
+        if self.setup.policy == Policy::Random {
+            return self.random(at, service);
+        }
+        let router = &mut self.processes[at].router;
+        if self.setup.policy == Policy::Ours {
+            return router.route(now, service, look);
+        }
+        let key = mix(flow as u64, 0x6861_7368);
+        match router.route(now, service, FirstLook::New { key }) {
+            Route::New(chain) => {
+                let current = chain.hops().iter().find(|hop| !hop.known_only);
+                only(current.copied())
+            }
+            other => other,
+        }
+    }
+
+    /// Baseline: any live target for each packet.
+    fn random(&mut self, at: usize, service: ServiceId) -> Route {
+        let process = &self.processes[at];
+        let Node::Balancer(node) = &process.node else {
+            return only(None);
+        };
+        let out = process.config.out();
+        let ready = |m: &&monsoon_membership::Member| {
+            m.service == service
+                && m.state != monsoon_membership::State::Leaving
+                && !out.contains(&m.place)
+        };
+        let agents: Vec<_> = node.agents().filter(ready).map(|m| m.data).collect();
+        let pick = self.rng.below(agents.len() as u64) as usize;
+        only(agents.get(pick).map(|agent| Hop {
+            agent: *agent,
+            known_only: false,
+        }))
+    }
+
+    /// Sends an encapsulated packet to an address.
+    pub(super) fn send_data(&mut self, place: u8, to: std::net::SocketAddrV4, sent: &Forwarded) {
+        let Some(receiver) = self.by_ip.get(to.ip()).copied() else {
+            return;
+        };
+        let there = self.processes[receiver].place;
+        for delay in self.links.between(&mut self.rng, place, there) {
+            let sent = sent.clone();
+            self.after(delay, Due::Arrive { to, sent });
+        }
+    }
+
+    /// A reply of an agent arrives at a balancer.
+    pub(super) fn give_back(&mut self, at: usize, flow: usize, reply: Reply) {
+        let process = &self.processes[at];
+        if process.condition == Condition::Running && process.started {
+            self.reply_to_caller(flow, reply);
+        }
+    }
+
+    pub(super) fn reply_to_caller(&mut self, flow: usize, reply: Reply) {
+        for delay in self.links.caller(&mut self.rng) {
+            self.after(delay, Due::Answer { flow, reply });
+        }
+    }
+}
+
+/// Route to one agent without a handoff.
+fn only(hop: Option<Hop>) -> Route {
+    let mut chain = Chain::default();
+    let Some(hop) = hop else {
+        return Route::Drop(monsoon_routing::DropReason::NoTarget);
+    };
+    chain.push(hop).expect("an empty chain has room");
+    Route::New(chain)
+}
--- /dev/null
+++ b/crates/lab/src/fleet/checks.rs
@@ -0,0 +1,292 @@
+//! Invariants of the fleet. Each check ends the run with the seed and the time when it fails.
+
+use std::collections::BTreeMap;
+
+use monsoon_config::Places;
+use monsoon_lease::Outcome;
+use monsoon_model::{Duration, Instant, Version};
+
+use super::configuration::version;
+use super::flow::{End, Forwarded, Stage};
+use super::process::{Condition, NAMES, Phase};
+use super::store::{OBJECTS, Object};
+use super::{Fleet, Policy};
+
+/// Bound on the last packet to a data centre that is out.
+const OUT: Duration = Duration::from_secs(3);
+/// Bound on new flows at a leaving target.
+const LEAVING: Duration = Duration::from_secs(3);
+/// Bound on a configuration in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
+/// Time after the end of a fault of store or links after which the bounds hold again. A watch waits
+/// up to 5 s between two attempts.
+const RECOVERED: Duration = Duration::from_secs(8);
+/// Time in which a thawed process learns what happened while it was frozen. A frozen process, like
+/// one that is cut off from everything, cannot know of a change.
+const THAWED: Duration = Duration::from_secs(2);
+
+/// What the store accepted, and when faults ended.
+#[derive(Debug)]
+pub struct Truth {
+    accepted: [Vec<(Version, Instant)>; 2],
+    /// Data centres that are out, and since when.
+    pub out: BTreeMap<u8, Instant>,
+    /// When each data centre was last brought back.
+    returned: BTreeMap<u8, Instant>,
+    /// Faults of store and links in progress.
+    pub faults: u32,
+    pub healthy: Instant,
+    versions: BTreeMap<usize, monsoon_model::Versions>,
+}
+
+impl Truth {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            accepted: [Vec::new(), Vec::new()],
+            out: BTreeMap::new(),
+            returned: BTreeMap::new(),
+            faults: 0,
+            healthy: now,
+            versions: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the newest value of an object has to be in force everywhere.
+    pub fn is_known(&self, now: Instant, object: Object, bound: Duration) -> bool {
+        let last = self.accepted[object as usize].last();
+        last.is_none_or(|(_, at)| self.is_due(now, *at, bound))
+    }
+
+    /// Whether a bound on a change of `since` has passed, with store and links up.
+    fn is_due(&self, now: Instant, since: Instant, bound: Duration) -> bool {
+        let start = if self.healthy > since {
+            self.healthy + RECOVERED
+        } else {
+            since
+        };
+        self.faults == 0 && now > start + bound
+    }
+}
+
+impl Fleet {
+    fn fail(&self, invariant: &str, what: &str) -> ! {
+        let at = self.now.since(Instant::from_secs(1_000)).as_secs_f64();
+        panic!(
+            "invariant {invariant}: {what}; seed {} at {at:.3} s",
+            self.setup.seed
+        );
+    }
+
+    /// Notes what the store accepted.
+    pub(super) fn accepted(&mut self, object: Object, version: Version) {
+        self.totals.accepted += 1;
+        self.truth.accepted[object as usize].push((version, self.now));
+        if object == Object::Document {
+            return;
+        }
+        let text = &self.store.get(object).text;
+        let places = Places::parse(text).expect("a text of the simulation is valid");
+        for number in 1..=3 {
+            let is_out = places.out.contains(NAMES[usize::from(number)]);
+            if is_out {
+                self.truth.out.entry(number).or_insert(self.now);
+            } else if self.truth.out.remove(&number).is_some() {
+                self.truth.returned.insert(number, self.now);
+            }
+        }
+    }
+
+    /// Invariant 4: no packet of a caller reaches a data centre 3 s after it was taken out. Packets
+    /// of a balancer that was frozen until lately are excepted.
+    pub(super) fn check_out(&mut self, index: usize, sent: &Forwarded) {
+        let process = &self.processes[index];
+        let Some(since) = self.truth.out.get(&process.place).copied() else {
+            return;
+        };
+        self.measured.last_packet = Some(self.now);
+        let process = &self.processes[index];
+        let thawed = sent.via.map(|via| self.processes[via].thawed);
+        let excepted =
+            thawed.is_some_and(|at| at > Instant::ZERO && self.now.since(at) < THAWED + OUT);
+        if self.truth.is_due(self.now, since, OUT) && !excepted && self.strict {
+            let late = self.now.since(since).as_secs_f64();
+            let what = format!(
+                "{:?} reached data centre {} {late:.3} s after it was taken out, hop {} from balancer {:?}",
+                sent.packet, process.place, sent.hop, sent.via
+            );
+            self.fail("4", &what);
+        }
+    }
+
+    /// Invariant 2: a packet reaches only agents of its own service.
+    pub(super) fn check_service(&self, index: usize, sent: &Forwarded) {
+        let process = &self.processes[index];
+        let flow = &self.flows[sent.flow];
+        if process.want != Some(flow.service) {
+            let what = format!(
+                "{:?} of service {} reached an agent of {:?}",
+                sent.packet, flow.service, process.want
+            );
+            self.fail("2", &what);
+        }
+    }
+
+    /// Invariant 8, and counts handshakes that several agents take.
+    pub(super) fn check_taken(&mut self, index: usize, flow: usize) {
+        let process = &self.processes[index];
+        if process.left.is_some_and(|left| self.now > left + LEAVING) {
+            self.fail(
+                "8",
+                &format!("flow {flow} started at leaving agent {index}"),
+            );
+        }
+        let flow = &mut self.flows[flow];
+        let fresh = !flow.takers.contains(&index);
+        let in_progress = matches!(flow.stage, Stage::Hello | Stage::Finish);
+        if fresh && in_progress {
+            flow.takers.push(index);
+            self.totals.split += u64::from(flow.takers.len() == 2);
+        }
+    }
+
+    /// Invariant 1: an established flow breaks only with its agent or its data centre.
+    pub(super) fn check_broken(&mut self, index: usize, end: End) {
+        let flow = &self.flows[index];
+        let excused = flow.agent.is_some_and(|agent| {
+            let process = &self.processes[agent];
+            let is_out = self.truth.out.contains_key(&process.place);
+            let back = self.truth.returned.get(&process.place);
+            let was_out = back.is_some_and(|at| *at >= flow.started);
+            process.harmed || is_out || was_out
+        });
+        if excused {
+            self.totals.lost += 1;
+            return;
+        }
+        self.totals.broken += 1;
+        if self.strict {
+            let age = self.now.since(flow.started).as_secs_f64();
+            let agent = flow.agent.map(|agent| {
+                let process = &self.processes[agent];
+                (agent, process.place, process.condition, process.agent.phase)
+            });
+            let what = format!("flow {index} broke by {end:?} at age {age:.3} s, agent {agent:?}");
+            self.fail("1", &what);
+        }
+    }
+
+    /// A handshake that two agents took can still be completed by its caller.
+    pub(super) fn check_handshake(&mut self, index: usize) {
+        self.totals.not_opened += 1;
+        let flow = &self.flows[index];
+        let lives = |agent: &&usize| {
+            let process = &self.processes[**agent];
+            !process.harmed && process.agent.phase == Phase::Serving
+        };
+        let taken = flow.takers.iter().filter(lives).count();
+        if self.strict && self.truth.is_due(self.now, flow.started, Duration::ZERO) && taken >= 2 {
+            let what = format!("handshake {index} of agents {:?} never ended", flow.takers);
+            self.fail("handshake", &what);
+        }
+    }
+
+    /// Invariant 10: versions never fall at a process.
+    pub(super) fn check_versions(&mut self, index: usize) {
+        let versions = self.processes[index].config.versions();
+        let before = self.truth.versions.insert(index, versions);
+        if let Some(before) = before
+            && before.is_ahead_of(versions)
+        {
+            let what = format!("process {index} went from {before:?} back to {versions:?}");
+            self.fail("10", &what);
+        }
+    }
+
+    /// Version of an object that has to be in force everywhere by now.
+    fn required(&self, object: Object, since: Instant) -> Version {
+        let accepted = self.truth.accepted[object as usize].iter();
+        let due = accepted
+            .filter(|(_, at)| self.truth.is_due(self.now, (*at).max(since), IN_FORCE))
+            .map(|(version, _)| *version);
+        due.max().unwrap_or_default()
+    }
+
+    /// Invariant 10: an accepted configuration is in force everywhere in time.
+    pub(super) fn check_configuration(&mut self) {
+        for (index, process) in self.processes.iter().enumerate() {
+            let skips = process.is_balancer() && process.left.is_some();
+            if process.condition != Condition::Running || !process.started || skips {
+                continue;
+            }
+            let since = process.since.max(process.thawed);
+            for object in OBJECTS {
+                let (have, need) = (
+                    version(process.config.versions(), object),
+                    self.required(object, since),
+                );
+                if have < need {
+                    let what = format!("process {index} has {object:?} {have}, not {need}");
+                    self.fail("10", &what);
+                }
+            }
+        }
+    }
+
+    /// Invariant 10: a balancer does not serve callers with a configuration that was replaced more
+    /// than 5 s ago, also right after its start.
+    pub(super) fn check_forwarding(&self, at: usize) {
+        let process = &self.processes[at];
+        if self.setup.policy != Policy::Ours || process.thawed > Instant::ZERO {
+            return;
+        }
+        for object in OBJECTS {
+            let have = version(process.config.versions(), object);
+            let need = self.required(object, Instant::ZERO);
+            if have < need {
+                let age = self.now.since(process.since).as_secs_f64();
+                let what = format!(
+                    "balancer {at} serves callers {age:.3} s after its start with {object:?} {have}, not {need}"
+                );
+                self.fail("10", &what);
+            }
+        }
+    }
+
+    /// Of two operators that changed the same version exactly one wins, and the other learns the
+    /// winner's change, unless the store was down meanwhile.
+    pub(super) fn check_race(&self, index: usize) {
+        let one = &self.operators[index];
+        let rivals = self.operators.iter().filter(|two| {
+            two.change != one.change && two.object == one.object && two.condition == one.condition
+        });
+        for two in rivals {
+            match (&one.outcome, &two.outcome) {
+                (Some(Outcome::Written(_)), Some(Outcome::Written(_))) => {
+                    self.fail("10", "two racing operators both won");
+                }
+                (Some(Outcome::Written(_)), Some(Outcome::Overtaken(Some(present))))
+                    if present.change != one.change =>
+                {
+                    self.fail("10", "the losing operator learned another change");
+                }
+                (Some(Outcome::Overtaken(_)), Some(Outcome::Overtaken(_)))
+                    if self.truth.faults == 0 =>
+                {
+                    self.fail("10", "neither of two racing operators won");
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// No handshake is left without an end.
+    pub(super) fn check_end(&self) {
+        let now = self.now;
+        for (index, flow) in self.flows.iter().enumerate() {
+            let open = matches!(flow.stage, Stage::Hello | Stage::Finish);
+            if open && now.since(flow.started) > Duration::from_secs(15) {
+                self.fail("handshake", &format!("flow {index} has no end"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/network.rs
@@ -0,0 +1,90 @@
+//! Links between data centres and towards callers: delay, loss, duplication, reordering, cuts.
+
+use std::collections::BTreeSet;
+
+use monsoon_model::{Duration, hash::mix};
+
+/// Delay within a data centre, in microseconds.
+const NEAR: u64 = 100;
+/// Delay between data centres, in microseconds.
+const FAR: u64 = 1_500;
+/// Delay between callers and balancers, in microseconds.
+const CALLER: u64 = 3_000;
+/// Longest delay of a packet that others overtake, in microseconds.
+const LATE: u64 = 300_000;
+
+/// Seeded generator.
+#[derive(Debug)]
+pub struct Rng {
+    seed: u64,
+    draws: u64,
+}
+
+impl Rng {
+    pub fn new(seed: u64) -> Self {
+        Self { seed, draws: 0 }
+    }
+
+    pub fn next(&mut self) -> u64 {
+        self.draws += 1;
+        mix(self.seed, self.draws)
+    }
+
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.next() % bound.max(1)
+    }
+}
+
+/// Properties of all links. Shares are per thousand.
+#[derive(Debug, Default)]
+pub struct Links {
+    pub loss: u64,
+    pub repeat: u64,
+    pub late: u64,
+    /// Directed cuts between data centres.
+    pub cuts: BTreeSet<(u8, u8)>,
+}
+
+impl Links {
+    /// Delays of the copies of a datagram that arrive.
+    pub fn between(&self, rng: &mut Rng, from: u8, to: u8) -> Vec<Duration> {
+        if self.cuts.contains(&(from, to)) {
+            return Vec::new();
+        }
+        self.copies(rng, if from == to { NEAR } else { FAR })
+    }
+
+    /// Delays of a datagram from or to a caller.
+    pub fn caller(&self, rng: &mut Rng) -> Vec<Duration> {
+        self.copies(rng, CALLER)
+    }
+
+    /// Delay of a reliable call in one direction, `None` when the direction is cut.
+    pub fn call(&self, rng: &mut Rng, from: u8, to: u8) -> Option<Duration> {
+        let base = if from == to { NEAR } else { FAR };
+        let again = if rng.below(1_000) < self.loss {
+            200_000
+        } else {
+            0
+        };
+        let whole = !self.cuts.contains(&(from, to));
+        whole.then(|| Duration::from_micros(base + again))
+    }
+
+    fn copies(&self, rng: &mut Rng, base: u64) -> Vec<Duration> {
+        let copies = 1 + u64::from(rng.below(1_000) < self.repeat);
+        let mut delays = Vec::new();
+        for _ in 0..copies {
+            let spread = if rng.below(1_000) < self.late {
+                LATE
+            } else {
+                400
+            };
+            let delay = Duration::from_micros(base + rng.below(spread));
+            if rng.below(1_000) >= self.loss {
+                delays.push(delay);
+            }
+        }
+        delays
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/operators.rs
@@ -0,0 +1,114 @@
+//! Operators: conditional writes of the two configuration objects, alone or racing.
+
+use monsoon_lease::{Call, Event, Outcome, Write, WriteStep};
+use monsoon_model::{Duration, Version};
+
+use super::store::Object;
+use super::{Due, Fleet};
+
+/// Time for which an operator tries.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Time after which an operator takes an answer for lost.
+const LOST_AFTER: Duration = Duration::from_secs(1);
+
+/// One change by one operator.
+#[derive(Debug)]
+pub struct Operator {
+    write: Write,
+    text: String,
+    pub object: Object,
+    pub condition: Version,
+    pub change: String,
+    pub outcome: Option<Outcome>,
+}
+
+impl Fleet {
+    /// Begins a change of the present value of an object.
+    pub(super) fn change(&mut self, object: Object, text: String) -> Option<usize> {
+        if self.store.is_down(self.now) {
+            return None;
+        }
+        let index = self.operators.len();
+        let condition = self.store.get(object).version;
+        let change = format!("change-{index}");
+        let write = Write::new(self.now, change.clone(), Some(condition), PATIENCE);
+        self.operators.push(Operator {
+            write,
+            text,
+            object,
+            condition,
+            change,
+            outcome: None,
+        });
+        let delay = Duration::from_micros(self.rng.below(3_000));
+        self.after(delay, Due::Operator(index, Event::Tick));
+        Some(index)
+    }
+
+    pub(super) fn operate(&mut self, index: usize, event: Event) {
+        let now = self.now;
+        let operator = &mut self.operators[index];
+        let object = operator.object;
+        match operator.write.handle(now, event) {
+            WriteStep::Call(Call::Put { condition, change }) => {
+                let delay = self.store.delay(now, &mut self.rng);
+                self.after(delay, Due::Put(index, object, condition, change));
+            }
+            WriteStep::Call(Call::Read) => {
+                let delay = self.store.delay(now, &mut self.rng);
+                self.after(delay, Due::Read(index, object));
+            }
+            WriteStep::Wait(at) => {
+                self.after(at.since(now), Due::Operator(index, Event::Tick));
+            }
+            WriteStep::Done(outcome) => {
+                operator.outcome = Some(outcome);
+                self.check_race(index);
+            }
+        }
+    }
+
+    /// A write reaches the store. A lost answer hides whether it took effect.
+    pub(super) fn put(
+        &mut self,
+        index: usize,
+        object: Object,
+        condition: Option<Version>,
+        change: String,
+    ) {
+        let now = self.now;
+        if self.store.is_down(now) {
+            let due = Due::Operator(index, Event::NotSent);
+            return self.after(Duration::from_millis(5), due);
+        }
+        let (is_lost, in_request) = (
+            self.rng.below(1_000) < self.store.lost,
+            self.rng.below(2) == 0,
+        );
+        if is_lost && in_request {
+            return self.after(LOST_AFTER, Due::Operator(index, Event::Lost));
+        }
+        let text = self.operators[index].text.clone();
+        let event = match self.store.put(object, condition, change, text) {
+            Some(version) => {
+                self.accepted(object, version);
+                self.wake_watches(Some(object));
+                Event::Written(version)
+            }
+            None => Event::Conflict,
+        };
+        if is_lost {
+            return self.after(LOST_AFTER, Due::Operator(index, Event::Lost));
+        }
+        self.after(Duration::from_millis(1), Due::Operator(index, event));
+    }
+
+    pub(super) fn read(&mut self, index: usize, object: Object) {
+        let event = if self.store.is_down(self.now) {
+            Event::ReadFailed
+        } else {
+            Event::Read(Some(self.store.get(object).present()))
+        };
+        self.after(Duration::from_millis(1), Due::Operator(index, event));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/report.rs
@@ -0,0 +1,115 @@
+//! Broken flows over planned changes and over a balancer's crash.
+
+use std::fmt::Write as _;
+
+use monsoon_model::Duration;
+
+use super::plan::{Faults, START};
+use super::{Fleet, Policy, Setup, Totals};
+
+/// Document of the measurements.
+pub const DIRECTORATE: &str = include_str!("../../../../examples/directorate.toml");
+
+const NONE: Faults = Faults {
+    balancers: 0,
+    crashes: 0,
+    agents: 0,
+    agent_crashes: 0,
+    reuse: 0,
+    freezes: 0,
+    documents: 0,
+    races: 0,
+    places: 0,
+    cuts: 0,
+    outages: 0,
+    slow: 0,
+    store_loss: 0,
+    loss: 0,
+    repeat: 0,
+    late: 0,
+    lost_answers: 0,
+};
+
+/// Changes of each row.
+const ROWS: [(&str, Faults); 6] = [
+    ("none", NONE),
+    (
+        "a balancer joins or leaves every 5 s",
+        Faults {
+            balancers: 5,
+            ..NONE
+        },
+    ),
+    (
+        "a target joins or drains every 5 s",
+        Faults { agents: 5, ..NONE },
+    ),
+    (
+        "the document changes every 5 s",
+        Faults {
+            documents: 5,
+            ..NONE
+        },
+    ),
+    (
+        "all three, each every 5 s",
+        Faults {
+            balancers: 5,
+            agents: 5,
+            documents: 5,
+            ..NONE
+        },
+    ),
+    (
+        "a balancer crashes every 10 s",
+        Faults {
+            crashes: 10,
+            ..NONE
+        },
+    ),
+];
+
+/// Fleet of 15 balancers and 10 agents of two services.
+pub fn setup(seed: u64, policy: Policy, balancers: u8, seconds: u64) -> Setup {
+    let services = [1, 1, 1, 1, 1, 1, 1, 2, 2, 2, 2];
+    let places = [1, 2, 3].into_iter().cycle();
+    Setup {
+        seed,
+        policy,
+        document: DIRECTORATE.to_owned(),
+        balancers,
+        agents: places.zip(services).collect(),
+        rate: 30,
+        work: Duration::ZERO,
+        end: START + Duration::from_secs(seconds),
+    }
+}
+
+fn measure(seed: u64, policy: Policy, faults: &Faults) -> Totals {
+    let mut fleet = Fleet::new(setup(seed, policy, 5, 90)).with_faults(faults);
+    fleet.run();
+    fleet.totals
+}
+
+/// Runs all rows and returns a table.
+pub fn run(seed: u64) -> String {
+    let mut text = String::from(
+        "| changes | policy | flows tried | opened | broken | broken of opened % | handshakes of two agents |\n|---|---|---|---|---|---|---|\n",
+    );
+    for (name, faults) in ROWS {
+        for policy in [Policy::Ours, Policy::HashOnly, Policy::Random] {
+            let sum = measure(seed, policy, &faults);
+            let broken = sum.broken + sum.lost;
+            writeln!(
+                text,
+                "| {name} | {policy:?} | {} | {} | {broken} | {:.2} | {} |",
+                sum.flows,
+                sum.opened,
+                100.0 * broken as f64 / sum.opened.max(1) as f64,
+                sum.split,
+            )
+            .expect("writing to a string");
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/lab/src/fleet/store.rs
@@ -0,0 +1,114 @@
+//! Fake store with two versioned objects. It can be down or slow and lose answers and its newest
+//! objects.
+
+use monsoon_lease::Present;
+use monsoon_model::{Duration, Instant, Version};
+
+use super::network::Rng;
+
+/// Kind of configuration object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Object {
+    Document,
+    Places,
+}
+
+pub const OBJECTS: [Object; 2] = [Object::Document, Object::Places];
+
+/// Value of an object.
+#[derive(Clone, Debug)]
+pub struct Value {
+    pub version: Version,
+    pub change: String,
+    pub text: String,
+}
+
+impl Value {
+    pub fn present(&self) -> Present {
+        Present {
+            version: self.version,
+            change: self.change.clone(),
+        }
+    }
+}
+
+/// Store of one environment.
+#[derive(Debug)]
+pub struct Store {
+    /// Values in order of acceptance, the present one last.
+    values: [Vec<Value>; 2],
+    /// Version of the last write. It survives the loss of values, so no version is used twice.
+    last: Version,
+    pub down_until: Instant,
+    pub slow_until: Instant,
+    /// Share of answers to writes that are lost, per thousand.
+    pub lost: u64,
+    /// Processes whose watch waits.
+    pub waiting: Vec<(usize, Object)>,
+}
+
+impl Store {
+    pub fn new(document: &str) -> Self {
+        let value = |text: &str| {
+            vec![Value {
+                version: Version(1),
+                change: "first".to_owned(),
+                text: text.to_owned(),
+            }]
+        };
+        Self {
+            values: [value(document), value("out = []\n")],
+            last: Version(1),
+            down_until: Instant::ZERO,
+            slow_until: Instant::ZERO,
+            lost: 0,
+            waiting: Vec::new(),
+        }
+    }
+
+    pub fn is_down(&self, now: Instant) -> bool {
+        now < self.down_until
+    }
+
+    /// Time that a call takes.
+    pub fn delay(&self, now: Instant, rng: &mut Rng) -> Duration {
+        let spread = if now < self.slow_until { 1_500 } else { 4 };
+        Duration::from_micros(1_000 + rng.below(spread) * 1_000)
+    }
+
+    pub fn get(&self, object: Object) -> &Value {
+        self.values[object as usize]
+            .last()
+            .expect("the first value is never lost")
+    }
+
+    /// Conditional write; the new version, `None` on a conflict.
+    pub fn put(
+        &mut self,
+        object: Object,
+        condition: Option<Version>,
+        change: String,
+        text: String,
+    ) -> Option<Version> {
+        let present = self.get(object).version;
+        if condition != Some(present) {
+            return None;
+        }
+        let version = Version(self.last.0 + 1);
+        self.last = version;
+        self.values[object as usize].push(Value {
+            version,
+            change,
+            text,
+        });
+        Some(version)
+    }
+
+    /// Loses the newest value of an object.
+    pub fn lose_newest(&mut self, object: Object) {
+        let values = &mut self.values[object as usize];
+        if values.len() > 1 {
+            values.pop();
+        }
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod cold;
 mod fixed;
+mod fleet;
 mod imbalance;
 mod options;
 mod overload;
@@ -21,6 +22,8 @@
         Some(Command::Claims(run)) => claims::run(run.seed),
         Some(Command::Cold(run)) => cold::run(run.seed),
         Some(Command::Overload(run)) => overload::run(run.seed),
+        Some(Command::Fleet(run)) => fleet::run_fleet(run.seed),
+        Some(Command::Centre(run)) => fleet::run_centre(run.seed),
         None => format!(
             "{}\n{}\n",
             Options::usage(),
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -23,6 +23,10 @@
     Claims(Run),
     /// goodput at 1, 2 and 5 times the capacity
     Overload(Run),
+    /// broken flows over planned changes and over a balancer's crash
+    Fleet(Run),
+    /// service while a data centre leaves and returns
+    Centre(Run),
 }
 
 /// Options of one experiment.
