Send nothing to a data centre that was taken out long ago

A balancer that had just started gave a data centre that was out the second of grace that follows its own learning, and an agent passed retransmissions on to an agent in such a data centre for as long as it remembered the flow.

A router younger than 5 s gives no grace, and Handoff::forget_passed clears what was passed on when the set of data centres that are out grows.

The daemon's agent has to call forget_passed when its set grows.

--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -1,6 +1,6 @@
 //! A process of the fleet: its membership node, its configuration and its role's own parts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use monsoon_config::{ConfigState, Document};
@@ -74,6 +74,8 @@
 pub struct Agent {
     pub handoff: Handoff,
     pub phase: Phase,
+    /// Data centres that are out.
+    pub out: BTreeSet<DataCentreId>,
     pub load: Load,
     pub reported: Option<LocalState>,
     pub flows: BTreeMap<usize, Held>,
@@ -138,6 +140,7 @@
             agent: Agent {
                 handoff: Handoff::default(),
                 phase: Phase::Serving,
+                out: BTreeSet::new(),
                 load: Load {
                     used: 0,
                     limit: 4,
@@ -246,7 +249,12 @@
 
     /// Follows the set of data centres that are out; true when the flows have to be closed.
     pub fn follow_places(&mut self) -> bool {
-        let out = self.config.out().contains(&self.number());
+        let all = self.config.out();
+        if !all.is_subset(&self.agent.out) {
+            self.agent.handoff.forget_passed();
+        }
+        let out = all.contains(&self.number());
+        self.agent.out = all;
         let before = self.agent.phase;
         self.agent.phase = match (before, out) {
             (Phase::Serving, true) => Phase::Out,
--- a/crates/routing/src/handoff.rs
+++ b/crates/routing/src/handoff.rs
@@ -120,6 +120,15 @@
         decision
     }
 
+    /// Forgets the flows that were passed on, so that none follows its memory into a data centre
+    /// that was taken out. To be called when that set grows; the chains of balancers then decide.
+    pub fn forget_passed(&mut self) {
+        self.choices.retain(|_, choice| *choice == Choice::Local);
+        let choices = &self.choices;
+        self.order.retain(|(_, key)| choices.contains_key(key));
+        debug_assert_eq!(self.choices.len(), self.order.len());
+    }
+
     /// Remembers and counts a decision.
     fn record(&mut self, now: Instant, key: u64, chain: &Chain, decision: Decision) {
         let known = self.choices.get(&key).copied();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -34,5 +34,5 @@
 pub use history::{MAX_PAST, PREVIOUS_TTL};
 pub use path::{MAX_PATH, redirect};
 pub use route::{Counters, DropReason, Route};
-pub use router::{MAX_SERVICES, OUT_GRACE, Router};
+pub use router::{MAX_SERVICES, OUT_GRACE, Router, YOUNG};
 pub use table::{BUCKETS, Candidate, MAX_TARGETS, MAX_WEIGHT, Table};
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -16,6 +16,10 @@
 /// that the closes of its agents are not overtaken by resets.
 pub const OUT_GRACE: Duration = Duration::from_secs(1);
 
+/// Age below which a router gives no such time. A new process learns of data centres that were taken
+/// out long ago, and its own learning says nothing about when that was.
+pub const YOUNG: Duration = Duration::from_secs(5);
+
 /// Most services; updates for further ones are ignored and counted.
 pub const MAX_SERVICES: usize = 1_024;
 
@@ -31,6 +35,9 @@
 #[derive(Debug, Default)]
 pub struct Router {
     services: BTreeMap<ServiceId, Service>,
+    /// First update of tables or of the set of data centres that are out.
+    started: Option<Instant>,
+    /// Data centres that are out, and when their time of grace ends.
     out: BTreeMap<DataCentreId, Instant>,
     dead: Dead,
     counters: Counters,
@@ -55,6 +62,7 @@
         service: ServiceId,
         candidates: impl IntoIterator<Item = Candidate>,
     ) {
+        self.started.get_or_insert(now);
         if self.services.len() >= MAX_SERVICES && !self.services.contains_key(&service) {
             self.counters.refused_services += 1;
             return;
@@ -75,8 +83,14 @@
 
     /// Replaces the set of data centres that are out.
     pub fn set_out(&mut self, now: Instant, out: BTreeSet<DataCentreId>) {
-        let since = |id: DataCentreId| self.out.get(&id).copied().unwrap_or(now);
-        let out = out.into_iter().map(|id| (id, since(id))).collect();
+        let started = *self.started.get_or_insert(now);
+        let grace = if now.since(started) < YOUNG {
+            Duration::ZERO
+        } else {
+            OUT_GRACE
+        };
+        let end = |id: DataCentreId| self.out.get(&id).copied().unwrap_or(now + grace);
+        let out = out.into_iter().map(|id| (id, end(id))).collect();
         if self.out == out {
             return;
         }
@@ -121,7 +135,7 @@
             return Route::Drop(DropReason::OtherService);
         }
         let out = self.out.get(&destination.data_centre);
-        let is_out = out.is_some_and(|since| now.since(*since) >= OUT_GRACE);
+        let is_out = out.is_some_and(|end| now >= *end);
         if is_out || self.dead.contains(now, destination.agent) {
             return Route::Reset;
         }
--- a/crates/routing/tests/handoff.rs
+++ b/crates/routing/tests/handoff.rs
@@ -120,3 +120,16 @@
         Decision::Pass(1)
     );
 }
+
+/// Guards against a flow that follows its memory to an agent whose data centre was taken out, and
+/// against the loss of flows that were accepted.
+#[test]
+fn passed_flows_are_forgotten() {
+    let mut handoff = Handoff::new();
+    assert_eq!(decide(&mut handoff, "0 1,2 0 busy"), Decision::Pass(1));
+    handoff.forget_passed();
+    assert!(handoff.is_empty());
+    assert_eq!(decide(&mut handoff, "1 1,3 0 idle"), Decision::Accept);
+    handoff.forget_passed();
+    assert_eq!(decide(&mut handoff, "2 -1,3 0 busy"), Decision::Accept);
+}
