Test the whole path with real processes

The components were tested together only by scripts/demo.sh. The new crate monsoon-e2e starts store, fabric, 2 balancers, 3 agents with targets and callers on loopback.

--- /dev/null
+++ b/crates/e2e/src/caller.rs
@@ -0,0 +1,76 @@
+//! Caller processes and their reports.
+
+use std::fs;
+use std::path::PathBuf;
+
+use monsoon_standin::caller::{Entry, Outcome};
+use monsoon_standin::process::Process;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::PATIENCE;
+
+/// Running caller.
+#[derive(Debug)]
+pub struct Caller {
+    pub(crate) process: Process,
+    pub(crate) report: PathBuf,
+}
+
+impl Caller {
+    /// Waits until the caller's time is over and reads its report.
+    pub fn finish(mut self) -> Report {
+        let status = self.process.wait(PATIENCE * 2);
+        let status = status.expect("the caller ends after its time");
+        assert!(status.success(), "the caller failed: {status}");
+        let text = fs::read_to_string(&self.report).expect("the caller wrote its report");
+        for line in self.process.lines() {
+            println!("{line}");
+        }
+        let report: Report = serde_json::from_str(&text).expect("the report has its format");
+        println!(
+            "connections={} connect_failures={} resets={} longest_gap_ms={}",
+            report.connections, report.connect_failures, report.resets, report.longest_gap_ms
+        );
+        report
+    }
+}
+
+/// What a caller saw.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Report {
+    /// Sums by class.
+    pub classes: Value,
+    /// Flows and requests.
+    pub sent: u64,
+    /// Complete responses.
+    pub served: u64,
+    /// Broken flows and requests.
+    pub broken: u64,
+    /// Connections that were opened.
+    pub connections: u64,
+    /// Connection attempts that failed.
+    pub connect_failures: u64,
+    /// Connections that ended by a stateless reset.
+    pub resets: u64,
+    /// Longest time between two lines of an open stream.
+    pub longest_gap_ms: u64,
+    /// Requests with a key.
+    pub requests: Vec<Entry>,
+}
+
+impl Report {
+    /// Sum `field` of a class; zero for a class that sent nothing.
+    pub fn sum(&self, class: &str, field: &str) -> u64 {
+        self.classes[class][field].as_u64().unwrap_or(0)
+    }
+
+    /// Keys of the holds that were answered.
+    pub fn answered_holds(&self) -> impl Iterator<Item = &str> {
+        let answered = |entry: &&Entry| entry.class == "hold" && entry.outcome == Outcome::Answered;
+        self.requests
+            .iter()
+            .filter(answered)
+            .map(|entry| entry.key.as_str())
+    }
+}
--- /dev/null
+++ b/crates/e2e/src/daemon.rs
@@ -0,0 +1,107 @@
+//! Processes of the daemon `monsoonrouter`.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitStatus;
+
+use monsoon_standin::process::{Process, Signal};
+use serde_json::Value;
+
+use crate::{PATIENCE, binaries, http, wait};
+
+/// Running balancer or agent.
+#[derive(Debug)]
+pub struct Daemon {
+    process: Process,
+    log: PathBuf,
+}
+
+impl Daemon {
+    /// Starts the daemon and waits until its sockets are open.
+    pub fn start(settings: &Path) -> Self {
+        let log = settings.with_extension("log");
+        let file = File::create(&log).expect("the temporary directory is writable");
+        let mut command = binaries::command("monsoonrouter");
+        command.arg("--settings").arg(settings).stderr(file);
+        let process = Process::start(&mut command, PATIENCE)
+            .unwrap_or_else(|error| panic!("{error}; {}", tail(&log)));
+        Self { process, log }
+    }
+
+    /// Address of the ready line.
+    pub fn address(&self, key: &str) -> SocketAddr {
+        self.process.address(key).expect("the ready line has it")
+    }
+
+    /// Local socket of the service address `service` of a balancer.
+    pub fn service_socket(&self, service: &str) -> SocketAddr {
+        let start = format!("{service} is served at ");
+        let read = || {
+            let log = self.log();
+            let rest = log.split_once(&start)?.1;
+            rest.split_whitespace().next()?.parse().ok()
+        };
+        wait::until(&format!("{start} in {}", self.log.display()), read).0
+    }
+
+    /// Waits until the log has a line with `text`.
+    pub fn wait_log(&self, text: &str) {
+        let what = format!("{text:?} in {}", self.log.display());
+        wait::until(&what, || self.log().contains(text).then_some(()));
+    }
+
+    /// Log so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Page `/status` of the admin listener.
+    ///
+    /// # Errors
+    /// Returns an error when the process does not answer.
+    pub fn try_status(&self) -> io::Result<Value> {
+        http::try_get(self.address("admin"), "/status")
+    }
+
+    /// Page `/status` of the admin listener.
+    pub fn status(&self) -> Value {
+        self.try_status().expect("the admin listener answers")
+    }
+
+    /// Versions of the configuration in force.
+    pub fn versions(&self) -> Value {
+        self.status()["versions"].clone()
+    }
+
+    /// Event counter of the admin listener.
+    pub fn counter(&self, event: &str) -> u64 {
+        let counters: BTreeMap<String, u64> = http::get(self.address("admin"), "/counters");
+        counters.get(event).copied().unwrap_or(0)
+    }
+
+    /// Sends a signal.
+    pub fn signal(&mut self, signal: Signal) {
+        self.process.signal(signal).expect("the process runs");
+    }
+
+    /// Kills the process like a crash and reaps it.
+    pub fn kill(mut self) {
+        self.signal(Signal::Kill);
+        self.process.wait(PATIENCE).expect("SIGKILL ends a process");
+    }
+
+    /// Waits until the process has ended by itself.
+    pub fn wait(mut self) -> ExitStatus {
+        let status = self.process.wait(PATIENCE);
+        status.unwrap_or_else(|| panic!("still runs; {}", tail(&self.log)))
+    }
+}
+
+fn tail(log: &Path) -> String {
+    let text = fs::read_to_string(log).unwrap_or_default();
+    let lines: Vec<_> = text.lines().rev().take(5).collect();
+    format!("newest lines first: {lines:#?}")
+}
--- /dev/null
+++ b/crates/e2e/src/world.rs
@@ -0,0 +1,219 @@
+//! The whole system of one test.
+
+use std::net::SocketAddr;
+use std::process::Output;
+
+use monsoon_membership::{Member, State};
+use monsoon_standin::certs;
+use monsoon_standin::process::Process;
+use monsoon_standin::target::Record;
+
+use crate::caller::Caller;
+use crate::daemon::Daemon;
+use crate::scratch::Scratch;
+use crate::{
+    DOCUMENT, IDLE_ADDRESS, PATIENCE, PLACES, SERVICE, SERVICE_ADDRESS, binaries, http, wait,
+};
+
+/// Store, fabric, 2 balancers, and in each data centre a target with its agent.
+#[derive(Debug)]
+pub struct World {
+    /// Balancers, the first in `brno-a`, the second in `brno-b`.
+    pub balancers: Vec<Daemon>,
+    /// Agents in the order of [`PLACES`].
+    pub agents: Vec<Daemon>,
+    /// Store of the platform.
+    pub platform: Process,
+    /// Fabric in front of the balancers.
+    pub fabric: Process,
+    targets: Vec<Process>,
+    started: usize,
+    /// Files of the test; removed after the processes have ended.
+    pub scratch: Scratch,
+}
+
+impl World {
+    /// Starts everything and waits until every table holds every target.
+    pub fn start() -> Self {
+        let scratch = Scratch::new();
+        certs::write(&scratch.join("certs")).expect("certificates can be made");
+        scratch.write("document.toml", DOCUMENT);
+        let platform = standin(&["platform", "--port", "0"]);
+        let fabric = standin(&["fabric"]);
+        let targets = PLACES.map(|place| standin(&["target", "--name", place]));
+        let mut world = Self {
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            platform,
+            fabric,
+            targets: targets.into(),
+            started: 0,
+            scratch,
+        };
+        let document = world.scratch.join("document.toml");
+        world.ctl_done(&["apply", &document.display().to_string()]);
+        for place in &PLACES[..2] {
+            let balancer = world.balancer(place);
+            world.balancers.push(balancer);
+        }
+        for index in 0..PLACES.len() {
+            let agent = world.agent(index);
+            world.agents.push(agent);
+        }
+        world.spray(&[0, 1]);
+        world.wait_ready();
+        world
+    }
+
+    /// Starts a further balancer and waits until it serves.
+    pub fn balancer(&mut self, place: &str) -> Daemon {
+        let text = format!(
+            "{}[balancer]\nbinds = {{ \"{SERVICE_ADDRESS}\" = \"127.0.0.1:0\", \
+             \"192.0.2.2:443\" = \"127.0.0.1:0\", \"{IDLE_ADDRESS}\" = \"127.0.0.1:0\" }}\n",
+            self.settings("balancer", place)
+        );
+        let daemon = self.daemon("balancer", &text);
+        daemon.service_socket(SERVICE_ADDRESS);
+        daemon
+    }
+
+    /// Starts a further agent beside the target of `PLACES[index]` and waits until it serves.
+    pub fn agent(&mut self, index: usize) -> Daemon {
+        let text = self.agent_settings(index);
+        let daemon = self.daemon("agent", &text);
+        daemon.wait_log(&format!("serves {SERVICE}"));
+        daemon
+    }
+
+    /// Settings of an agent beside the target of `PLACES[index]`.
+    pub fn agent_settings(&self, index: usize) -> String {
+        let target = self.target(index);
+        let common = self.settings("agent", PLACES[index]);
+        format!("{common}[agent]\nservice = \"{SERVICE}\"\ntarget = \"{target}\"\n")
+    }
+
+    /// Common part of a settings file; the seeds are the running balancers.
+    pub fn settings(&self, role: &str, place: &str) -> String {
+        let seeds = self
+            .balancers
+            .iter()
+            .map(|daemon| daemon.address("control"));
+        let seeds: Vec<_> = seeds.map(|address| format!("\"{address}\"")).collect();
+        let (seeds, store) = (seeds.join(", "), self.store());
+        let certs = self.scratch.join("certs").display().to_string();
+        format!(
+            "role = \"{role}\"\nenvironment = \"production\"\ndata_centre = \"{place}\"\n\
+             control = \"127.0.0.1:0\"\ndata = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
+             admin = \"127.0.0.1:0\"\nseeds = [{seeds}]\nstore = [\"{store}\"]\n\
+             keys = \"{certs}/keys.toml\"\n[tls]\ncertificate = \"{certs}/server.pem\"\n\
+             key = \"{certs}/server.key\"\nauthority = \"{certs}/ca.pem\"\n"
+        )
+    }
+
+    /// Starts a daemon with these settings.
+    pub fn daemon(&mut self, role: &str, settings: &str) -> Daemon {
+        self.started += 1;
+        let name = format!("{role}-{}.toml", self.started);
+        Daemon::start(&self.scratch.write(&name, settings))
+    }
+
+    /// Address of the store.
+    pub fn store(&self) -> SocketAddr {
+        address(&self.platform)
+    }
+
+    /// Address of the target of `PLACES[index]`.
+    pub fn target(&self, index: usize) -> SocketAddr {
+        address(&self.targets[index])
+    }
+
+    /// What ran on the target of `PLACES[index]`.
+    pub fn record(&self, index: usize) -> Record {
+        http::get(self.target(index), "/control/record")
+    }
+
+    /// What ran on each target.
+    pub fn records(&self) -> Vec<Record> {
+        (0..PLACES.len()).map(|index| self.record(index)).collect()
+    }
+
+    /// Lets the fabric use these balancers.
+    pub fn spray(&self, balancers: &[usize]) {
+        let sockets = balancers
+            .iter()
+            .map(|index| self.balancers[*index].service_socket(SERVICE_ADDRESS));
+        let list = serde_json::to_string(&sockets.collect::<Vec<_>>()).expect("addresses are text");
+        let control = self.fabric.address("control");
+        http::post(control.expect("the fabric has it"), "/balancers", &list);
+    }
+
+    /// Waits until each balancer knows all targets and each agent its peers.
+    pub fn wait_ready(&self) {
+        for balancer in &self.balancers {
+            wait_agents(balancer, PLACES.len());
+        }
+        for agent in &self.agents {
+            wait::until("an agent knows its peers", || {
+                let status = agent.try_status().ok()?;
+                (status["peers"].as_array()?.len() + 1 == PLACES.len()).then_some(())
+            });
+        }
+    }
+
+    /// Runs `monsoonctl` on the environment.
+    pub fn ctl(&self, words: &[&str]) -> Output {
+        let mut command = binaries::command("monsoonctl");
+        command.args(["--store", &self.store().to_string()]);
+        command.args(["--env", "production", "--author", "test"]);
+        command.args(words).output().expect("monsoonctl starts")
+    }
+
+    /// Runs `monsoonctl`, which must succeed.
+    pub fn ctl_done(&self, words: &[&str]) {
+        let output = self.ctl(words);
+        assert!(output.status.success(), "{words:?}: {output:?}");
+    }
+
+    /// Starts a caller of the service for a time.
+    pub fn caller(&mut self, seconds: u32, seed: u32, arguments: &str) -> Caller {
+        self.started += 1;
+        let report = self.scratch.join(&format!("report-{}.json", self.started));
+        let ca = self.scratch.join("certs/ca.pem").display().to_string();
+        let line = format!(
+            "caller --service {} --ca {ca} --server-name {SERVICE} --seconds {seconds} \
+             --seed {seed} --report {} {arguments}",
+            address(&self.fabric),
+            report.display()
+        );
+        let words: Vec<_> = line.split_whitespace().collect();
+        let process = standin(&words);
+        Caller { process, report }
+    }
+}
+
+/// Waits until a balancer knows `count` targets that take work; a target is cold until it has
+/// worked.
+pub fn wait_agents(balancer: &Daemon, count: usize) {
+    wait::until_shown("a balancer knows the targets", || {
+        let Ok(status) = balancer.try_status() else {
+            return Err("no status".to_owned());
+        };
+        let agents: Vec<Member> =
+            serde_json::from_value(status["agents"].clone()).expect("agents are members");
+        let takes_work = |agent: &&Member| agent.state != State::Leaving;
+        if agents.iter().filter(takes_work).count() == count {
+            Ok(())
+        } else {
+            Err(status.to_string())
+        }
+    });
+}
+
+fn standin(words: &[&str]) -> Process {
+    let mut command = binaries::command("monsoon-standin");
+    Process::start(command.args(words), PATIENCE).unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn address(process: &Process) -> SocketAddr {
+    process.address("address").expect("the ready line has it")
+}
