--- a/crates/membership/src/agent/lists.rs
+++ b/crates/membership/src/agent/lists.rs
@@ -5,7 +5,7 @@
 
 use monsoon_model::{AgentId, DataCentreId, Duration, Instant};
 
-use crate::bounds::{ASK_EVERY, DEPARTED_FOR, MAX_SERVICE, SAMPLE_TTL};
+use crate::bounds::{ASK_BURST, ASK_COST, ASK_EVERY, DEPARTED_FOR, MAX_SERVICE, SAMPLE_TTL};
 use crate::listing::Pages;
 use crate::members::before;
 use crate::{BalancerInfo, Body, Member, Sample, State, TargetInfo};
@@ -48,6 +48,14 @@
     since: Instant,
 }
 
+/// A request that came too early.
+#[derive(Clone, Copy, Debug)]
+struct Later {
+    due: Instant,
+    to: SocketAddr,
+    hashes: (u32, u32),
+}
+
 /// Lists of one agent.
 #[derive(Debug)]
 pub(crate) struct Lists {
@@ -60,7 +68,11 @@
     service_hash: u32,
     service_pages: Pages<TargetInfo>,
     samples: BTreeMap<AgentId, (Sample, Instant)>,
-    asked: Option<Instant>,
+    /// Earliest next request.
+    allowed: Instant,
+    /// Point up to which the rate of requests is used up, at most the burst after now.
+    spent: Instant,
+    later: Option<Later>,
 }
 
 impl Lists {
@@ -75,7 +87,9 @@
             service_hash: 0,
             service_pages: Pages::default(),
             samples: BTreeMap::new(),
-            asked: None,
+            allowed: now,
+            spent: now,
+            later: None,
         }
     }
 
@@ -83,16 +97,44 @@
         &self.balancers
     }
 
-    /// Request for the lists whose hashes differ, at most once in [`ASK_EVERY`].
-    pub(crate) fn ask(&mut self, now: Instant, balancers: u32, service: u32) -> Option<Body> {
+    /// Request for the lists whose hashes differ, at most once in [`ASK_EVERY`] and in the long run
+    /// in [`ASK_COST`]. A request that comes too early is due later.
+    pub(crate) fn ask(
+        &mut self,
+        now: Instant,
+        to: SocketAddr,
+        balancers: u32,
+        service: u32,
+    ) -> Option<(SocketAddr, Body)> {
+        let hashes = (balancers, service);
         let balancers = balancers != self.balancers_hash;
         let service = service != self.service_hash;
-        let recent = self.asked.is_some_and(|at| now.since(at) < ASK_EVERY);
-        if recent || !(balancers || service) {
+        self.later = None;
+        if !(balancers || service) {
+            return None;
+        }
+        let due = self.allowed.max(before(self.spent, ASK_BURST));
+        if now < due {
+            self.later = Some(Later { due, to, hashes });
             return None;
         }
-        self.asked = Some(now);
-        Some(Body::Ask { balancers, service })
+        self.allowed = now + ASK_EVERY;
+        self.spent = self.spent.max(now) + ASK_COST;
+        Some((to, Body::Ask { balancers, service }))
+    }
+
+    /// The request that was too early, once it is due.
+    pub(crate) fn ask_later(&mut self, now: Instant) -> Option<(SocketAddr, Body)> {
+        let Later { due, to, hashes } = self.later?;
+        if now < due {
+            return None;
+        }
+        self.ask(now, to, hashes.0, hashes.1)
+    }
+
+    /// When the request that was too early is due.
+    pub(crate) fn due(&self) -> Option<Instant> {
+        self.later.map(|later| later.due)
     }
 
     /// Stores sampled loads.
--- a/crates/membership/src/balancer/rounds.rs
+++ b/crates/membership/src/balancer/rounds.rs
@@ -6,10 +6,11 @@
 
 use super::{BalancerNode, jitter};
 use crate::bounds::{
-    ANNOUNCE_EVERY, CATCH_UP_EVERY, DIGEST_EVERY, FANOUT, GOSSIP_EVERY, REMOTE_DOUBT, REMOTE_EVERY,
-    SUSPECT_AFTER, WATCHERS,
+    ANNOUNCE_EVERY, ANSWERS_PER_SECOND, CATCH_UP_EVERY, DIGEST_EVERY, FANOUT, GOSSIP_EVERY,
+    REMOTE_DOUBT, REMOTE_EVERY, SUSPECT_AFTER, WATCHERS,
 };
 use crate::message::room;
+use crate::probes::Suspect;
 use crate::{Body, Entry, LoadRecord, Status};
 
 /// Interval of digests between data centres, one data centre at a time.
@@ -28,6 +29,7 @@
             self.pending.changed = true;
         }
         self.vote(now);
+        self.probe(now);
         self.bury(now);
         if now >= self.timers.announce {
             self.announce(now);
@@ -37,6 +39,10 @@
             self.gossip_round(now);
             self.compare_returning();
         }
+        if now >= self.timers.answers {
+            self.timers.answers = now + Duration::from_secs(1);
+            self.answers = ANSWERS_PER_SECOND;
+        }
         if now >= self.timers.contact {
             self.timers.contact = now + REMOTE_EVERY;
             self.remote_round(now);
@@ -55,18 +61,61 @@
     }
 
     fn vote(&mut self, now: Instant) {
-        for (id, incarnation) in self.watcher.tick(now) {
-            for watcher in self.watchers(id) {
-                if watcher == self.me.id {
-                    continue;
-                }
-                if let Some(to) = self.control(watcher) {
-                    self.send(to, Body::Suspect { id, incarnation });
-                }
+        let due = self.watcher.tick(now);
+        for (id, incarnation) in due.ask {
+            if let Some(control) = self.control(id) {
+                self.probes.open(
+                    now,
+                    Suspect {
+                        id,
+                        incarnation,
+                        control,
+                    },
+                    self.me.control,
+                );
+            }
+        }
+        for (id, incarnation) in due.tell {
+            let Some(control) = self.control(id) else {
+                continue;
+            };
+            let others = self
+                .watchers(id)
+                .into_iter()
+                .filter(|&watcher| watcher != self.me.id);
+            let others = others.filter_map(|watcher| self.control(watcher));
+            for to in others.collect::<Vec<_>>() {
+                self.suspect(
+                    to,
+                    Suspect {
+                        id,
+                        incarnation,
+                        control,
+                    },
+                );
+            }
+            if self.rule.asks {
+                self.send(control, Body::Probe);
             }
         }
     }
 
+    fn suspect(&mut self, to: SocketAddr, suspect: Suspect) {
+        let Suspect {
+            id,
+            incarnation,
+            control,
+        } = suspect;
+        self.send(
+            to,
+            Body::Suspect {
+                id,
+                incarnation,
+                control,
+            },
+        );
+    }
+
     pub(super) fn announce(&mut self, now: Instant) {
         self.timers.announce = now + ANNOUNCE_EVERY;
         self.timers.announced = now;
@@ -82,13 +131,31 @@
             to = self.rng.pick(&self.seeds, WATCHERS);
         }
         for to in to {
-            self.send(
-                to,
-                Body::Announce {
-                    member: self.me,
-                    left: false,
-                },
-            );
+            self.announce_to(to);
+        }
+    }
+
+    pub(super) fn announce_to(&mut self, to: SocketAddr) {
+        self.send(
+            to,
+            Body::Announce {
+                member: self.me,
+                left: false,
+            },
+        );
+    }
+
+    fn probe(&mut self, now: Instant) {
+        let due = self.probes.tick(now);
+        for to in due.ask {
+            self.send(to, Body::Probe);
+        }
+        for (suspect, asker) in due.silent {
+            if asker == self.me.control {
+                self.watcher.unanswered(suspect.id);
+            } else {
+                self.suspect(asker, suspect);
+            }
         }
     }
 
