--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -40,12 +40,12 @@
 }
 
 /// Reports the own state to the membership node while the process runs.
-pub async fn report_local(agent: Arc<Agent>, slots: u16, events: mpsc::Sender<Event>) {
+pub async fn report_local(agent: Arc<Agent>, events: mpsc::Sender<Event>) {
     let mut timer = tokio::time::interval(INTERVAL);
     let mut reported = None;
     loop {
         timer.tick().await;
-        let local = local_state(&agent, slots);
+        let local = local_state(&agent);
         if reported == Some(local) {
             continue;
         }
@@ -56,7 +56,7 @@
     }
 }
 
-fn local_state(agent: &Agent, slots: u16) -> LocalState {
+fn local_state(agent: &Agent) -> LocalState {
     let load = agent.gate.load();
     let state = match load.state {
         _ if *agent.phase.borrow() != Phase::Serving => State::Leaving,
@@ -64,10 +64,14 @@
         TargetState::Cold => State::Cold,
         TargetState::Ready => State::Ready,
     };
+    let slots = agent.configuration.with_document(|document| {
+        let service = document.services.get(&agent.service)?;
+        u16::try_from(service.slots).ok()
+    });
     LocalState {
         state,
         load: (load.share() * 100.0) as u16,
-        slots,
+        slots: slots.flatten().unwrap_or(0),
         versions: agent.configuration.versions(),
     }
 }
--- a/crates/daemon/src/agent/socket.rs
+++ b/crates/daemon/src/agent/socket.rs
@@ -85,6 +85,11 @@
         self.lock().forwarders.set_members(balancers);
     }
 
+    /// Forgets the flows passed on, because one may lead to a data centre that was taken out.
+    pub fn forget_passed(&self) {
+        self.lock().handoff.forget_passed();
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().expect("no panic while the lock is held")
     }
--- a/crates/daemon/src/agent/start.rs
+++ b/crates/daemon/src/agent/start.rs
@@ -1,5 +1,6 @@
 //! Start and planned stop of an agent.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
@@ -118,7 +119,12 @@
 
 /// Applies each accepted configuration: service parameters, and closing or reopening the agent when
 /// its data centre is taken out or brought back.
-async fn follow_configuration(agent: Arc<Agent>, data_centre: DataCentreId) {
+async fn follow_configuration(
+    agent: Arc<Agent>,
+    socket: Arc<AgentSocket>,
+    data_centre: DataCentreId,
+) {
+    let mut known = BTreeSet::new();
     let mut changes = agent.configuration.subscribe();
     changes.mark_changed();
     while changes.changed().await.is_ok() {
@@ -130,7 +136,12 @@
             // Flows go on under the last parameters; the balancers send no new ones.
             None => log::warn!("agent: the document no longer has this service"),
         }
-        let out = agent.configuration.out().contains(&data_centre);
+        let places = agent.configuration.out();
+        if !places.is_subset(&known) {
+            socket.forget_passed();
+        }
+        let out = places.contains(&data_centre);
+        known = places;
         agent.phase.send_if_modified(|phase| {
             let next = match (*phase, out) {
                 (Phase::Serving, true) => Phase::Out,
@@ -201,25 +212,21 @@
         let membership = tokio::spawn(control::run(
             self.shell.control.clone(),
             node,
-            socket,
+            Arc::clone(&socket),
             inbox,
         ));
-        let slots = u16::try_from(self.placement.service.slots).unwrap_or(u16::MAX);
-        tokio::spawn(control::report_local(
+        tokio::spawn(follow_configuration(
             Arc::clone(agent),
-            slots,
-            events.clone(),
+            socket,
+            self.placement.place.number,
         ));
+        tokio::spawn(control::report_local(Arc::clone(agent), events.clone()));
         (events, membership)
     }
 
     fn spawn_services(&self, agent: &Arc<Agent>, endpoint: &Endpoint, sockets: Sockets) {
         tokio::spawn(agent.gate.clone().run_timer());
         tokio::spawn(health::poll(agent.target.clone(), agent.gate.clone()));
-        tokio::spawn(follow_configuration(
-            Arc::clone(agent),
-            self.placement.place.number,
-        ));
         tokio::spawn(flows::accept(Arc::clone(agent), endpoint.clone()));
         let (handlers, tls) = (serve_peer::handlers(agent), Arc::clone(&self.shell.tls));
         tokio::spawn(async move { peer::serve(sockets.peer, &tls, handlers).await });
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -179,6 +179,7 @@
             phase: 1,
             current: "a1".repeat(32),
             previous: None,
+            next: None,
         };
         let mut fleet = Self {
             now: Instant::from_secs(1_000),
