--- a/crates/membership/src/balancer/answer.rs
+++ b/crates/membership/src/balancer/answer.rs
@@ -187,6 +187,12 @@
         false
     }
 
+    /// Whether an entry may be passed on. What is known of live members of a hidden data centre may
+    /// be old, and a process that starts there would take it for news.
+    fn vouches_for(&self, entry: &Entry) -> bool {
+        entry.status != Status::Alive || self.beats.visible(entry.member.data_centre)
+    }
+
     /// Pages of differing buckets, from a random bucket on, so that every bucket gets its turn.
     fn differing(
         &mut self,
@@ -201,7 +207,8 @@
         let mut parts = Vec::new();
         let mut entries = Vec::new();
         for bucket in order {
-            entries.extend(self.members.entries(now, scope, bucket));
+            let found = self.members.entries(now, scope, bucket);
+            entries.extend(found.filter(|entry| self.vouches_for(entry)));
             parts = pages(room(&()), entries.iter().copied());
             if parts.len() >= ANSWER_PAGES {
                 break;
