--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -3,7 +3,9 @@
 mod answer;
 mod learn;
 mod receive;
+mod remote;
 mod rounds;
+mod suspicion;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/membership/src/balancer/receive.rs
+++ b/crates/membership/src/balancer/receive.rs
@@ -2,12 +2,11 @@
 
 use std::net::SocketAddr;
 
-use monsoon_model::{AgentId, Duration, Instant};
+use monsoon_model::Instant;
 
 use super::{BalancerNode, Client};
-use crate::bounds::{CONNECTED, LOAD_STEP, MAX_MEMBERS};
+use crate::bounds::{LOAD_STEP, MAX_MEMBERS};
 use crate::probes::Suspect;
-use crate::watcher::Opinion;
 use crate::{Body, Entry, LoadRecord, Member, Message, Role, Status};
 
 impl BalancerNode {
@@ -203,56 +202,4 @@
             }
         }
     }
-
-    fn voted(&mut self, now: Instant, from: SocketAddr, voter: AgentId, suspect: Suspect) {
-        let Suspect {
-            id, incarnation, ..
-        } = suspect;
-        match self.watcher.vote(now, voter, id, incarnation) {
-            Opinion::Heard(age, incarnation) => {
-                let age = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-                self.send(
-                    from,
-                    Body::Heard {
-                        id,
-                        incarnation,
-                        age,
-                    },
-                );
-            }
-            Opinion::Unknown => self.probes.open(now, suspect, from),
-            Opinion::Counted => {}
-        }
-        self.bury(now);
-    }
-
-    fn heard(&mut self, now: Instant, id: AgentId, incarnation: u64, age: u32) {
-        let age = Duration::from_millis(u64::from(age));
-        let at = now.as_micros().saturating_sub(age.as_micros());
-        self.watcher.answered(id);
-        self.watcher
-            .heard(Instant::from_micros(at), id, incarnation);
-    }
-
-    /// Declares members dead that a quorum suspects.
-    pub(super) fn bury(&mut self, now: Instant) {
-        let mut watcher = std::mem::take(&mut self.watcher);
-        let rule = self.rule;
-        let connected = now.since(self.received) < CONNECTED;
-        let dead = watcher.dead(now, (connected, rule.asks), |id| {
-            rule.quorum.min(self.watchers(id).len()).max(1)
-        });
-        self.watcher = watcher;
-        for id in dead {
-            let Some(row) = self.members.get(id) else {
-                continue;
-            };
-            let entry = Entry {
-                member: row.member,
-                status: Status::Dead,
-                age: 0,
-            };
-            self.learn(now, &entry, true);
-        }
-    }
 }
