--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -169,6 +169,7 @@
     measured: centre::Measured,
     /// Whether a broken flow ends the run with a message.
     strict: bool,
+    reuse_after: Duration,
     pub totals: Totals,
 }
 
@@ -195,6 +196,7 @@
             truth: Truth::new(Instant::from_secs(1_000)),
             measured: centre::Measured::default(),
             strict: setup.policy == Policy::Ours,
+            reuse_after: Duration::ZERO,
             totals: Totals::default(),
             setup,
         };
--- a/crates/lab/src/fleet/control.rs
+++ b/crates/lab/src/fleet/control.rs
@@ -145,6 +145,7 @@
         if now.since(left) >= LEAVING_NOTICE && process.agent.flows.is_empty() {
             self.event(index, Event::Leave);
             self.processes[index].condition = Condition::Ended;
+            self.processes[index].ended = Some(now);
         }
     }
 
--- a/crates/lab/src/fleet/operators.rs
+++ b/crates/lab/src/fleet/operators.rs
@@ -1,7 +1,7 @@
 //! Operators: conditional writes of the two configuration objects, alone or racing.
 
 use monsoon_lease::{Call, Event, Outcome, Write, WriteStep};
-use monsoon_model::{Duration, Version};
+use monsoon_model::{Duration, Instant, Version};
 
 use super::store::Object;
 use super::{Due, Fleet};
@@ -18,6 +18,7 @@
     text: String,
     pub object: Object,
     pub condition: Version,
+    pub started: Instant,
     pub change: String,
     pub outcome: Option<Outcome>,
 }
@@ -37,6 +38,7 @@
             text,
             object,
             condition,
+            started: self.now,
             change,
             outcome: None,
         });
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -47,6 +47,8 @@
     pub agents: u64,
     pub agent_crashes: u64,
     pub reuse: u64,
+    /// Least time between the end of an agent and the reuse of its address, in seconds.
+    pub reuse_after: u64,
     pub freezes: u64,
     pub documents: u64,
     pub races: u64,
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -112,6 +112,8 @@
     /// It crashed, was stopped before its flows ended, or was frozen.
     pub harmed: bool,
     pub crashed: Option<Instant>,
+    /// End of an agent.
+    pub ended: Option<Instant>,
     pub inbox: Vec<(SocketAddr, Message)>,
     pub store_delay: u64,
 }
@@ -161,6 +163,7 @@
             left: None,
             harmed: false,
             crashed: None,
+            ended: None,
             inbox: Vec::new(),
             store_delay: 0,
         }
--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -10,12 +10,13 @@
 /// Document of the measurements.
 pub const DIRECTORATE: &str = include_str!("../../../../examples/directorate.toml");
 
-const NONE: Faults = Faults {
+pub const NONE: Faults = Faults {
     balancers: 0,
     crashes: 0,
     agents: 0,
     agent_crashes: 0,
     reuse: 0,
+    reuse_after: 15,
     freezes: 0,
     documents: 0,
     races: 0,
@@ -69,7 +70,7 @@
     ),
 ];
 
-/// Fleet of 15 balancers and 10 agents of two services.
+/// Fleet of three data centres with 11 agents of two services.
 pub fn setup(seed: u64, policy: Policy, balancers: u8, seconds: u64) -> Setup {
     let services = [1, 1, 1, 1, 1, 1, 1, 2, 2, 2, 2];
     let places = [1, 2, 3].into_iter().cycle();
