--- /dev/null
+++ b/crates/lab/src/capacity/documents.rs
@@ -0,0 +1,71 @@
+//! Parse and acceptance of documents.
+
+use std::fmt::Write as _;
+
+use monsoon_config::{ConfigState, Document, Offer};
+use monsoon_model::Version;
+
+use super::fit::Series;
+use super::probe;
+
+const SIZES: [usize; 5] = [10, 90, 180, 270, 360];
+const COPIES: usize = 20;
+const SIZE: &str = "services";
+
+/// Document with `services` services of one address and two classes, in 7 data centres.
+pub fn text(services: usize) -> String {
+    let mut out = "tenant = \"karavanex\"\n".to_owned();
+    for number in 1..=7 {
+        let region = number % 3;
+        let _ = write!(
+            out,
+            "\n[[data_centre]]\nname = \"place-{number}\"\nnumber = {number}\n\
+             region = \"region-{region}\"\n"
+        );
+    }
+    for number in 1..=services {
+        let (high, low) = (number / 256, number % 256);
+        let _ = write!(
+            out,
+            "\n[[service]]\nname = \"service-{number}\"\nnumber = {number}\n\
+             addresses = [\"198.18.{high}.{low}:443\"]\nslots = 4\nconnections = 2000\n\
+             cold_share = 0.1\n\
+             \n[[service.class]]\nname = \"board\"\nmethod = \"GET\"\npath = \"/board\"\n\
+             stream = true\nidempotent = true\nweight = 1\n\
+             \n[[service.class]]\nname = \"hold\"\nmethod = \"POST\"\npath = \"/holds\"\n\
+             idempotent = false\nweight = 1\ndeadline_ms = 2000\n"
+        );
+    }
+    out
+}
+
+/// State with the document in force.
+fn accepted(text: &str) -> ConfigState {
+    let mut state = ConfigState::default();
+    let offer = state.offer_document(Version(1), text);
+    assert_eq!(offer, Offer::Accepted, "measured document has faults");
+    state
+}
+
+pub fn measure() -> Vec<Series> {
+    let mut held = Vec::new();
+    vec![
+        Series::new("document text, bytes", SIZE, SIZES, |size| {
+            text(size).len() as f64
+        }),
+        Series::new("document parse, µs", SIZE, SIZES, |size| {
+            let text = text(size);
+            probe::micros(|| (), |()| Document::parse(&text))
+        }),
+        Series::new("configuration accepted, µs", SIZE, SIZES, |size| {
+            let text = text(size);
+            probe::micros(|| (), |()| accepted(&text))
+        }),
+        Series::new("configuration held, bytes", SIZE, SIZES, |size| {
+            let text = text(size);
+            let (bytes, states) = probe::bytes(COPIES, || accepted(&text));
+            held.push(states);
+            bytes
+        }),
+    ]
+}
--- /dev/null
+++ b/crates/lab/src/capacity/fit.rs
@@ -0,0 +1,78 @@
+//! Least-squares lines.
+
+/// Head of the table of lines.
+pub const HEAD: &str = "| quantity | size | sizes | measured | constant | slope | residuals |
+|---|---|---|---|---|---|---|";
+
+/// Measured quantity at several sizes.
+#[derive(Clone, Debug)]
+pub struct Series {
+    /// What was measured, with its unit.
+    pub name: &'static str,
+    /// What the size counts.
+    pub size: &'static str,
+    /// Sizes and values.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Line `base + slope * size`.
+#[derive(Clone, Copy, Debug)]
+pub struct Line {
+    /// Value at size 0.
+    pub base: f64,
+    /// Growth per unit of the size.
+    pub slope: f64,
+}
+
+impl Series {
+    /// Measures `value` at each size.
+    pub fn new<const N: usize>(
+        name: &'static str,
+        size: &'static str,
+        sizes: [usize; N],
+        value: impl FnMut(usize) -> f64,
+    ) -> Self {
+        let values = sizes.map(value);
+        let points = sizes.iter().map(|size| *size as f64).zip(values).collect();
+        Self { name, size, points }
+    }
+
+    /// Line with the least squared distance from the points.
+    pub fn line(&self) -> Line {
+        let count = self.points.len() as f64;
+        let mean_x = self.points.iter().map(|point| point.0).sum::<f64>() / count;
+        let mean_y = self.points.iter().map(|point| point.1).sum::<f64>() / count;
+        let above = |point: &(f64, f64)| (point.0 - mean_x) * (point.1 - mean_y);
+        let below = |point: &(f64, f64)| (point.0 - mean_x).powi(2);
+        let spread = self.points.iter().map(below).sum::<f64>();
+        assert!(spread > 0.0, "a line needs at least two sizes");
+        let slope = self.points.iter().map(above).sum::<f64>() / spread;
+        Line {
+            base: mean_y - slope * mean_x,
+            slope,
+        }
+    }
+
+    /// Distances of the points from the line.
+    pub fn residuals(&self) -> Vec<f64> {
+        let line = self.line();
+        let residual = |point: &(f64, f64)| point.1 - line.base - line.slope * point.0;
+        self.points.iter().map(residual).collect()
+    }
+
+    /// Row of the table.
+    pub fn row(&self) -> String {
+        let Line { base, slope } = self.line();
+        let sizes = join(self.points.iter().map(|point| format!("{}", point.0)));
+        let values = join(self.points.iter().map(|point| format!("{:.2}", point.1)));
+        let residuals = join(self.residuals().iter().map(|value| format!("{value:+.2}")));
+        format!(
+            "| {} | {} | {sizes} | {values} | {base:.3} | {slope:.5} | {residuals} |",
+            self.name, self.size
+        )
+    }
+}
+
+fn join(values: impl Iterator<Item = String>) -> String {
+    values.collect::<Vec<_>>().join(", ")
+}
--- /dev/null
+++ b/crates/lab/src/capacity/memories.rs
@@ -0,0 +1,75 @@
+//! Memory of an agent's bounded tables.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use monsoon_execution::claim::{CLAIMS_MAX, ClaimId, Claims, KeyHash};
+use monsoon_model::hash::mix;
+use monsoon_model::{AgentId, Chain, Hop, Instant};
+use monsoon_routing::{Handoff, Load, MAX_REMEMBERED};
+
+use super::fit::Series;
+use super::probe;
+
+const COPIES: usize = 6;
+
+fn sizes(bound: usize) -> [usize; 5] {
+    [bound / 16, bound / 4, bound / 2, bound * 3 / 4, bound]
+}
+
+/// Memory of `flows` accepted flows.
+fn handoff(flows: usize) -> Handoff {
+    let mut chain = Chain::default();
+    let agent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 4_433);
+    let hop = Hop {
+        agent,
+        known_only: false,
+    };
+    chain.push(hop).expect("the chain is empty");
+    let load = Load {
+        used: 0,
+        limit: 1,
+        leaving: false,
+    };
+    let mut out = Handoff::new();
+    for flow in 0..flows {
+        out.decide(Instant::ZERO, mix(1, flow as u64), &chain, 0, load);
+    }
+    assert_eq!(out.len(), flows, "a measured flow was not remembered");
+    out
+}
+
+/// Table of `count` claims.
+fn claims(count: usize) -> Claims {
+    let mut out = Claims::new(Instant::ZERO);
+    for number in 0..count as u64 {
+        let key = u128::from(mix(2, number)) << 64 | u128::from(mix(3, number));
+        let claim = ClaimId {
+            agent: AgentId(1),
+            serial: number,
+        };
+        out.claim(Instant::ZERO, KeyHash(key), claim);
+    }
+    assert_eq!(out.len(), count, "a measured claim was not recorded");
+    out
+}
+
+pub fn measure() -> Vec<Series> {
+    let (mut flows, mut held) = (Vec::new(), Vec::new());
+    vec![
+        Series::new(
+            "flow decisions held, bytes",
+            "decisions",
+            sizes(MAX_REMEMBERED),
+            |size| {
+                let (bytes, values) = probe::bytes(COPIES, || handoff(size));
+                flows.push(values);
+                bytes
+            },
+        ),
+        Series::new("claims held, bytes", "claims", sizes(CLAIMS_MAX), |size| {
+            let (bytes, values) = probe::bytes(COPIES, || claims(size));
+            held.push(values);
+            bytes
+        }),
+    ]
+}
--- /dev/null
+++ b/crates/lab/src/capacity/tables.rs
@@ -0,0 +1,107 @@
+//! Routing tables of a balancer.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use monsoon_model::hash::mix;
+use monsoon_model::{AgentId, DataCentreId, Instant, ServiceId};
+use monsoon_routing::{Candidate, Router};
+
+use super::fit::Series;
+use super::probe;
+
+const SERVICES: usize = 360;
+const TARGETS: usize = 3_700;
+const TARGET_SIZES: [usize; 5] = [360, 925, 1_850, 2_775, TARGETS];
+const SERVICE_SIZES: [usize; 5] = [36, 90, 180, 270, SERVICES];
+const COPIES: usize = 3;
+
+/// Time between two changes, long enough that the history of the one before has ended.
+const SPACING: u64 = 20;
+
+/// Candidates by service; the first 3 of 7 data centres are in the balancer's region.
+fn candidates(services: usize, targets: usize) -> Vec<Vec<Candidate>> {
+    let mut out = vec![Vec::new(); services];
+    for number in 0..targets {
+        let place = (number / services) % 7;
+        out[number % services].push(Candidate {
+            id: AgentId(mix(1, number as u64)),
+            agent: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a00_0000 + number as u32), 4_433),
+            data_centre: DataCentreId(place as u8 + 1),
+            weight: 400,
+            local: place < 3,
+        });
+    }
+    out
+}
+
+/// Offers the candidates of all services, as a balancer does after each change of the members.
+fn update(router: &mut Router, second: u64, candidates: &[Vec<Candidate>]) {
+    for (number, targets) in candidates.iter().enumerate() {
+        let service = ServiceId(number as u16 + 1);
+        router.update(Instant::from_secs(second), service, targets.iter().copied());
+    }
+}
+
+fn built(candidates: &[Vec<Candidate>]) -> Router {
+    let mut router = Router::new();
+    update(&mut router, 1, candidates);
+    router
+}
+
+/// Time for one change of a target of the first service: it turns cold, then warm again.
+fn change(mut candidates: Vec<Vec<Candidate>>) -> f64 {
+    let mut router = built(&candidates);
+    let mut second = 1;
+    probe::micros(
+        || (),
+        |()| {
+            second += SPACING;
+            let target = &mut candidates[0][0];
+            target.weight = if target.weight == 400 { 40 } else { 400 };
+            update(&mut router, second, &candidates);
+        },
+    )
+}
+
+fn first_build(candidates: &[Vec<Candidate>]) -> f64 {
+    probe::micros(|| (), |()| built(candidates))
+}
+
+pub fn measure() -> Vec<Series> {
+    let mut held = Vec::new();
+    let mut memory = |candidates: Vec<Vec<Candidate>>| {
+        let (bytes, routers) = probe::bytes(COPIES, || built(&candidates));
+        held.push(routers);
+        bytes
+    };
+    let (targets, services) = (
+        "targets of 360 services",
+        "services with 3,700 targets in all",
+    );
+    vec![
+        Series::new("tables, first build, µs", targets, TARGET_SIZES, |size| {
+            first_build(&candidates(SERVICES, size))
+        }),
+        Series::new(
+            "tables, one target changes, µs",
+            targets,
+            TARGET_SIZES,
+            |size| change(candidates(SERVICES, size)),
+        ),
+        Series::new("tables held, bytes", targets, TARGET_SIZES, |size| {
+            memory(candidates(SERVICES, size))
+        }),
+        Series::new("tables, first build, µs", services, SERVICE_SIZES, |size| {
+            first_build(&candidates(size, TARGETS))
+        }),
+        Series::new(
+            "tables, one target changes, µs",
+            services,
+            SERVICE_SIZES,
+            |size| change(candidates(size, TARGETS)),
+        ),
+        Series::new("tables held, bytes", services, SERVICE_SIZES, |size| {
+            memory(candidates(size, TARGETS))
+        }),
+    ]
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
-//! Measurements in virtual time, the same for each seed. One module per experiment.
+//! Measurements, one module per experiment. All but `capacity` run in virtual time and are the same
+//! for each seed.
 
+mod capacity;
 mod claims;
 mod cluster;
 mod cold;
@@ -21,6 +23,7 @@
         Some(Command::Claims(run)) => claims::run(run.seed),
         Some(Command::Cold(run)) => cold::run(run.seed),
         Some(Command::Overload(run)) => overload::run(run.seed),
+        Some(Command::Capacity(_)) => capacity::run(),
         None => format!(
             "{}\n{}\n",
             Options::usage(),
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -23,6 +23,15 @@
     Claims(Run),
     /// goodput at 1, 2 and 5 times the capacity
     Overload(Run),
+    /// processor time and memory of the parts against their size
+    Capacity(Plain),
+}
+
+/// Experiment without options.
+#[derive(Clone, Copy, Debug, Gumdrop)]
+pub struct Plain {
+    /// print this help
+    pub help: bool,
 }
 
 /// Options of one experiment.
