Measure store calls by script; measure memory in child processes

Cause: memory growth read in one process was zero for several sizes, because memory freed by earlier steps was used again. The flow script started its flows while the agent still took its target for cold: with 250 flows, 200 were open and the rest were refused.

Change: each memory of `monsoon-lab capacity` is measured in a child process, and a time is the least of several repetitions. The flow script warms the target up first and fails when not all flows are open and unbroken at the end. scripts/measure-store.sh counts store calls against the number of data centres. Both scripts share scripts/loopback.sh.

--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -1,9 +1,10 @@
 //! Processor time and memory of the product's parts against the size of the system.
 //!
 //! Unlike the other experiments this one reads the clock and the process's resident memory, so the
-//! figures differ between runs. Each line is fitted to five sizes. Times are medians of several
+//! figures differ between runs. Each line is fitted to five sizes. A time is the least of several
 //! repetitions, because other processes share the machine. Memory is the growth of the resident set
-//! by several copies that stay alive; a counting allocator would need unsafe code.
+//! by several copies that stay alive; a counting allocator would need unsafe code. Each memory is
+//! measured in a child process, because memory freed earlier would be used again without growth.
 
 mod documents;
 mod fit;
@@ -17,8 +18,17 @@
 
 use fit::Series;
 
-/// Measures all parts and returns one row for each.
-pub fn run() -> String {
+use crate::options::Capacity;
+
+/// Measures all parts and returns one row for each, or the memory of one part.
+pub fn run(options: &Capacity) -> String {
+    match &options.memory_of {
+        Some(part) => format!("{}\n", memory_of(part, options.size)),
+        None => table(),
+    }
+}
+
+fn table() -> String {
     let parts = [
         documents::measure(),
         tables::measure(),
@@ -29,3 +39,15 @@
     let rows: Vec<_> = parts.iter().flatten().map(Series::row).collect();
     format!("{}\n{}\n", fit::HEAD, rows.join("\n"))
 }
+
+/// Bytes of one part, measured in this process.
+fn memory_of(part: &str, size: usize) -> f64 {
+    match part {
+        documents::PART => documents::bytes(size),
+        tables::PART_TARGETS => tables::bytes(tables::SERVICES, size),
+        tables::PART_SERVICES => tables::bytes(size, tables::TARGETS),
+        memories::PART_FLOWS => memories::flow_bytes(size),
+        memories::PART_CLAIMS => memories::claim_bytes(size),
+        _ => f64::NAN,
+    }
+}
--- a/crates/lab/src/capacity/documents.rs
+++ b/crates/lab/src/capacity/documents.rs
@@ -9,9 +9,12 @@
 use super::probe;
 
 const SIZES: [usize; 5] = [10, 90, 180, 270, 360];
-const COPIES: usize = 20;
+const COPIES: usize = 40;
 const SIZE: &str = "services";
 
+/// Name of the memory of a configuration.
+pub const PART: &str = "configuration";
+
 /// Document with `services` services of one address and two classes, in 7 data centres.
 pub fn text(services: usize) -> String {
     let mut out = "tenant = \"karavanex\"\n".to_owned();
@@ -47,25 +50,26 @@
     state
 }
 
+/// Memory of a configuration in force.
+pub fn bytes(services: usize) -> f64 {
+    let text = text(services);
+    probe::bytes(COPIES, || accepted(&text))
+}
+
 pub fn measure() -> Vec<Series> {
-    let mut held = Vec::new();
+    let length = |size| text(size).len() as f64;
     vec![
-        Series::new("document text, bytes", SIZE, SIZES, |size| {
-            text(size).len() as f64
-        }),
+        Series::new("document text, bytes", SIZE, SIZES, length),
         Series::new("document parse, µs", SIZE, SIZES, |size| {
             let text = text(size);
-            probe::micros(|| (), |()| Document::parse(&text))
+            probe::micros(|| Document::parse(&text))
         }),
         Series::new("configuration accepted, µs", SIZE, SIZES, |size| {
             let text = text(size);
-            probe::micros(|| (), |()| accepted(&text))
+            probe::micros(|| accepted(&text))
         }),
         Series::new("configuration held, bytes", SIZE, SIZES, |size| {
-            let text = text(size);
-            let (bytes, states) = probe::bytes(COPIES, || accepted(&text));
-            held.push(states);
-            bytes
+            probe::bytes_in_child(PART, size)
         }),
     ]
 }
--- a/crates/lab/src/capacity/memories.rs
+++ b/crates/lab/src/capacity/memories.rs
@@ -12,6 +12,11 @@
 
 const COPIES: usize = 6;
 
+/// Name of the memory of flow decisions.
+pub const PART_FLOWS: &str = "flow-decisions";
+/// Name of the memory of claims.
+pub const PART_CLAIMS: &str = "claims";
+
 fn sizes(bound: usize) -> [usize; 5] {
     [bound / 16, bound / 4, bound / 2, bound * 3 / 4, bound]
 }
@@ -53,23 +58,26 @@
     out
 }
 
+/// Memory of an agent's decisions about `flows` flows.
+pub fn flow_bytes(flows: usize) -> f64 {
+    probe::bytes(COPIES, || handoff(flows))
+}
+
+/// Memory of a member's table of `count` claims.
+pub fn claim_bytes(count: usize) -> f64 {
+    probe::bytes(COPIES, || claims(count))
+}
+
 pub fn measure() -> Vec<Series> {
-    let (mut flows, mut held) = (Vec::new(), Vec::new());
     vec![
         Series::new(
             "flow decisions held, bytes",
             "decisions",
             sizes(MAX_REMEMBERED),
-            |size| {
-                let (bytes, values) = probe::bytes(COPIES, || handoff(size));
-                flows.push(values);
-                bytes
-            },
+            |size| probe::bytes_in_child(PART_FLOWS, size),
         ),
         Series::new("claims held, bytes", "claims", sizes(CLAIMS_MAX), |size| {
-            let (bytes, values) = probe::bytes(COPIES, || claims(size));
-            held.push(values);
-            bytes
+            probe::bytes_in_child(PART_CLAIMS, size)
         }),
     ]
 }
--- a/crates/lab/src/capacity/probe.rs
+++ b/crates/lab/src/capacity/probe.rs
@@ -1,36 +1,44 @@
 //! Clock and resident memory of this process.
 
-use std::fs;
+use std::process::Command;
 use std::time::Instant;
+use std::{env, fs};
 
-/// Repetitions of a timed step; the median counts.
-const REPEATS: usize = 11;
+/// Repetitions of a timed step; the least counts, as the others were disturbed.
+const REPEATS: usize = 7;
 
-/// Median time of `step` in microseconds; `prepare` is not timed.
-pub fn micros<T, R>(mut prepare: impl FnMut() -> T, mut step: impl FnMut(T) -> R) -> f64 {
-    let mut times: Vec<_> = (0..REPEATS)
+/// Least time of `step` in microseconds.
+pub fn micros<R>(mut step: impl FnMut() -> R) -> f64 {
+    (0..REPEATS)
         .map(|_| {
-            let input = prepare();
             let start = Instant::now();
-            let result = step(input);
+            let result = step();
             let time = start.elapsed();
             drop(result);
             time.as_secs_f64() * 1e6
         })
-        .collect();
-    times.sort_by(f64::total_cmp);
-    times[REPEATS / 2]
+        .fold(f64::INFINITY, f64::min)
 }
 
 /// Growth of the resident memory in bytes by one of `copies` values.
-///
-/// The values are returned and must stay alive until the last measurement: freed memory would be
-/// used again without growth.
-pub fn bytes<T>(copies: usize, mut build: impl FnMut() -> T) -> (f64, Vec<T>) {
+pub fn bytes<T>(copies: usize, mut build: impl FnMut() -> T) -> f64 {
+    // The first copy leaves the freed memory of its construction to the others.
+    let first = build();
     let before = resident();
-    let values = (0..copies).map(|_| build()).collect();
+    let values: Vec<_> = (0..copies).map(|_| build()).collect();
     let growth = resident().saturating_sub(before);
-    (growth as f64 / copies as f64, values)
+    drop((first, values));
+    growth as f64 / copies as f64
+}
+
+/// Memory of a part, measured by a child process with an unused heap.
+pub fn bytes_in_child(part: &str, size: usize) -> f64 {
+    let program = env::current_exe().expect("the running program has a path");
+    let mut command = Command::new(program);
+    command.args(["capacity", "--memory-of", part, "--size", &size.to_string()]);
+    let output = command.output().expect("the program can be started again");
+    let text = String::from_utf8_lossy(&output.stdout);
+    text.trim().parse().unwrap_or(f64::NAN)
 }
 
 /// Resident memory in bytes, zero where the system does not tell.
--- a/crates/lab/src/capacity/tables.rs
+++ b/crates/lab/src/capacity/tables.rs
@@ -9,8 +9,14 @@
 use super::fit::Series;
 use super::probe;
 
-const SERVICES: usize = 360;
-const TARGETS: usize = 3_700;
+/// Services of the size to design for.
+pub const SERVICES: usize = 360;
+/// Targets of the size to design for.
+pub const TARGETS: usize = 3_700;
+/// Name of the memory of tables by targets.
+pub const PART_TARGETS: &str = "tables-by-targets";
+/// Name of the memory of tables by services.
+pub const PART_SERVICES: &str = "tables-by-services";
 const TARGET_SIZES: [usize; 5] = [360, 925, 1_850, 2_775, TARGETS];
 const SERVICE_SIZES: [usize; 5] = [36, 90, 180, 270, SERVICES];
 const COPIES: usize = 3;
@@ -52,56 +58,49 @@
 fn change(mut candidates: Vec<Vec<Candidate>>) -> f64 {
     let mut router = built(&candidates);
     let mut second = 1;
-    probe::micros(
-        || (),
-        |()| {
-            second += SPACING;
-            let target = &mut candidates[0][0];
-            target.weight = if target.weight == 400 { 40 } else { 400 };
-            update(&mut router, second, &candidates);
-        },
-    )
+    probe::micros(|| {
+        second += SPACING;
+        let target = &mut candidates[0][0];
+        target.weight = if target.weight == 400 { 40 } else { 400 };
+        update(&mut router, second, &candidates);
+    })
 }
 
 fn first_build(candidates: &[Vec<Candidate>]) -> f64 {
-    probe::micros(|| (), |()| built(candidates))
+    probe::micros(|| built(candidates))
+}
+
+const OF_TARGETS: &str = "targets of 360 services";
+const OF_SERVICES: &str = "services with 3,700 targets in all";
+
+/// Memory of a router.
+pub fn bytes(services: usize, targets: usize) -> f64 {
+    let candidates = candidates(services, targets);
+    probe::bytes(COPIES, || built(&candidates))
 }
 
 pub fn measure() -> Vec<Series> {
-    let mut held = Vec::new();
-    let mut memory = |candidates: Vec<Vec<Candidate>>| {
-        let (bytes, routers) = probe::bytes(COPIES, || built(&candidates));
-        held.push(routers);
-        bytes
-    };
-    let (targets, services) = (
-        "targets of 360 services",
-        "services with 3,700 targets in all",
-    );
+    const BUILD: &str = "tables, first build, µs";
+    const CHANGE: &str = "tables, one target changes, µs";
+    const MEMORY: &str = "tables held, bytes";
     vec![
-        Series::new("tables, first build, µs", targets, TARGET_SIZES, |size| {
+        Series::new(BUILD, OF_TARGETS, TARGET_SIZES, |size| {
             first_build(&candidates(SERVICES, size))
         }),
-        Series::new(
-            "tables, one target changes, µs",
-            targets,
-            TARGET_SIZES,
-            |size| change(candidates(SERVICES, size)),
-        ),
-        Series::new("tables held, bytes", targets, TARGET_SIZES, |size| {
-            memory(candidates(SERVICES, size))
+        Series::new(CHANGE, OF_TARGETS, TARGET_SIZES, |size| {
+            change(candidates(SERVICES, size))
         }),
-        Series::new("tables, first build, µs", services, SERVICE_SIZES, |size| {
+        Series::new(MEMORY, OF_TARGETS, TARGET_SIZES, |size| {
+            probe::bytes_in_child(PART_TARGETS, size)
+        }),
+        Series::new(BUILD, OF_SERVICES, SERVICE_SIZES, |size| {
             first_build(&candidates(size, TARGETS))
         }),
-        Series::new(
-            "tables, one target changes, µs",
-            services,
-            SERVICE_SIZES,
-            |size| change(candidates(size, TARGETS)),
-        ),
-        Series::new("tables held, bytes", services, SERVICE_SIZES, |size| {
-            memory(candidates(size, TARGETS))
+        Series::new(CHANGE, OF_SERVICES, SERVICE_SIZES, |size| {
+            change(candidates(size, TARGETS))
+        }),
+        Series::new(MEMORY, OF_SERVICES, SERVICE_SIZES, |size| {
+            probe::bytes_in_child(PART_SERVICES, size)
         }),
     ]
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -23,7 +23,7 @@
         Some(Command::Claims(run)) => claims::run(run.seed),
         Some(Command::Cold(run)) => cold::run(run.seed),
         Some(Command::Overload(run)) => overload::run(run.seed),
-        Some(Command::Capacity(_)) => capacity::run(),
+        Some(Command::Capacity(options)) => capacity::run(&options),
         None => format!(
             "{}\n{}\n",
             Options::usage(),
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -24,14 +24,20 @@
     /// goodput at 1, 2 and 5 times the capacity
     Overload(Run),
     /// processor time and memory of the parts against their size
-    Capacity(Plain),
+    Capacity(Capacity),
 }
 
-/// Experiment without options.
-#[derive(Clone, Copy, Debug, Gumdrop)]
-pub struct Plain {
+/// Options of the measurement of processor time and memory.
+#[derive(Clone, Debug, Gumdrop)]
+pub struct Capacity {
     /// print this help
     pub help: bool,
+    /// print only the memory of this part in bytes
+    #[options(no_short)]
+    pub memory_of: Option<String>,
+    /// size of the part
+    #[options(no_short, default = "1000")]
+    pub size: usize,
 }
 
 /// Options of one experiment.
--- /dev/null
+++ b/scripts/loopback.sh
@@ -0,0 +1,103 @@
+# Functions of the scripts that measure processes on loopback; read by `source` from the root.
+#
+# The children write to a temporary directory. They are ended by process id when the script ends.
+
+PROFILE=${PROFILE:-release}
+if [ "$PROFILE" = release ]; then
+    cargo build --quiet --locked --release -p monsoon-daemon -p monsoon-standin -p monsoon-ctl --bins
+else
+    cargo build --quiet --locked -p monsoon-daemon -p monsoon-standin -p monsoon-ctl --bins
+fi
+BIN=target/$PROFILE
+DIR=$(mktemp -d)
+CHILDREN=()
+
+# Ends the remaining children.
+end_children() {
+    for pid in "${CHILDREN[@]}"; do
+        kill -KILL "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    CHILDREN=()
+}
+
+clean_up() {
+    end_children
+    rm -rf "$DIR"
+}
+trap clean_up EXIT
+
+# start NAME COMMAND...: starts a child; its output goes to NAME.out and NAME.log.
+start() {
+    local name=$1
+    shift
+    "$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
+    LAST_PID=$!
+    CHILDREN+=("$LAST_PID")
+}
+
+# fail TEXT: reports a failed step with the newest log lines.
+fail() {
+    echo "$(basename "$0" .sh): $1" >&2
+    tail -n 5 "$DIR"/*.log >&2 || true
+    exit 1
+}
+
+# wait_for FILE PATTERN: waits until a line of the file matches.
+wait_for() {
+    for _ in $(seq 200); do
+        if grep -qE "$2" "$DIR/$1" 2>/dev/null; then
+            return 0
+        fi
+        sleep 0.1
+    done
+    fail "no line '$2' in $1 after 20 s"
+}
+
+# address NAME KEY: value of KEY in the ready line of a child.
+address() {
+    wait_for "$1.out" '^ready'
+    sed -nE "s/^ready.*[ ]$2=([^ ]+).*/\1/p" "$DIR/$1.out" | head -n 1
+}
+
+# settings NAME ROLE PLACE: common part of a daemon's settings file.
+settings() {
+    cat >"$DIR/$1.toml" <<EOF
+role = "$2"
+environment = "production"
+data_centre = "$3"
+control = "127.0.0.1:0"
+data = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+seeds = [${SEEDS:-}]
+store = ["$PLATFORM"]
+keys = "$DIR/certs/keys.toml"
+
+[tls]
+certificate = "$DIR/certs/server.pem"
+key = "$DIR/certs/server.key"
+authority = "$DIR/certs/ca.pem"
+
+EOF
+}
+
+# fit COLUMN NAME: least-squares line of a column against the size.
+fit() {
+    awk -v column="$1" -v name="$2" '
+        { x[NR] = $1; y[NR] = $column; sx += $1; sy += $column }
+        END {
+            for (i = 1; i <= NR; i++) {
+                above += (x[i] - sx / NR) * (y[i] - sy / NR)
+                below += (x[i] - sx / NR) ^ 2
+            }
+            slope = above / below
+            base = sy / NR - slope * sx / NR
+            printf "%s = %.2f + %.4f x size; residuals", name, base, slope
+            for (i = 1; i <= NR; i++) printf " %+.2f", y[i] - base - slope * x[i]
+            print ""
+        }' "$DIR/rows"
+}
+
+mkdir "$DIR/certs"
+"$BIN/monsoon-standin" certs --dir "$DIR/certs" >"$DIR/certs.out"
--- a/scripts/measure-flows.sh
+++ b/scripts/measure-flows.sh
@@ -11,93 +11,17 @@
 cd "$(dirname "$0")/.."
 
 PART=${1:-open}
-PROFILE=${PROFILE:-release}
 OPEN_FLOWS=(${OPEN_FLOWS:-0 250 500 750 1000})
 NEW_FLOWS=(${NEW_FLOWS:-0 5 10 20 40})
 SECONDS_MEASURED=${SECONDS_MEASURED:-10}
+# Handshakes of 1,000 flows at once take up to 8 s on a busy machine.
+SETTLE=14
 SERVICE_ADDRESS=192.0.2.1:443
 SERVICE=prodejna
 PLACE=brno-a
 
-if [ "$PROFILE" = release ]; then
-    cargo build --quiet --locked --release -p monsoon-daemon -p monsoon-standin -p monsoon-ctl --bins
-else
-    cargo build --quiet --locked -p monsoon-daemon -p monsoon-standin -p monsoon-ctl --bins
-fi
-BIN=target/$PROFILE
-DIR=$(mktemp -d)
+source scripts/loopback.sh
 TICKS=$(getconf CLK_TCK)
-CHILDREN=()
-
-# Ends the remaining children.
-end_children() {
-    for pid in "${CHILDREN[@]}"; do
-        kill -KILL "$pid" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-    CHILDREN=()
-}
-
-clean_up() {
-    end_children
-    rm -rf "$DIR"
-}
-trap clean_up EXIT
-
-# start NAME COMMAND...: starts a child; its output goes to NAME.out and NAME.log.
-start() {
-    local name=$1
-    shift
-    "$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
-    LAST_PID=$!
-    CHILDREN+=("$LAST_PID")
-}
-
-# fail TEXT: reports a failed step with the newest log lines.
-fail() {
-    echo "measure-flows: $1" >&2
-    tail -n 5 "$DIR"/*.log >&2 || true
-    exit 1
-}
-
-# wait_for FILE PATTERN: waits until a line of the file matches.
-wait_for() {
-    for _ in $(seq 200); do
-        if grep -qE "$2" "$DIR/$1" 2>/dev/null; then
-            return 0
-        fi
-        sleep 0.1
-    done
-    fail "no line '$2' in $1 after 20 s"
-}
-
-# address NAME KEY: value of KEY in the ready line of a child.
-address() {
-    wait_for "$1.out" '^ready'
-    sed -nE "s/^ready.*[ ]$2=([^ ]+).*/\1/p" "$DIR/$1.out" | head -n 1
-}
-
-# settings NAME ROLE: common part of a daemon's settings file.
-settings() {
-    cat >"$DIR/$1.toml" <<EOF
-role = "$2"
-environment = "production"
-data_centre = "$PLACE"
-control = "127.0.0.1:0"
-data = "127.0.0.1:0"
-peer = "127.0.0.1:0"
-admin = "127.0.0.1:0"
-seeds = [${SEEDS:-}]
-store = ["$PLATFORM"]
-keys = "$DIR/certs/keys.toml"
-
-[tls]
-certificate = "$DIR/certs/server.pem"
-key = "$DIR/certs/server.key"
-authority = "$DIR/certs/ca.pem"
-
-EOF
-}
 
 # start_path: starts the platform, the balancer, the target and the agent.
 start_path() {
@@ -107,10 +31,10 @@
     PLATFORM=$(address platform address)
     "$BIN/monsoonctl" --store "$PLATFORM" --env production --author measure \
         apply examples/karavanex.toml >"$DIR/apply.out"
-    settings balancer balancer
+    settings balancer balancer "$PLACE"
     cat >>"$DIR/balancer.toml" <<EOF
 [balancer]
-binds = { "$SERVICE_ADDRESS" = "127.0.0.1:0" }
+binds = { "$SERVICE_ADDRESS" = "127.0.0.1:0", "192.0.2.2:443" = "127.0.0.1:0", "192.0.2.3:443" = "127.0.0.1:0" }
 EOF
     start balancer "$BIN/monsoonrouter" --settings "$DIR/balancer.toml"
     BALANCER_PID=$LAST_PID
@@ -118,7 +42,7 @@
     SERVED=$(sed -nE "s/.*$SERVICE_ADDRESS is served at ([0-9.:]+).*/\1/p" "$DIR/balancer.log" | head -n 1)
     SEEDS="\"$(address balancer control)\""
     start target "$BIN/monsoon-standin" target --port 0 --slots 4 --connections 2000 --tick-ms 1000
-    settings agent agent
+    settings agent agent "$PLACE"
     cat >>"$DIR/agent.toml" <<EOF
 [agent]
 service = "$SERVICE"
@@ -128,6 +52,8 @@
     AGENT_PID=$LAST_PID
     wait_for agent.log "serves $SERVICE"
     sleep 2
+    # An agent takes a new target for cold, and refuses most streams, until requests succeeded.
+    "${CALLER[@]}" --service "$SERVED" --seconds 4 --holds-per-second 20 >"$DIR/warm.out" 2>"$DIR/warm.log"
 }
 
 # used PID: processor time in clock ticks. The name in field 2 has no spaces.
@@ -156,38 +82,21 @@
         tee -a "$DIR/rows"
 }
 
-# fit COLUMN NAME: least-squares line of a column against the size.
-fit() {
-    awk -v column="$1" -v name="$2" '
-        { x[NR] = $1; y[NR] = $column; sx += $1; sy += $column }
-        END {
-            for (i = 1; i <= NR; i++) {
-                above += (x[i] - sx / NR) * (y[i] - sy / NR)
-                below += (x[i] - sx / NR) ^ 2
-            }
-            slope = above / below
-            base = sy / NR - slope * sx / NR
-            printf "%s = %.2f + %.4f x size; residuals", name, base, slope
-            for (i = 1; i <= NR; i++) printf " %+.2f", y[i] - base - slope * x[i]
-            print ""
-        }' "$DIR/rows"
-}
-
-mkdir "$DIR/certs"
-"$BIN/monsoon-standin" certs --dir "$DIR/certs" >"$DIR/certs.out"
 CALLER=("$BIN/monsoon-standin" caller --ca "$DIR/certs/ca.pem" --server-name "$SERVICE" --seed 1)
 
 # open_flows SIZE: board flows stay open, one connection each.
 open_flows() {
     start_path
     if [ "$1" -gt 0 ]; then
-        start caller "${CALLER[@]}" --service "$SERVED" --seconds $((SECONDS_MEASURED + 12)) \
+        start caller "${CALLER[@]}" --service "$SERVED" --seconds $((SECONDS_MEASURED + SETTLE + 3)) \
             --boards "$1" --connections "$1"
         local caller=$LAST_PID
-        sleep 8
+        sleep "$SETTLE"
         measure "$1"
         wait "$caller" || true
-        grep -E '^class=board' "$DIR/caller.out" >&2 || fail "the caller printed no result"
+        # A refused handshake is tried again, a broken flow would not have stayed open.
+        grep -E "^class=board sent=[0-9]+ answered=$1 .* broken=0 " "$DIR/caller.out" >&2 ||
+            fail "not all flows stayed open: $(grep '^class=board' "$DIR/caller.out")"
     else
         sleep 2
         measure 0
--- /dev/null
+++ b/scripts/measure-store.sh
@@ -0,0 +1,101 @@
+#!/usr/bin/env bash
+# Counts the calls to the store against the number of data centres, as the platform stand-in counts
+# them: while nothing changes, and for a change of the document.
+#
+# Each data centre is a membership group of its own with 3 balancers. Everything runs on loopback as
+# separate processes, started anew for each size.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+DATA_CENTRES=(${DATA_CENTRES:-1 3 5 7})
+BALANCERS=3
+SECONDS_MEASURED=${SECONDS_MEASURED:-30}
+SECONDS_OF_CHANGE=10
+source scripts/loopback.sh
+
+# calls: reads, writes and waiting watches since the start of the store.
+calls() {
+    local host=${PLATFORM%:*} port=${PLATFORM##*:}
+    exec 3<>"/dev/tcp/$host/$port"
+    printf 'GET /calls HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n\r\n' "$PLATFORM" >&3
+    sed '1,/^\r$/d' <&3 | sed -E 's/.*"reads":([0-9]+).*"writes":([0-9]+).*"watches":([0-9]+).*/\1 \2 \3/'
+    exec 3<&-
+}
+
+# document COUNT SLOTS: a document of COUNT data centres and one service.
+document() {
+    echo 'tenant = "karavanex"'
+    for number in $(seq "$1"); do
+        printf '[[data_centre]]\nname = "place-%d"\nnumber = %d\nregion = "morava"\n' "$number" "$number"
+    done
+    cat <<EOF
+[[service]]
+name = "prodejna"
+number = 1
+addresses = ["192.0.2.1:443"]
+slots = $2
+connections = 2000
+cold_share = 0.1
+[[service.class]]
+name = "board"
+method = "GET"
+path = "/board"
+stream = true
+idempotent = true
+weight = 1
+EOF
+}
+
+# apply COUNT SLOTS: puts the document into the store.
+apply() {
+    document "$1" "$2" >"$DIR/document.toml"
+    "$BIN/monsoonctl" --store "$PLATFORM" --env production --author measure \
+        apply "$DIR/document.toml" >"$DIR/apply.out"
+}
+
+# measure COUNT: prints one row.
+measure() {
+    rm -f "$DIR"/*.out "$DIR"/*.log
+    SEEDS=
+    start platform "$BIN/monsoon-standin" platform --port 0
+    PLATFORM=$(address platform address)
+    apply "$1" 4
+    local place number before after quiet
+    for place in $(seq "$1"); do
+        for number in $(seq "$BALANCERS"); do
+            local name=balancer-$place-$number
+            settings "$name" balancer "place-$place"
+            printf '[balancer]\nbinds = { "192.0.2.1:443" = "127.0.0.1:0" }\n' >>"$DIR/$name.toml"
+            start "$name" "$BIN/monsoonrouter" --settings "$DIR/$name.toml"
+            wait_for "$name.log" "is served at"
+            SEEDS=${SEEDS:-"\"$(address "$name" control)\""}
+        done
+    done
+    # Watches that all balancers began at their start end after 30 s.
+    sleep 35
+    read -r -a before <<<"$(calls)"
+    sleep "$SECONDS_MEASURED"
+    read -r -a quiet <<<"$(calls)"
+    apply "$1" 5
+    sleep "$SECONDS_OF_CHANGE"
+    read -r -a after <<<"$(calls)"
+    for name in "$DIR"/balancer-*.log; do
+        grep -q "document version [0-9]* is in force" "$name" || fail "$name has no document"
+    done
+    awk -v size="$1" -v time="$SECONDS_MEASURED" -v change="$SECONDS_OF_CHANGE" \
+        -v a="${before[*]}" -v b="${quiet[*]}" -v c="${after[*]}" 'BEGIN {
+            split(a, before, " "); split(b, quiet, " "); split(c, after, " ")
+            reads = (quiet[1] - before[1]) / time; writes = (quiet[2] - before[2]) / time
+            print size, reads, writes, quiet[3], \
+                after[1] - quiet[1] - reads * change, after[2] - quiet[2] - writes * change
+        }' | tee -a "$DIR/rows"
+    end_children
+}
+
+echo "data centres, reads/s, writes/s, waiting watches, reads of a change, writes of a change"
+for size in "${DATA_CENTRES[@]}"; do measure "$size"; done
+fit 2 "reads per second"
+fit 3 "writes per second"
+fit 4 "waiting watches"
+fit 5 "reads of a change, above the steady ones in 10 s"
+fit 6 "writes of a change, above the steady ones in 10 s"
