--- a/scripts/loopback.sh
+++ b/scripts/loopback.sh
@@ -82,6 +82,37 @@
 EOF
 }
 
+# document COUNT SLOTS: a document of COUNT data centres and one service.
+document() {
+    echo 'tenant = "karavanex"'
+    for number in $(seq "$1"); do
+        printf '[[data_centre]]\nname = "place-%d"\nnumber = %d\nregion = "morava"\n' "$number" "$number"
+    done
+    cat <<EOF
+[[service]]
+name = "prodejna"
+number = 1
+addresses = ["192.0.2.1:443"]
+slots = $2
+connections = 2000
+cold_share = 0.1
+[[service.class]]
+name = "board"
+method = "GET"
+path = "/board"
+stream = true
+idempotent = true
+weight = 1
+EOF
+}
+
+# apply COUNT SLOTS: puts the document into the store.
+apply() {
+    document "$1" "$2" >"$DIR/document.toml"
+    "$BIN/monsoonctl" --store "$PLATFORM" --env production --author measure \
+        apply "$DIR/document.toml" >"$DIR/apply.out"
+}
+
 # fit COLUMN NAME: least-squares line of a column against the size.
 fit() {
     awk -v column="$1" -v name="$2" '
