--- /dev/null
+++ b/crates/lab/src/capacity/probe.rs
@@ -0,0 +1,53 @@
+//! Clock and resident memory of this process.
+
+use std::process::Command;
+use std::time::Instant;
+use std::{env, fs};
+
+/// Repetitions of a timed step; the least counts, as the others were disturbed.
+const REPEATS: usize = 7;
+
+/// Least time of `step` in microseconds.
+pub fn micros<R>(mut step: impl FnMut() -> R) -> f64 {
+    (0..REPEATS)
+        .map(|_| {
+            let start = Instant::now();
+            let result = step();
+            let time = start.elapsed();
+            drop(result);
+            time.as_secs_f64() * 1e6
+        })
+        .fold(f64::INFINITY, f64::min)
+}
+
+/// Growth of the resident memory in bytes by one of `copies` values.
+pub fn bytes<T>(copies: usize, mut build: impl FnMut() -> T) -> f64 {
+    // The first copy leaves the freed memory of its construction to the others.
+    let first = build();
+    let before = resident();
+    let values: Vec<_> = (0..copies).map(|_| build()).collect();
+    let growth = resident().saturating_sub(before);
+    drop((first, values));
+    growth as f64 / copies as f64
+}
+
+/// Memory of a part, measured by a child process with an unused heap.
+pub fn bytes_in_child(part: &str, size: usize) -> f64 {
+    let program = env::current_exe().expect("the running program has a path");
+    let mut command = Command::new(program);
+    command.args(["capacity", "--memory-of", part, "--size", &size.to_string()]);
+    let output = command.output().expect("the program can be started again");
+    let text = String::from_utf8_lossy(&output.stdout);
+    text.trim().parse().unwrap_or(f64::NAN)
+}
+
+/// Resident memory in bytes, zero where the system does not tell.
+fn resident() -> u64 {
+    let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let digits = line.and_then(|line| line.split_whitespace().next());
+    digits
+        .and_then(|digits| digits.parse::<u64>().ok())
+        .unwrap_or_default()
+        * 1_024
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
-//! Measurements in virtual time, the same for each seed. One module per experiment.
+//! Measurements, one module per experiment. All but `capacity` run in virtual time and are the same
+//! for each seed.
 
+mod capacity;
 mod claims;
 mod cluster;
 mod cold;
@@ -24,6 +26,7 @@
         Some(Command::Overload(run)) => overload::run(run.seed),
         Some(Command::Fleet(run)) => fleet::run_fleet(run.seed),
         Some(Command::Centre(run)) => fleet::run_centre(run.seed),
+        Some(Command::Capacity(options)) => capacity::run(&options),
         None => format!(
             "{}\n{}\n",
             Options::usage(),
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -27,6 +27,21 @@
     Fleet(Run),
     /// service while a data centre leaves and returns
     Centre(Run),
+    /// processor time and memory of the parts against their size
+    Capacity(Capacity),
+}
+
+/// Options of the measurement of processor time and memory.
+#[derive(Clone, Debug, Gumdrop)]
+pub struct Capacity {
+    /// print this help
+    pub help: bool,
+    /// print only the memory of this part in bytes
+    #[options(no_short)]
+    pub memory_of: Option<String>,
+    /// size of the part
+    #[options(no_short, default = "1000")]
+    pub size: usize,
 }
 
 /// Options of one experiment.
