lab: measure a data centre taken out in the routing tables

Cause: taking out a data centre refreshes the tables of all services in one step on the balancer's only thread, and its time was not known.

Change: a series for a local data centre taken out and brought back.

--- a/crates/lab/src/capacity/tables.rs
+++ b/crates/lab/src/capacity/tables.rs
@@ -1,5 +1,6 @@
 //! Routing tables of a balancer.
 
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use monsoon_model::hash::mix;
@@ -66,6 +67,18 @@
     })
 }
 
+/// Time for taking a local data centre out and bringing it back.
+fn out_and_back(candidates: &[Vec<Candidate>]) -> f64 {
+    let mut router = built(candidates);
+    let mut second = 1;
+    probe::micros(|| {
+        for out in [BTreeSet::from([DataCentreId(1)]), BTreeSet::new()] {
+            second += SPACING;
+            router.set_out(Instant::from_secs(second), out);
+        }
+    })
+}
+
 fn first_build(candidates: &[Vec<Candidate>]) -> f64 {
     probe::micros(|| built(candidates))
 }
@@ -82,6 +95,7 @@
 pub fn measure() -> Vec<Series> {
     const BUILD: &str = "tables, first build, µs";
     const CHANGE: &str = "tables, one target changes, µs";
+    const OUT: &str = "tables, a data centre out and back, µs";
     const MEMORY: &str = "tables held, bytes";
     vec![
         Series::new(BUILD, OF_TARGETS, TARGET_SIZES, |size| {
@@ -90,6 +104,9 @@
         Series::new(CHANGE, OF_TARGETS, TARGET_SIZES, |size| {
             change(candidates(SERVICES, size))
         }),
+        Series::new(OUT, OF_TARGETS, TARGET_SIZES, |size| {
+            out_and_back(&candidates(SERVICES, size))
+        }),
         Series::new(MEMORY, OF_TARGETS, TARGET_SIZES, |size| {
             probe::bytes_in_child(PART_TARGETS, size)
         }),
