Reset the flows of a dead agent only after 5 s

A balancer that learned of a death reset all flows at the address, also those of an agent that had restarted there and that the balancer did not see yet. The death of an agent now leads to resets 5 s after the news; chains leave it out at once as before.

--- a/crates/routing/src/dead.rs
+++ b/crates/routing/src/dead.rs
@@ -12,6 +12,11 @@
 /// timeout well before that.
 pub const DEAD_TTL: Duration = Duration::from_secs(300);
 
+/// Time from the news of a death to the first reset. An agent that restarts at the same address takes
+/// flows at once, and a balancer of another data centre may learn of the death that long before it
+/// learns of the restart: the speakers' contact and a returning data centre's comparison of tables.
+pub const RESET_AFTER: Duration = Duration::from_secs(5);
+
 /// Addresses of agents that stopped within [`DEAD_TTL`].
 #[derive(Debug, Default)]
 pub(crate) struct Dead {
@@ -21,7 +26,10 @@
 impl Dead {
     /// Adds an agent; returns whether another one was forgotten for it.
     pub(crate) fn insert(&mut self, now: Instant, agent: SocketAddrV4) -> bool {
-        self.agents.insert(agent, now);
+        let since = self.agents.entry(agent).or_insert(now);
+        if now.since(*since) >= DEAD_TTL {
+            *since = now;
+        }
         if self.agents.len() <= MAX_DEAD {
             return false;
         }
@@ -40,6 +48,12 @@
         self.agents.remove(&agent);
     }
 
+    /// Whether flows of the agent are answered with resets.
+    pub(crate) fn resets(&self, now: Instant, agent: SocketAddrV4) -> bool {
+        let since = self.agents.get(&agent);
+        since.is_some_and(|since| now.since(*since) >= RESET_AFTER) && self.contains(now, agent)
+    }
+
     pub(crate) fn contains(&self, now: Instant, agent: SocketAddrV4) -> bool {
         self.agents
             .get(&agent)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,7 +28,7 @@
 mod table;
 mod update;
 
-pub use dead::{DEAD_TTL, MAX_DEAD};
+pub use dead::{DEAD_TTL, MAX_DEAD, RESET_AFTER};
 pub use first_look::{Destination, FirstLook};
 pub use handoff::{Decision, Handoff, HandoffCounters, Load, MAX_REMEMBERED, REMEMBER};
 pub use history::{MAX_PAST, PREVIOUS_TTL};
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -102,8 +102,9 @@
 
     /// Records that an agent has stopped, whether it crashed or left.
     ///
-    /// It gets no packet until [`Router::mark_alive`] or [`crate::DEAD_TTL`] later, even when it
-    /// is still among the candidates.
+    /// No chain contains it until [`Router::mark_alive`] or [`crate::DEAD_TTL`] later, even when it
+    /// is still among the candidates. Its established flows are answered with resets after
+    /// [`crate::RESET_AFTER`].
     pub fn mark_dead(&mut self, now: Instant, agent: SocketAddrV4) {
         let evicted = self.dead.insert(now, agent);
         self.counters.evicted_dead += u64::from(evicted);
@@ -136,7 +137,7 @@
         }
         let out = self.out.get(&destination.data_centre);
         let is_out = out.is_some_and(|end| now >= *end);
-        if is_out || self.dead.contains(now, destination.agent) {
+        if is_out || self.dead.resets(now, destination.agent) {
             return Route::Reset;
         }
         Route::Established(destination.agent)
