Close the flows of a data centre that is out through several balancers

The close of a flow was one datagram through one balancer. When that balancer was frozen or crashed, the caller got a stateless reset instead and took the flow for broken. An agent whose data centre is out now sends each datagram through up to 3 balancers in turn.

--- a/crates/daemon/src/agent/socket.rs
+++ b/crates/daemon/src/agent/socket.rs
@@ -25,6 +25,10 @@
 /// Largest datagram read, in bytes.
 const MAX_DATAGRAM: usize = 2_048;
 
+/// Balancers through which each datagram of an agent whose data centre is out is sent. A flow is
+/// closed by one datagram, which must not be lost with one balancer.
+const OUT_COPIES: usize = 3;
+
 /// What the socket needs to know about the agent.
 pub struct SocketParts {
     /// Socket that balancers and other agents send to.
@@ -39,6 +43,8 @@
     pub clock: Clock,
     /// Present load, for the handoff decision.
     pub load: Box<dyn Fn() -> Load + Send + Sync>,
+    /// Whether the own data centre is out.
+    pub is_out: Box<dyn Fn() -> bool + Send + Sync>,
     /// Event counters.
     pub counters: Arc<Counters>,
 }
@@ -180,11 +186,7 @@
 
     fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
         let now = self.parts.clock.now();
-        let (balancer, address) = {
-            let mut state = self.lock();
-            (state.forwarders.next(now), state.address)
-        };
-        let (Some(balancer), Some(address)) = (balancer, address) else {
+        let Some(address) = self.lock().address else {
             self.parts.counters.count("reply_without_balancer");
             return Ok(());
         };
@@ -198,7 +200,15 @@
             hop: 0,
         };
         let datagram = envelope.seal(&self.parts.keys, transmit.contents);
-        self.send(&datagram, SocketAddr::V4(balancer));
+        let copies = if (self.parts.is_out)() { OUT_COPIES } else { 1 };
+        for _ in 0..copies {
+            // Successive replies take turns over the balancers.
+            let balancer = self.lock().forwarders.next(now);
+            match balancer {
+                Some(balancer) => self.send(&datagram, SocketAddr::V4(balancer)),
+                None => self.parts.counters.count("reply_without_balancer"),
+            }
+        }
         Ok(())
     }
 
--- a/crates/daemon/src/agent/start.rs
+++ b/crates/daemon/src/agent/start.rs
@@ -260,7 +260,7 @@
     }
 
     fn socket(&self, agent: &Arc<Agent>, sockets: &Sockets) -> Arc<AgentSocket> {
-        let reader = Arc::clone(agent);
+        let (reader, phase) = (Arc::clone(agent), agent.phase.subscribe());
         Arc::new(AgentSocket::new(SocketParts {
             udp: Arc::clone(&sockets.data),
             data: self.shell.addresses.data,
@@ -268,6 +268,7 @@
             service: agent.service,
             clock: agent.clock,
             load: Box::new(move || flow_load(&reader)),
+            is_out: Box::new(move || *phase.borrow() == Phase::Out),
             counters: Arc::clone(&agent.counters),
         }))
     }
--- a/crates/e2e/src/daemon.rs
+++ b/crates/e2e/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::ExitStatus;
+use std::process::{Child, ExitStatus, Stdio};
 
 use monsoon_membership::Member;
 use monsoon_standin::process::{Process, Signal};
@@ -80,9 +80,10 @@
         serde_json::from_value(status["agents"].take()).expect("agents are members")
     }
 
-    /// Versions of the configuration in force.
+    /// Versions of the configuration in force; null while the process does not answer.
     pub fn versions(&self) -> Value {
-        self.status()["versions"].clone()
+        let status = self.try_status().unwrap_or_default();
+        status["versions"].clone()
     }
 
     /// Event counter of the admin listener.
@@ -102,6 +103,13 @@
         self.process.wait(PATIENCE).expect("SIGKILL ends a process");
     }
 
+    /// Asks the process to stop and waits until it has done so without an error.
+    pub fn stop(mut self) {
+        self.signal(Signal::Terminate);
+        let status = self.wait();
+        assert!(status.success(), "{status}");
+    }
+
     /// Waits until the process has ended by itself.
     pub fn wait(mut self) -> ExitStatus {
         let status = self.process.wait(PATIENCE);
@@ -114,3 +122,18 @@
     let lines: Vec<_> = text.lines().rev().take(5).collect();
     format!("newest lines first: {lines:#?}")
 }
+
+/// Exit code and message of a daemon that must refuse these settings.
+pub fn refused(settings: &Path) -> (Option<i32>, String) {
+    let mut command = binaries::command("monsoonrouter");
+    let child = command
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn();
+    let output = child.and_then(Child::wait_with_output);
+    let output = output.expect("the daemon starts");
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    (output.status.code(), message)
+}
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod holds;
 pub mod http;
+pub mod probe;
 pub mod scratch;
 pub mod wait;
 pub mod world;
--- /dev/null
+++ b/crates/e2e/src/probe.rs
@@ -0,0 +1,119 @@
+//! Packets of an established flow, sent to one balancer, whose agent is a socket of the test.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use monsoon_model::{DataCentreId, ServiceId};
+use monsoon_wire::{ConnectionId, Keyring, RawKeys};
+
+/// Time between two packets.
+const INTERVAL: Duration = Duration::from_millis(10);
+
+/// Size of a packet; a shorter one could get no stateless reset.
+const PACKET_SIZE: usize = 64;
+
+/// First byte of a QUIC packet with a short header.
+const SHORT_HEADER: u8 = 0x40;
+
+/// Running probe; it ends on drop.
+#[derive(Debug)]
+pub struct Probe {
+    arrived: Arc<Mutex<Option<Instant>>>,
+    stopped: Arc<AtomicBool>,
+    task: Option<JoinHandle<()>>,
+}
+
+impl Probe {
+    /// Sends packets of a flow of `data_centre` to the service socket `balancer`.
+    pub fn start(keys: &Path, balancer: SocketAddr, data_centre: u8) -> Self {
+        let agent = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+        let timeout = agent.set_read_timeout(Some(INTERVAL));
+        timeout.expect("the timeout is valid");
+        let caller = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+        let packet = packet(keys, &agent, data_centre);
+        let arrived: Arc<Mutex<Option<Instant>>> = Arc::default();
+        let stopped = Arc::new(AtomicBool::new(false));
+        let (seen, stop) = (Arc::clone(&arrived), Arc::clone(&stopped));
+        let task = thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                // The socket of a balancer that ended refuses packets, like a lost network.
+                let _refused = caller.send_to(&packet, balancer);
+                if receives(&agent) {
+                    *seen.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+                    thread::sleep(INTERVAL);
+                }
+            }
+        });
+        let task = Some(task);
+        Self {
+            arrived,
+            stopped,
+            task,
+        }
+    }
+
+    /// Time at which the newest packet reached the agent's socket.
+    pub fn arrived(&self) -> Option<Instant> {
+        *self.arrived.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Probe {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        if let Some(task) = self.task.take() {
+            // A panic of the probe was printed by its thread.
+            let _panicked = task.join();
+        }
+    }
+}
+
+/// Takes all packets that wait, so that a burst does not look like a long run of packets; false
+/// when none came in time.
+fn receives(agent: &UdpSocket) -> bool {
+    let mut received = false;
+    while take(agent) {
+        if !received {
+            received = true;
+            agent.set_nonblocking(true).expect("the socket is open");
+        }
+    }
+    agent.set_nonblocking(false).expect("the socket is open");
+    received
+}
+
+fn take(agent: &UdpSocket) -> bool {
+    match agent.recv_from(&mut [0; 2_048]) {
+        Ok(_) => true,
+        Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => false,
+        Err(error) => panic!("the agent's socket failed: {error}"),
+    }
+}
+
+fn packet(keys: &Path, agent: &UdpSocket, data_centre: u8) -> Vec<u8> {
+    let text = std::fs::read_to_string(keys).expect("the keys file exists");
+    let raw: RawKeys = toml::from_str(&text).expect("the keys file is TOML");
+    let keys = Keyring::try_from(raw).expect("the keys are valid");
+    let id = ConnectionId {
+        agent: address(agent),
+        service: ServiceId(1),
+        data_centre: DataCentreId(data_centre),
+        nonce: 1,
+    };
+    let mut packet = vec![SHORT_HEADER];
+    packet.extend(id.seal(&keys));
+    packet.resize(PACKET_SIZE, 0);
+    packet
+}
+
+fn address(agent: &UdpSocket) -> SocketAddrV4 {
+    match agent.local_addr().expect("the socket is bound") {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(address) => panic!("{address} is not IPv4"),
+    }
+}
--- a/crates/e2e/src/world.rs
+++ b/crates/e2e/src/world.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::process::Output;
+use std::time::Duration;
 
 use monsoon_membership::{Member, State};
 use monsoon_standin::certs;
@@ -208,6 +209,18 @@
             .all(|balancer| count(balancer) == PLACES.len())
     }
 
+    /// Waits until every process has these versions in force; returns the time that it took.
+    pub fn wait_versions(&self, versions: &Value) -> Duration {
+        let what = format!("{versions} in force everywhere");
+        let daemons = || self.balancers.iter().chain(&self.agents);
+        let ((), took) = wait::until(&what, || {
+            daemons()
+                .all(|daemon| daemon.versions() == *versions)
+                .then_some(())
+        });
+        took
+    }
+
     /// Runs `monsoonctl` on the environment.
     pub fn ctl(&self, words: &[&str]) -> Output {
         let mut command = binaries::command("monsoonctl");
