--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -86,8 +86,20 @@
     }
 }
 
-fn measure(seed: u64, policy: Policy, faults: &Faults) -> Totals {
-    let mut fleet = Fleet::new(setup(seed, policy, 5, 90)).with_faults(faults);
+/// Document whose data centres are membership groups of their own.
+pub fn separate() -> String {
+    DIRECTORATE.replace("group = 1\n", "")
+}
+
+/// Cuts of one or both directions between two data centres, of 0.5 to 10.5 s.
+const CUTS: Faults = Faults { cuts: 15, ..NONE };
+
+fn measure(seed: u64, policy: Policy, document: String, faults: &Faults) -> Totals {
+    let setup = Setup {
+        document,
+        ..setup(seed, policy, 5, 90)
+    };
+    let mut fleet = Fleet::new(setup).with_faults(faults);
     fleet.run();
     fleet.totals
 }
@@ -99,7 +111,7 @@
     );
     for (name, faults) in ROWS {
         for policy in [Policy::Ours, Policy::HashOnly, Policy::Random] {
-            let sum = measure(seed, policy, &faults);
+            let sum = measure(seed, policy, DIRECTORATE.to_owned(), &faults);
             let broken = sum.broken + sum.lost;
             writeln!(
                 text,
@@ -112,5 +124,20 @@
             .expect("writing to a string");
         }
     }
+    text += "\n| a link is cut every 15 s | flows tried | opened | broken | never opened |\n|---|---|---|---|---|\n";
+    let documents = [
+        ("one membership group", DIRECTORATE.to_owned()),
+        ("a group for each data centre", separate()),
+    ];
+    for (name, document) in documents {
+        let sum = measure(seed, Policy::Ours, document, &CUTS);
+        let broken = sum.broken + sum.lost;
+        writeln!(
+            text,
+            "| {name} | {} | {} | {broken} | {} |",
+            sum.flows, sum.opened, sum.not_opened
+        )
+        .expect("writing to a string");
+    }
     text
 }
--- a/crates/lab/src/fleet/tests.rs
+++ b/crates/lab/src/fleet/tests.rs
@@ -2,14 +2,9 @@
 //! configuration. Each fault occurs several times in a run of 60 s.
 
 use super::plan::Faults;
-use super::report::{DIRECTORATE, NONE, setup};
+use super::report::{DIRECTORATE, NONE, separate, setup};
 use super::{Fleet, Policy, Totals};
 
-/// Document whose data centres are membership groups of their own.
-fn separate() -> String {
-    DIRECTORATE.replace("group = 1\n", "")
-}
-
 fn run(document: &str, seed: u64, faults: &Faults) -> Totals {
     let mut setup = setup(seed, Policy::Ours, 4, 60);
     document.clone_into(&mut setup.document);
