Let the test of wrong settings end by itself

A daemon that accepted wrong settings would have run for ever and kept the test waiting. The support now ends such a daemon and fails. The settings files have a module of their own.

--- a/crates/e2e/src/daemon.rs
+++ b/crates/e2e/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, ExitStatus, Stdio};
+use std::process::{ExitStatus, Stdio};
 
 use monsoon_membership::Member;
 use monsoon_standin::process::{Process, Signal};
@@ -126,13 +126,16 @@
 /// Exit code and message of a daemon that must refuse these settings.
 pub fn refused(settings: &Path) -> (Option<i32>, String) {
     let mut command = binaries::command("monsoonrouter");
-    let child = command
+    command
         .arg("--settings")
         .arg(settings)
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn();
-    let output = child.and_then(Child::wait_with_output);
+        .stderr(Stdio::null());
+    // A daemon that starts in spite of its settings is ended by the drop.
+    if let Ok(_accepted) = Process::start(&mut command, PATIENCE) {
+        panic!("{} was accepted", settings.display());
+    }
+    let mut command = binaries::command("monsoonrouter");
+    let output = command.arg("--settings").arg(settings).output();
     let output = output.expect("the daemon starts");
     let message = String::from_utf8_lossy(&output.stderr).into_owned();
     (output.status.code(), message)
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod probe;
 pub mod scratch;
+mod settings;
 pub mod wait;
 pub mod world;
 
--- a/crates/e2e/src/world.rs
+++ b/crates/e2e/src/world.rs
@@ -96,31 +96,6 @@
         daemon
     }
 
-    /// Settings of an agent beside the target of `PLACES[index]`.
-    pub fn agent_settings(&self, index: usize) -> String {
-        let target = self.target(index);
-        let common = self.settings("agent", PLACES[index]);
-        format!("{common}[agent]\nservice = \"{SERVICE}\"\ntarget = \"{target}\"\n")
-    }
-
-    /// Common part of a settings file; the seeds are the running balancers.
-    pub fn settings(&self, role: &str, place: &str) -> String {
-        let seeds = self
-            .balancers
-            .iter()
-            .map(|daemon| daemon.address("control"));
-        let seeds: Vec<_> = seeds.map(|address| format!("\"{address}\"")).collect();
-        let (seeds, store) = (seeds.join(", "), self.store());
-        let certs = self.scratch.join("certs").display().to_string();
-        format!(
-            "role = \"{role}\"\nenvironment = \"production\"\ndata_centre = \"{place}\"\n\
-             control = \"127.0.0.1:0\"\ndata = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
-             admin = \"127.0.0.1:0\"\nseeds = [{seeds}]\nstore = [\"{store}\"]\n\
-             keys = \"{certs}/keys.toml\"\n[tls]\ncertificate = \"{certs}/server.pem\"\n\
-             key = \"{certs}/server.key\"\nauthority = \"{certs}/ca.pem\"\n"
-        )
-    }
-
     /// Starts a daemon with these settings.
     pub fn daemon(&mut self, role: &str, settings: &str) -> Daemon {
         self.started += 1;
