Measure start and change of configuration with documents of 360 services

Cause: the start during an outage was measured with a document of one service, and the time until a change is in force was not measured.

Change: SERVICES sets the size of the documents of the scripts, and scripts/measure-store.sh prints the time until a change is in force in all balancers.

The times of changes are still being measured.

--- a/scripts/loopback.sh
+++ b/scripts/loopback.sh
@@ -82,18 +82,28 @@
 EOF
 }
 
-# document COUNT SLOTS: a document of COUNT data centres and one service.
+# document COUNT SLOTS: a document of COUNT data centres and SERVICES services.
 document() {
     echo 'tenant = "karavanex"'
+    local number
     for number in $(seq "$1"); do
         printf '[[data_centre]]\nname = "place-%d"\nnumber = %d\nregion = "morava"\n' "$number" "$number"
     done
+    service 1 192.0.2.1 "$2"
+    # The balancers have no socket for further services.
+    for number in $(seq 2 "${SERVICES:-1}"); do
+        service "$number" "198.18.$((number / 256)).$((number % 256))" "$2"
+    done
+}
+
+# service NUMBER ADDRESS SLOTS: one service of a document.
+service() {
     cat <<EOF
 [[service]]
-name = "prodejna"
-number = 1
-addresses = ["192.0.2.1:443"]
-slots = $2
+name = "service-$1"
+number = $1
+addresses = ["$2:443"]
+slots = $3
 connections = 2000
 cold_share = 0.1
 [[service.class]]
@@ -103,6 +113,13 @@
 stream = true
 idempotent = true
 weight = 1
+[[service.class]]
+name = "hold"
+method = "POST"
+path = "/holds"
+idempotent = false
+weight = 1
+deadline_ms = 2000
 EOF
 }
 
--- a/scripts/measure-store.sh
+++ b/scripts/measure-store.sh
@@ -22,6 +22,18 @@
     exec 3<&-
 }
 
+# in_force_after BEGIN LINES: ms from BEGIN until the logs together show LINES documents in force.
+in_force_after() {
+    for _ in $(seq 300); do
+        if [ "$(cat "$DIR"/balancer-*.log | grep -c "document version [0-9]* is in force")" -ge "$2" ]; then
+            echo $(($(date +%s%3N) - $1))
+            return
+        fi
+        sleep 0.05
+    done
+    fail "a change is not in force everywhere after 15 s"
+}
+
 # measure COUNT: prints one row.
 measure() {
     rm -f "$DIR"/*.out "$DIR"/*.log
@@ -29,7 +41,7 @@
     start platform "$BIN/monsoon-standin" platform --port 0
     PLATFORM=$(address platform address)
     apply "$1" 4
-    local place number before after quiet
+    local place number before after quiet begin in_force
     for place in $(seq "$1"); do
         for number in $(seq "$BALANCERS"); do
             local name=balancer-$place-$number
@@ -45,26 +57,27 @@
     read -r -a before <<<"$(calls)"
     sleep "$SECONDS_MEASURED"
     read -r -a quiet <<<"$(calls)"
+    begin=$(date +%s%3N)
     apply "$1" 5
+    in_force=$(in_force_after "$begin" $((2 * BALANCERS * $1)))
     sleep "$SECONDS_OF_CHANGE"
     read -r -a after <<<"$(calls)"
-    for name in "$DIR"/balancer-*.log; do
-        grep -q "document version [0-9]* is in force" "$name" || fail "$name has no document"
-    done
     awk -v size="$1" -v time="$SECONDS_MEASURED" -v change="$SECONDS_OF_CHANGE" \
+        -v in_force="$in_force" \
         -v a="${before[*]}" -v b="${quiet[*]}" -v c="${after[*]}" 'BEGIN {
             split(a, before, " "); split(b, quiet, " "); split(c, after, " ")
             reads = (quiet[1] - before[1]) / time; writes = (quiet[2] - before[2]) / time
             print size, reads, writes, quiet[3], \
-                after[1] - quiet[1] - reads * change, after[2] - quiet[2] - writes * change
+                after[1] - quiet[1] - reads * change, after[2] - quiet[2] - writes * change, in_force
         }' | tee -a "$DIR/rows"
     end_children
 }
 
-echo "data centres, reads/s, writes/s, waiting watches, reads of a change, writes of a change"
+echo "data centres, reads/s, writes/s, waiting watches, reads of a change, writes of a change, ms until in force"
 for size in "${DATA_CENTRES[@]}"; do measure "$size"; done
 fit 2 "reads per second"
 fit 3 "writes per second"
 fit 4 "waiting watches"
 fit 5 "reads of a change, above the steady ones in 10 s"
 fit 6 "writes of a change, above the steady ones in 10 s"
+fit 7 "ms until a change is in force everywhere"
