Tell processes at one address apart in connection IDs

Connection IDs now carry 8 bits of the agent's identity in the nonce, and resets go to flows of the process that died only. An agent that left is reset at once; one that was declared dead after 5 s, because a suspicion may be wrong.

The status object was rewritten with every renewal of the lease, because the fence is part of it; now only when its processes change.

--- a/crates/daemon/src/agent/cid.rs
+++ b/crates/daemon/src/agent/cid.rs
@@ -14,36 +14,39 @@
     agent: SocketAddrV4,
     service: ServiceId,
     data_centre: DataCentreId,
-    nonce: u32,
+    epoch: u8,
+    count: u32,
 }
 
 impl CidGenerator {
-    /// Generator for the agent at `agent`; nonces count up from `nonce`.
+    /// Generator for the agent with `epoch` at `agent`; IDs count up from `count`.
     pub fn new(
         keys: Arc<Keyring>,
         agent: SocketAddrV4,
         service: ServiceId,
         data_centre: DataCentreId,
-        nonce: u32,
+        epoch: u8,
+        count: u32,
     ) -> Self {
         Self {
             keys,
             agent,
             service,
             data_centre,
-            nonce,
+            epoch,
+            count,
         }
     }
 }
 
 impl ConnectionIdGenerator for CidGenerator {
     fn generate_cid(&mut self) -> quinn_proto::ConnectionId {
-        self.nonce = self.nonce.wrapping_add(1);
+        self.count = self.count.wrapping_add(1);
         let id = ConnectionId {
             agent: self.agent,
             service: self.service,
             data_centre: self.data_centre,
-            nonce: self.nonce,
+            nonce: ConnectionId::nonce_of(self.epoch, self.count),
         };
         quinn_proto::ConnectionId::new(&id.seal(&self.keys))
     }
--- a/crates/daemon/src/agent/start.rs
+++ b/crates/daemon/src/agent/start.rs
@@ -78,7 +78,7 @@
     let builder = Builder { shell, placement };
     let agent = builder.agent(target);
     let socket = builder.socket(&agent, &sockets);
-    let endpoint = builder.endpoint(Arc::clone(&socket))?;
+    let endpoint = builder.endpoint(&agent, Arc::clone(&socket))?;
     let (events, membership) = builder.join(&agent, socket);
     builder.spawn_services(&agent, &endpoint, sockets);
     log::info!("agent: serves {service} of {}", agent.tenant);
@@ -280,7 +280,8 @@
         }))
     }
 
-    fn endpoint(&self, socket: Arc<AgentSocket>) -> Result<Endpoint, AgentError> {
+    fn endpoint(&self, agent: &Agent, socket: Arc<AgentSocket>) -> Result<Endpoint, AgentError> {
+        let epoch = agent.id.epoch();
         let (keys, data) = (
             Arc::clone(&self.shell.control.keys),
             self.shell.addresses.data,
@@ -288,13 +289,14 @@
         let (service, data_centre) = (self.placement.service.number, self.placement.place.number);
         let mut config = EndpointConfig::new(Arc::new(keys.reset_key().clone()));
         config.cid_generator(move || {
-            let nonce = rand::random();
+            let count = rand::random();
             Box::new(CidGenerator::new(
                 Arc::clone(&keys),
                 data,
                 service,
                 data_centre,
-                nonce,
+                epoch,
+                count,
             ))
         });
         let tls =
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -44,37 +44,33 @@
         let departed = self.note_seen(&agents);
         let mut router = self.router.lock().expect("no panic while the lock is held");
         router.set_out(now, out);
-        for agent in departed {
-            router.mark_dead(now, agent);
+        for (id, agent) in departed {
+            router.mark_left(now, agent, id.epoch());
         }
         for agent in &agents {
-            router.mark_alive(agent.data);
+            router.mark_alive(agent.data, agent.id.epoch());
         }
         for (service, candidates) in tables {
             router.update(now, service, candidates);
         }
     }
 
-    /// Replaces the agents seen and returns the addresses of those that left by themselves.
+    /// Replaces the agents seen and returns those that left by themselves.
     ///
     /// An agent that is only hidden behind a cut link may still serve its flows.
-    fn note_seen(&self, agents: &[Member]) -> Vec<SocketAddrV4> {
+    fn note_seen(&self, agents: &[Member]) -> Vec<(AgentId, SocketAddrV4)> {
         let present = agents.iter().map(|agent| (agent.id, agent.data)).collect();
         let mut seen = self.seen.lock().expect("no panic while the lock is held");
         let before = std::mem::replace(&mut *seen, present);
         let node = self.node.lock().expect("no panic while the lock is held");
         let left = |id: &AgentId| node.status(*id) == Some(Status::Left);
-        before
-            .into_iter()
-            .filter(|(id, _)| left(id))
-            .map(|(_, agent)| agent)
-            .collect()
+        before.into_iter().filter(|(id, _)| left(id)).collect()
     }
 
     /// Notes the death of a member.
     pub fn mark_dead(&self, now: Instant, member: &Member) {
         let mut router = self.router.lock().expect("no panic while the lock is held");
-        router.mark_dead(now, member.data);
+        router.mark_dead(now, member.data, member.id.epoch());
     }
 }
 
--- a/crates/daemon/src/balancer/forward.rs
+++ b/crates/daemon/src/balancer/forward.rs
@@ -81,6 +81,7 @@
                 agent: id.agent,
                 service: id.service,
                 data_centre: id.data_centre,
+                epoch: id.epoch(),
             });
         }
         match packet {
--- a/crates/daemon/src/balancer/status_writer.rs
+++ b/crates/daemon/src/balancer/status_writer.rs
@@ -117,9 +117,15 @@
                     written.clear();
                     break;
                 };
-                let status = self.status(place, token);
-                if written.get(&place) != Some(&status) && self.put(&name, token, &status).await {
-                    written.insert(place, status);
+                // The fence changes with each renewal of the lease and alone is no reason to write.
+                let processes = self.processes(place);
+                if written.get(&place) == Some(&processes) {
+                    continue;
+                }
+                let fence = token.0;
+                let status = Status { fence, processes };
+                if self.put(&name, token, &status).await {
+                    written.insert(place, status.processes);
                 }
             }
         }
@@ -136,22 +142,18 @@
         named.unwrap_or_default()
     }
 
-    fn status(&self, place: DataCentreId, token: Version) -> Status {
+    /// Processes of a data centre, in a fixed order.
+    fn processes(&self, place: DataCentreId) -> Vec<Process> {
         let node = self
             .tables
             .node
             .lock()
             .expect("no panic while the lock is held");
         let members = node.agents().chain(node.balancers());
-        let mut processes: Vec<_> = members
-            .filter(|member| member.place == place)
-            .map(process)
-            .collect();
+        let own = members.filter(|member| member.place == place);
+        let mut processes: Vec<_> = own.map(process).collect();
         processes.sort();
-        Status {
-            fence: token.0,
-            processes,
-        }
+        processes
     }
 
     /// Replaces the status object; false when it has to be tried again.
--- a/crates/lab/src/fleet/agents.rs
+++ b/crates/lab/src/fleet/agents.rs
@@ -102,7 +102,9 @@
         if process.agent.phase != Phase::Serving {
             return self.reply(index, flow, Reply::Refused);
         }
-        process.agent.nonce = process.agent.nonce.wrapping_add(1) & monsoon_wire::NONCE_MASK;
+        let epoch = process.agent.nonce >> 16;
+        process.agent.nonce =
+            ConnectionId::nonce_of(epoch as u8, process.agent.nonce.wrapping_add(1));
         let held = Held {
             parts: 1 << part,
             nonce: process.agent.nonce,
--- a/crates/lab/src/fleet/balancers.rs
+++ b/crates/lab/src/fleet/balancers.rs
@@ -77,6 +77,7 @@
                 agent: id.agent,
                 service: id.service,
                 data_centre: id.data_centre,
+                epoch: id.epoch(),
             });
         }
         let flow = &self.flows[flow];
--- a/crates/lab/src/fleet/control.rs
+++ b/crates/lab/src/fleet/control.rs
@@ -71,7 +71,10 @@
                 Action::Changed => self.changed(index),
                 Action::Died(member) => {
                     let now = self.now;
-                    self.processes[index].router.mark_dead(now, member.data);
+                    let epoch = member.id.epoch();
+                    self.processes[index]
+                        .router
+                        .mark_dead(now, member.data, epoch);
                 }
                 Action::Newer { peer, versions } => self.fetch(index, peer, versions),
             }
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -9,6 +9,7 @@
 };
 use monsoon_model::{AgentId, DataCentreId, Duration, Instant, ServiceId};
 use monsoon_routing::{Handoff, Load, Router};
+use monsoon_wire::ConnectionId;
 
 /// Most control messages that the socket of a frozen process holds.
 pub const INBOX: usize = 200;
@@ -152,7 +153,7 @@
                 flows: BTreeMap::new(),
                 heard: BTreeMap::new(),
                 members: Vec::new(),
-                nonce: id.0 as u32,
+                nonce: ConnectionId::nonce_of(id.epoch(), (id.0 >> 8) as u32),
                 slots: Vec::new(),
                 answers: BTreeMap::new(),
             },
@@ -278,7 +279,7 @@
         let tables = super::tables::candidates(document, home, &agents, &out);
         self.router.set_out(now, out);
         for agent in &agents {
-            self.router.mark_alive(agent.data);
+            self.router.mark_alive(agent.data, agent.id.epoch());
         }
         for (service, candidates) in tables {
             self.router.update(now, service, candidates);
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -40,6 +40,14 @@
     Version(u64)
 }
 
+impl AgentId {
+    /// Short tag of the process, carried in its connection IDs. It tells apart processes that used
+    /// one address after the other; two of them share a tag once in 256 times.
+    pub const fn epoch(self) -> u8 {
+        self.0 as u8
+    }
+}
+
 /// Versions of the two configuration objects that a process has in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Versions {
--- a/crates/routing/benches/routing.rs
+++ b/crates/routing/benches/routing.rs
@@ -78,6 +78,7 @@
         agent,
         service: SERVICE,
         data_centre,
+        epoch: 1,
     });
     bencher.bench_local(|| router.route(Instant::from_secs(60), SERVICE, black_box(flow)));
 }
--- a/crates/routing/src/dead.rs
+++ b/crates/routing/src/dead.rs
@@ -12,51 +12,65 @@
 /// timeout well before that.
 pub const DEAD_TTL: Duration = Duration::from_secs(300);
 
-/// Time from the news of a death to the first reset. An agent that restarts at the same address takes
-/// flows at once, and a balancer of another data centre may learn of the death that long before it
-/// learns of the restart: the speakers' contact and a returning data centre's comparison of tables.
+/// Time from the news of a death to the first reset. A suspicion can be wrong, most often during a cut
+/// between data centres, and a reset ends a flow for good.
 pub const RESET_AFTER: Duration = Duration::from_secs(5);
 
-/// Addresses of agents that stopped within [`DEAD_TTL`].
+/// Agents that stopped within [`DEAD_TTL`].
 #[derive(Debug, Default)]
 pub(crate) struct Dead {
-    agents: BTreeMap<SocketAddrV4, Instant>,
+    /// Addresses where nobody runs.
+    down: BTreeMap<SocketAddrV4, Instant>,
+    /// Processes, by address and epoch, and when resets begin.
+    gone: BTreeMap<(SocketAddrV4, u8), Instant>,
 }
 
 impl Dead {
-    /// Adds an agent; returns whether another one was forgotten for it.
-    pub(crate) fn insert(&mut self, now: Instant, agent: SocketAddrV4) -> bool {
-        let since = self.agents.entry(agent).or_insert(now);
-        if now.since(*since) >= DEAD_TTL {
-            *since = now;
-        }
-        if self.agents.len() <= MAX_DEAD {
-            return false;
-        }
-        self.agents.retain(|_, since| now.since(*since) < DEAD_TTL);
-        if self.agents.len() <= MAX_DEAD {
-            return false;
-        }
-        let oldest = self.agents.iter().min_by_key(|(_, since)| **since);
-        if let Some(agent) = oldest.map(|(agent, _)| *agent) {
-            self.agents.remove(&agent);
-        }
-        true
+    /// Adds an agent whose flows are reset from `reset` on; returns whether another one was
+    /// forgotten for it.
+    pub(crate) fn insert(
+        &mut self,
+        now: Instant,
+        agent: SocketAddrV4,
+        epoch: u8,
+        reset: Instant,
+    ) -> bool {
+        self.down.insert(agent, now);
+        let from = self.gone.entry((agent, epoch)).or_insert(reset);
+        *from = (*from).min(reset);
+        let evicted = bound(&mut self.down, now);
+        bound(&mut self.gone, now) || evicted
     }
 
-    pub(crate) fn remove(&mut self, agent: SocketAddrV4) {
-        self.agents.remove(&agent);
+    pub(crate) fn remove(&mut self, agent: SocketAddrV4, epoch: u8) {
+        self.down.remove(&agent);
+        self.gone.remove(&(agent, epoch));
     }
 
     /// Whether flows of the agent are answered with resets.
-    pub(crate) fn resets(&self, now: Instant, agent: SocketAddrV4) -> bool {
-        let since = self.agents.get(&agent);
-        since.is_some_and(|since| now.since(*since) >= RESET_AFTER) && self.contains(now, agent)
+    pub(crate) fn resets(&self, now: Instant, agent: SocketAddrV4, epoch: u8) -> bool {
+        let from = self.gone.get(&(agent, epoch));
+        from.is_some_and(|from| now >= *from && now.since(*from) < DEAD_TTL)
     }
 
     pub(crate) fn contains(&self, now: Instant, agent: SocketAddrV4) -> bool {
-        self.agents
-            .get(&agent)
-            .is_some_and(|since| now.since(*since) < DEAD_TTL)
+        let since = self.down.get(&agent);
+        since.is_some_and(|since| now.since(*since) < DEAD_TTL)
     }
 }
+
+/// Forgets old entries above [`MAX_DEAD`], then the oldest; returns whether it had to.
+fn bound<K: Copy + Ord>(entries: &mut BTreeMap<K, Instant>, now: Instant) -> bool {
+    if entries.len() <= MAX_DEAD {
+        return false;
+    }
+    entries.retain(|_, since| now.since(*since) < DEAD_TTL);
+    if entries.len() <= MAX_DEAD {
+        return false;
+    }
+    let oldest = entries.iter().min_by_key(|(_, since)| **since);
+    if let Some(key) = oldest.map(|(key, _)| *key) {
+        entries.remove(&key);
+    }
+    true
+}
--- a/crates/routing/src/first_look.rs
+++ b/crates/routing/src/first_look.rs
@@ -13,6 +13,8 @@
     pub service: ServiceId,
     /// Data centre of the agent.
     pub data_centre: DataCentreId,
+    /// Epoch of the agent, see [`monsoon_model::AgentId::epoch`].
+    pub epoch: u8,
 }
 
 /// Result of looking at a packet's type and connection ID.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -6,7 +6,7 @@
 use monsoon_model::{DataCentreId, Duration, Instant, ServiceId};
 
 use crate::chain;
-use crate::dead::Dead;
+use crate::dead::{Dead, RESET_AFTER};
 use crate::first_look::{Destination, FirstLook};
 use crate::history::History;
 use crate::route::{Counters, DropReason, Route};
@@ -100,19 +100,28 @@
         }
     }
 
-    /// Records that an agent has stopped, whether it crashed or left.
+    /// Records that an agent was declared dead.
     ///
-    /// No chain contains it until [`Router::mark_alive`] or [`crate::DEAD_TTL`] later, even when it
-    /// is still among the candidates. Its established flows are answered with resets after
-    /// [`crate::RESET_AFTER`].
-    pub fn mark_dead(&mut self, now: Instant, agent: SocketAddrV4) {
-        let evicted = self.dead.insert(now, agent);
+    /// No chain contains its address until [`Router::mark_alive`] or [`crate::DEAD_TTL`] later, even
+    /// when it is still among the candidates. Its established flows, told by the epoch, are answered
+    /// with resets after [`RESET_AFTER`].
+    pub fn mark_dead(&mut self, now: Instant, agent: SocketAddrV4, epoch: u8) {
+        self.insert_dead(now, agent, epoch, now + RESET_AFTER);
+    }
+
+    /// Records that an agent has left by its own announcement: resets begin at once.
+    pub fn mark_left(&mut self, now: Instant, agent: SocketAddrV4, epoch: u8) {
+        self.insert_dead(now, agent, epoch, now);
+    }
+
+    fn insert_dead(&mut self, now: Instant, agent: SocketAddrV4, epoch: u8, reset: Instant) {
+        let evicted = self.dead.insert(now, agent, epoch, reset);
         self.counters.evicted_dead += u64::from(evicted);
     }
 
-    /// Records that an agent runs at an address again.
-    pub fn mark_alive(&mut self, agent: SocketAddrV4) {
-        self.dead.remove(agent);
+    /// Records that the agent of this epoch runs at an address.
+    pub fn mark_alive(&mut self, agent: SocketAddrV4, epoch: u8) {
+        self.dead.remove(agent, epoch);
     }
 
     /// Events since the start.
@@ -137,7 +146,7 @@
         }
         let out = self.out.get(&destination.data_centre);
         let is_out = out.is_some_and(|end| now >= *end);
-        if is_out || self.dead.resets(now, destination.agent) {
+        if is_out || self.dead.resets(now, destination.agent, destination.epoch) {
             return Route::Reset;
         }
         Route::Established(destination.agent)
--- a/crates/wire/src/cid.rs
+++ b/crates/wire/src/cid.rs
@@ -33,12 +33,22 @@
     pub data_centre: DataCentreId,
     /// Distinguishes the IDs of one agent; only the low 24 bits are carried.
     ///
-    /// An agent counts up from a random start, so that IDs do not repeat while a flow of an earlier
-    /// process at the same address may still send.
+    /// The high 8 of them are the agent's epoch, the low 16 count up from a random start, so that IDs
+    /// do not repeat while a flow of an earlier process at the same address may still send.
     pub nonce: u32,
 }
 
 impl ConnectionId {
+    /// Nonce of an agent with `epoch`; of `count` only the low 16 bits are carried.
+    pub const fn nonce_of(epoch: u8, count: u32) -> u32 {
+        (epoch as u32) << 16 | (count & 0xffff)
+    }
+
+    /// Epoch of the agent that issued the ID.
+    pub const fn epoch(&self) -> u8 {
+        (self.nonce >> 16) as u8
+    }
+
     /// Encrypts the fields under the current key.
     pub fn seal(&self, keys: &Keyring) -> [u8; CID_LEN] {
         let keys = keys.current();
