--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,61 +13,7 @@
 SERVICE=prodejna
 PLACES=(brno-a brno-b olomouc)
 
-if [ "$PROFILE" = release ]; then
-    cargo build --quiet --locked --workspace --bins --release
-else
-    cargo build --quiet --locked --workspace --bins
-fi
-BIN=target/$PROFILE
-DIR=$(mktemp -d)
-CHILDREN=()
-
-# Ends the remaining children and removes the temporary files.
-clean_up() {
-    for pid in "${CHILDREN[@]}"; do
-        kill -KILL "$pid" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-    if [ "${KEEP_LOGS:-no}" = yes ]; then
-        echo "logs are in $DIR"
-    else
-        rm -rf "$DIR"
-    fi
-}
-trap clean_up EXIT
-
-# start NAME COMMAND...: starts a child; its output goes to NAME.out and NAME.log.
-start() {
-    local name=$1
-    shift
-    "$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
-    LAST_PID=$!
-    CHILDREN+=("$LAST_PID")
-}
-
-# fail TEXT: reports a failed step with the newest log lines.
-fail() {
-    echo "demo: $1" >&2
-    tail -n 5 "$DIR"/*.log >&2 || true
-    exit 1
-}
-
-# wait_for FILE PATTERN: waits until a line of the file matches.
-wait_for() {
-    for _ in $(seq 200); do
-        if grep -qE "$2" "$DIR/$1" 2>/dev/null; then
-            return 0
-        fi
-        sleep 0.1
-    done
-    fail "no line '$2' in $1 after 20 s"
-}
-
-# address NAME KEY: value of KEY in the ready line of a child.
-address() {
-    wait_for "$1.out" '^ready'
-    sed -nE "s/^ready.*[ ]$2=([^ ]+).*/\1/p" "$DIR/$1.out" | head -n 1
-}
+source scripts/loopback.sh
 
 # post ADDRESS PATH BODY: one HTTP request; fails unless the answer is 2xx.
 post() {
@@ -89,28 +35,6 @@
     exec 3<&-
 }
 
-# settings NAME ROLE PLACE: common part of a daemon's settings file.
-settings() {
-    cat >"$DIR/$1.toml" <<EOF
-role = "$2"
-environment = "production"
-data_centre = "$3"
-control = "127.0.0.1:0"
-data = "127.0.0.1:0"
-peer = "127.0.0.1:0"
-admin = "127.0.0.1:0"
-seeds = [${SEEDS:-}]
-store = ["$PLATFORM"]
-keys = "$DIR/certs/keys.toml"
-
-[tls]
-certificate = "$DIR/certs/server.pem"
-key = "$DIR/certs/server.key"
-authority = "$DIR/certs/ca.pem"
-
-EOF
-}
-
 # start_balancer NAME PLACE: starts a balancer and sets LAST_SERVICE to its service socket.
 start_balancer() {
     settings "$1" balancer "$2"
@@ -123,8 +47,6 @@
     LAST_SERVICE=$(sed -nE "s/.*$SERVICE_ADDRESS is served at ([0-9.:]+).*/\1/p" "$DIR/$1.log" | head -n 1)
 }
 
-mkdir "$DIR/certs"
-"$BIN/monsoon-standin" certs --dir "$DIR/certs" >"$DIR/certs.out"
 start platform "$BIN/monsoon-standin" platform --port 0
 PLATFORM=$(address platform address)
 CTL=("$BIN/monsoonctl" --store "$PLATFORM" --env production --author demo)
--- a/scripts/loopback.sh
+++ b/scripts/loopback.sh
@@ -1,6 +1,7 @@
-# Functions of the scripts that measure processes on loopback; read by `source` from the root.
+# Functions of the scripts that run processes on loopback; read by `source` from the root.
 #
 # The children write to a temporary directory. They are ended by process id when the script ends.
+# KEEP_LOGS=yes keeps the directory.
 
 PROFILE=${PROFILE:-release}
 if [ "$PROFILE" = release ]; then
@@ -23,7 +24,11 @@
 
 clean_up() {
     end_children
-    rm -rf "$DIR"
+    if [ "${KEEP_LOGS:-no}" = yes ]; then
+        echo "logs are in $DIR"
+    else
+        rm -rf "$DIR"
+    fi
 }
 trap clean_up EXIT
 
