Derive the routing candidates in one place

The lab held a copy of the daemon's function that turns live agents and the document into candidates, so the fleet's proofs did not run the daemon's code. Both now call the crate placement; behaviour is unchanged.

--- a/crates/daemon/src/agent/drive.rs
+++ b/crates/daemon/src/agent/drive.rs
@@ -25,6 +25,7 @@
 
 /// Longest wait for a peer to admit a request. A frozen peer must not hold it until its deadline.
 const ADMISSION_PATIENCE: Duration = Duration::from_millis(500);
+
 /// A caller's request with what its execution needs.
 pub struct Work {
     /// Agent that received it.
--- a/crates/daemon/src/agent/socket.rs
+++ b/crates/daemon/src/agent/socket.rs
@@ -127,11 +127,8 @@
 
     /// Whether the packet carries a connection ID that this agent issued.
     fn is_own_flow(&self, payload: &[u8]) -> bool {
-        let dcid = match quic::first_look(payload) {
-            quic::Packet::Initial { dcid }
-            | quic::Packet::Long { dcid }
-            | quic::Packet::Short { dcid } => dcid,
-            quic::Packet::Unknown => return false,
+        let Some(dcid) = quic::first_look(payload).dcid() else {
+            return false;
         };
         ConnectionId::open(dcid, &self.parts.keys).is_some_and(|id| id.agent == self.parts.data)
     }
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -1,19 +1,16 @@
 //! Membership of the balancer and the routing tables that follow from it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
 
-use monsoon_config::Document;
-use monsoon_membership::{BalancerNode, Member, State, Status};
-use monsoon_model::{AgentId, DataCentreId, Instant, ServiceId};
-use monsoon_routing::{Candidate, Router};
+use monsoon_membership::{BalancerNode, Member, Status};
+use monsoon_model::{AgentId, Instant};
+use monsoon_placement::candidates;
+use monsoon_routing::Router;
 
 use crate::configuration::Configuration;
 
-/// Weight of one slot in the tables; a cold target's share of it is at least one.
-const SLOT_WEIGHT: f64 = 100.0;
-
 /// Routing tables and what they are built from.
 #[derive(Clone, Debug)]
 pub struct Tables {
@@ -73,53 +70,3 @@
         router.mark_dead(now, member.data, member.id.epoch());
     }
 }
-
-/// Candidates of each service of the document, also of those without any.
-fn candidates(
-    document: &Document,
-    home: &str,
-    agents: &[Member],
-    out: &BTreeSet<DataCentreId>,
-) -> BTreeMap<ServiceId, Vec<Candidate>> {
-    let region = document
-        .data_centre_named(home)
-        .map(|place| place.region.as_str());
-    let mut tables: BTreeMap<_, Vec<_>> = document
-        .services
-        .keys()
-        .map(|service| (*service, Vec::new()))
-        .collect();
-    for agent in agents {
-        let (Some(service), Some(place)) = (
-            document.services.get(&agent.service),
-            document.data_centres.get(&agent.place),
-        ) else {
-            continue;
-        };
-        let Some(share) = share(agent.state, service.cold_share) else {
-            continue;
-        };
-        if out.contains(&agent.place) {
-            continue;
-        }
-        let weight = f64::from(agent.slots.max(1)) * SLOT_WEIGHT * share;
-        let candidate = Candidate {
-            id: agent.id,
-            agent: agent.data,
-            data_centre: agent.place,
-            weight: (weight as u32).max(1),
-            local: Some(place.region.as_str()) == region,
-        };
-        tables.entry(agent.service).or_default().push(candidate);
-    }
-    tables
-}
-
-/// Share of its slots with which a target takes new flows; `None` for a leaving one.
-fn share(state: State, cold_share: f64) -> Option<f64> {
-    match state {
-        State::Ready => Some(1.0),
-        State::Cold => Some(cold_share),
-        State::Leaving => None,
-    }
-}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -18,7 +18,6 @@
 mod report;
 mod steps;
 mod store;
-mod tables;
 #[cfg(test)]
 mod tests;
 
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -276,7 +276,7 @@
         let agents: Vec<Member> = node.agents().copied().collect();
         let out = self.config.out();
         let home = NAMES[usize::from(self.place)];
-        let tables = super::tables::candidates(document, home, &agents, &out);
+        let tables = monsoon_placement::candidates(document, home, &agents, &out);
         self.router.set_out(now, out);
         for agent in &agents {
             self.router.mark_alive(agent.data, agent.id.epoch());
--- a/crates/lab/src/fleet/tables.rs
+++ b/crates/placement/src/lib.rs
@@ -1,4 +1,4 @@
-//! Candidates of the routing tables, as the daemon's balancer derives them from the membership.
+//! Candidates of the routing tables, derived from the live agents and the document.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -7,7 +7,7 @@
 use monsoon_model::{DataCentreId, ServiceId};
 use monsoon_routing::Candidate;
 
-/// Weight of one slot.
+/// Weight of one slot in the tables; a cold target's share of it is at least one.
 const SLOT_WEIGHT: f64 = 100.0;
 
 /// Candidates of each service of the document, also of those without any.
@@ -20,8 +20,11 @@
     let region = document
         .data_centre_named(home)
         .map(|place| place.region.as_str());
-    let services = document.services.keys();
-    let mut tables: BTreeMap<_, Vec<_>> = services.map(|service| (*service, Vec::new())).collect();
+    let mut tables: BTreeMap<_, Vec<_>> = document
+        .services
+        .keys()
+        .map(|service| (*service, Vec::new()))
+        .collect();
     for agent in agents {
         let (Some(service), Some(place)) = (
             document.services.get(&agent.service),
@@ -29,22 +32,30 @@
         ) else {
             continue;
         };
-        let share = match agent.state {
-            State::Ready => 1.0,
-            State::Cold => service.cold_share,
-            State::Leaving => continue,
+        let Some(share) = share(agent.state, service.cold_share) else {
+            continue;
         };
         if out.contains(&agent.place) {
             continue;
         }
         let weight = f64::from(agent.slots.max(1)) * SLOT_WEIGHT * share;
-        tables.entry(agent.service).or_default().push(Candidate {
+        let candidate = Candidate {
             id: agent.id,
             agent: agent.data,
             data_centre: agent.place,
             weight: (weight as u32).max(1),
             local: Some(place.region.as_str()) == region,
-        });
+        };
+        tables.entry(agent.service).or_default().push(candidate);
     }
     tables
 }
+
+/// Share of its slots with which a target takes new flows; `None` for a leaving one.
+fn share(state: State, cold_share: f64) -> Option<f64> {
+    match state {
+        State::Ready => Some(1.0),
+        State::Cold => Some(cold_share),
+        State::Leaving => None,
+    }
+}
