--- /dev/null
+++ b/crates/flow/src/agent.rs
@@ -0,0 +1,260 @@
+//! State machine of an agent: the flows of the target beside it.
+
+mod flows;
+mod inbound;
+mod outbound;
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use monsoon_model::{Duration, Instant, Versions};
+
+use crate::gate::{Announced, Bounds, Gate};
+use crate::{Action, Catalogue, FlowKey, Log, Places, Reason, Refusal, ServiceTag};
+use flows::{Flow, Flows};
+
+/// Time within which a live target answers an opening packet. A handshake takes a target under a
+/// millisecond, also when all its slots are busy.
+const ANSWER_WITHIN: Duration = Duration::from_millis(50);
+/// Most opening packets whose answer is awaited. At the bound the oldest is no longer watched.
+const MAX_AWAITED: usize = 4_096;
+/// Interval of removing expired flows.
+const EXPIRE_EVERY: Duration = Duration::from_secs(1);
+
+/// What an agent needs from the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Frame address of this agent.
+    pub me: SocketAddrV4,
+    /// Name of its data centre.
+    pub data_centre: String,
+    /// Service of the machine, until the target names its own.
+    pub service: ServiceTag,
+    /// Limits of the target.
+    pub bounds: Bounds,
+    /// Age at which a flow may be forgotten, however busy it is.
+    pub flow_ttl: Duration,
+    /// No target lived before this process, as at the first start of a deployment.
+    pub first_start: bool,
+}
+
+/// Figures of an agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AgentStats {
+    /// Requests that the target works on.
+    pub in_flight: usize,
+    /// Flows that are open or offered.
+    pub flows: usize,
+    /// Concurrent requests of the target.
+    pub slots: u16,
+}
+
+/// Flows of one target.
+#[derive(Debug)]
+pub struct Agent {
+    settings: Settings,
+    gate: Gate,
+    flows: Flows,
+    catalogue: Option<Arc<Catalogue>>,
+    out: bool,
+    versions: Versions,
+    /// Newest versions that any balancer acted on.
+    floor: Versions,
+    /// The configuration was read since the start or the last suspension.
+    checked: bool,
+    /// Start of this process.
+    started: Instant,
+    /// Flows that opened before this process started may still be open at the target.
+    unsure: bool,
+    awaited: VecDeque<(Instant, FlowKey)>,
+    expire: Instant,
+}
+
+impl Agent {
+    /// Agent that knows neither its target nor the configuration.
+    pub fn new(now: Instant, settings: Settings) -> Self {
+        Self {
+            gate: Gate::new(settings.bounds),
+            unsure: !settings.first_start,
+            settings,
+            flows: Flows::default(),
+            catalogue: None,
+            out: false,
+            versions: Versions::default(),
+            floor: Versions::default(),
+            checked: false,
+            started: now,
+            awaited: VecDeque::new(),
+            expire: now + EXPIRE_EVERY,
+        }
+    }
+
+    /// Takes changed settings.
+    pub fn configure(&mut self, settings: Settings) {
+        self.gate.set_bounds(settings.bounds);
+        self.settings = settings;
+    }
+
+    /// Takes a configuration. Older ones are ignored.
+    pub fn set_catalogue(&mut self, catalogue: Arc<Catalogue>) {
+        if catalogue.version >= self.versions.document {
+            self.versions.document = catalogue.version;
+            self.catalogue = Some(catalogue);
+        }
+    }
+
+    /// Takes the data centres taken out. Older lists are ignored.
+    pub fn set_places(&mut self, now: Instant, places: &Places) {
+        if places.version < self.versions.places {
+            return;
+        }
+        self.versions.places = places.version;
+        let out = places.out.contains(&self.settings.data_centre);
+        if self.out && !out {
+            self.gate.doubt_warmth(now);
+        }
+        self.out = out;
+    }
+
+    /// The configuration in force was compared with the store or with peers.
+    pub fn set_checked(&mut self) {
+        self.checked = true;
+    }
+
+    /// The process was suspended: nothing it believes about its target or the configuration holds
+    /// until it is confirmed.
+    pub fn thaw(&mut self) {
+        self.checked = false;
+        self.gate.forget_lease();
+    }
+
+    /// Takes a heartbeat of the target. Returns what changed, for the log.
+    pub fn hear(&mut self, now: Instant, announced: Announced) -> Option<&'static str> {
+        let readiness = announced.readiness;
+        let before = self.gate.announced().map(|a| a.readiness);
+        let first = self.gate.lifetime() == 0;
+        match self.gate.hear(now, announced) {
+            None => Some("ignored"),
+            Some(true) => {
+                // A lifetime that follows another one began while this process ran.
+                self.unsure &= first;
+                self.flows.end_all();
+                Some("started")
+            }
+            Some(false) => (before != Some(readiness)).then_some("changed"),
+        }
+    }
+
+    /// The target says that it has ended.
+    pub fn leave(&mut self, id: &str) -> bool {
+        let left = self.gate.leave(id);
+        if left {
+            self.flows.end_all();
+        }
+        left
+    }
+
+    /// State of the target.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Service of the target.
+    pub fn service(&self) -> ServiceTag {
+        let announced = self.gate.announced().map(|a| a.service);
+        announced.unwrap_or(self.settings.service)
+    }
+
+    /// Versions in force.
+    pub fn versions(&self) -> Versions {
+        self.versions
+    }
+
+    /// Why the target takes no new flow, apart from its load.
+    pub fn closed(&self, now: Instant) -> Option<Reason> {
+        if self.out {
+            return Some(Reason::Out);
+        }
+        if !self.checked {
+            return Some(Reason::Unchecked);
+        }
+        self.gate.closed(now)
+    }
+
+    /// Figures for announcements and metrics.
+    pub fn stats(&self) -> AgentStats {
+        AgentStats {
+            in_flight: self.flows.in_flight(),
+            flows: self.flows.len(),
+            slots: self.slots(),
+        }
+    }
+
+    /// Passes on opening packets that the target left unanswered and forgets old flows.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut out = Vec::new();
+        while let Some(&(at, key)) = self.awaited.front() {
+            if now.since(at) < ANSWER_WITHIN {
+                break;
+            }
+            self.awaited.pop_front();
+            self.unanswered(now, key, &mut out);
+        }
+        if now >= self.expire {
+            self.expire = now + EXPIRE_EVERY;
+            let idle = self.catalogue.as_ref().map(|c| c.idle);
+            self.flows
+                .expire(now, idle.unwrap_or(self.settings.flow_ttl));
+            if now.since(self.started) > self.settings.flow_ttl {
+                self.unsure = false;
+            }
+        }
+        out
+    }
+
+    /// When the next tick is due.
+    pub fn next_tick(&self) -> Instant {
+        let awaited = self.awaited.front().map(|&(at, _)| at + ANSWER_WITHIN);
+        awaited.map_or(self.expire, |at| at.min(self.expire))
+    }
+
+    fn slots(&self) -> u16 {
+        self.gate.announced().map_or(1, |a| a.slots.max(1))
+    }
+
+    fn await_answer(&mut self, now: Instant, key: FlowKey) {
+        if self.awaited.len() >= MAX_AWAITED {
+            self.awaited.pop_front();
+        }
+        self.awaited.push_back((now, key));
+    }
+
+    fn unanswered(&mut self, now: Instant, key: FlowKey, out: &mut Vec<Action>) {
+        if let Some(Flow::Offered(offered)) = self.flows.get(key)
+            && offered.offer.is_none()
+        {
+            let (open, packet) = (offered.open.clone(), offered.packet.clone());
+            self.flows.remove(key);
+            self.gate.mute(now);
+            self.pass(key, open, packet, Reason::Mute, out);
+        }
+    }
+}
+
+fn log(key: FlowKey, decision: &'static str, inputs: String) -> Action {
+    Action::Log(Log {
+        key,
+        decision,
+        inputs,
+    })
+}
+
+fn refuse(key: FlowKey, expects: u32) -> Action {
+    Action::Refuse(Refusal { key, expects })
+}
+
+fn send(to: SocketAddrV4, frame: crate::Frame, packet: Bytes) -> Action {
+    Action::Send { to, frame, packet }
+}
--- /dev/null
+++ b/crates/flow/src/agent/flows.rs
@@ -0,0 +1,170 @@
+//! Table of the flows of one target.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+use monsoon_model::{Duration, Instant};
+
+use crate::{Facts, FlowKey, Open};
+
+/// Most flows kept. At the bound a further one is refused.
+const MAX_FLOWS: usize = 65_536;
+/// Time for which a closed flow is kept, because its last packets are sent again.
+const CLOSED_FOR: Duration = Duration::from_secs(4);
+/// Time for which an unanswered request counts as work of the target.
+const REQUEST_FOR: Duration = Duration::from_secs(10);
+
+/// Opening packet that was handed to the target.
+#[derive(Clone, Debug)]
+pub(super) struct Offered {
+    /// Header with which it came.
+    pub open: Open,
+    /// The packet.
+    pub packet: Bytes,
+    /// Caller's first sequence number, which tells a copy from a new flow of the same ends.
+    pub sequence: u32,
+    /// First sequence number of the target.
+    pub offer: Option<u32>,
+    /// When it was handed over.
+    pub at: Instant,
+}
+
+/// Flow in which the caller has answered the target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Opened {
+    /// Caller's first sequence number, unknown after a restart of the agent.
+    pub sequence: Option<u32>,
+    /// First sequence number of the target, unknown after a restart of the agent.
+    pub offer: Option<u32>,
+    /// End of what the target has sent.
+    pub sent: u32,
+    /// Last packet in either direction.
+    pub used: Instant,
+    /// Since when a request waits for its answer.
+    pub waits: Option<Instant>,
+    /// The caller closed its direction.
+    pub caller_closed: bool,
+    /// The target closed its direction.
+    pub target_closed: bool,
+}
+
+/// One flow.
+#[derive(Clone, Debug)]
+pub(super) enum Flow {
+    /// The target was offered the flow.
+    Offered(Offered),
+    /// The flow is open.
+    Open(Opened),
+    /// A packet of a flow from before the start of this process was handed to the target; the
+    /// balancer hears whether the target holds it.
+    Tried { from: SocketAddrV4, at: Instant },
+    /// The target's lifetime is over, or it returned a packet of its own flow.
+    Ended { at: Instant },
+}
+
+impl Opened {
+    /// Whether the caller's packet belongs to this flow: it expects something that the target has
+    /// sent. A flow that opened at another target has other sequence numbers.
+    pub(super) fn matches(&self, facts: &Facts) -> bool {
+        let Some(offer) = self.offer else {
+            return true;
+        };
+        // The offer takes one sequence number and the close another one.
+        let room = self.sent.wrapping_sub(offer).wrapping_add(2);
+        facts.expects.wrapping_sub(offer) <= room
+    }
+
+    /// Notes the end of a packet of the target.
+    pub(super) fn sent_to(&mut self, end: u32) {
+        if end.wrapping_sub(self.sent) < 1 << 31 {
+            self.sent = end;
+        }
+    }
+}
+
+/// Flows by key.
+#[derive(Debug, Default)]
+pub(super) struct Flows {
+    flows: BTreeMap<FlowKey, Flow>,
+    waiting: usize,
+}
+
+impl Flows {
+    pub(super) fn get(&self, key: FlowKey) -> Option<&Flow> {
+        self.flows.get(&key)
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        self.flows.len() < MAX_FLOWS
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub(super) fn in_flight(&self) -> usize {
+        self.waiting
+    }
+
+    pub(super) fn set(&mut self, key: FlowKey, flow: Flow) {
+        self.waiting += usize::from(waits(&flow));
+        if let Some(old) = self.flows.insert(key, flow) {
+            self.waiting -= usize::from(waits(&old));
+        }
+    }
+
+    pub(super) fn remove(&mut self, key: FlowKey) {
+        if let Some(old) = self.flows.remove(&key) {
+            self.waiting -= usize::from(waits(&old));
+        }
+    }
+
+    /// Changes an open flow.
+    pub(super) fn update(&mut self, key: FlowKey, change: impl FnOnce(&mut Opened)) {
+        if let Some(Flow::Open(opened)) = self.flows.get_mut(&key) {
+            let before = opened.waits.is_some();
+            change(opened);
+            let after = opened.waits.is_some();
+            self.waiting = self.waiting + usize::from(after) - usize::from(before);
+        }
+    }
+
+    /// Ends all flows, because the target's lifetime is over.
+    pub(super) fn end_all(&mut self) {
+        for flow in self.flows.values_mut() {
+            let at = match flow {
+                Flow::Offered(offered) => offered.at,
+                Flow::Open(opened) => opened.used,
+                Flow::Tried { at, .. } | Flow::Ended { at } => *at,
+            };
+            *flow = Flow::Ended { at };
+        }
+        self.waiting = 0;
+    }
+
+    /// Forgets flows that were idle for longer than `idle`, and closed ones earlier.
+    pub(super) fn expire(&mut self, now: Instant, idle: Duration) {
+        for flow in self.flows.values_mut() {
+            if let Flow::Open(opened) = flow
+                && opened.waits.is_some_and(|at| now.since(at) > REQUEST_FOR)
+            {
+                opened.waits = None;
+            }
+        }
+        self.flows.retain(|_, flow| match flow {
+            Flow::Offered(offered) => now.since(offered.at) < CLOSED_FOR,
+            Flow::Open(opened) if opened.caller_closed && opened.target_closed => {
+                now.since(opened.used) < CLOSED_FOR
+            }
+            Flow::Open(opened) => now.since(opened.used) <= idle,
+            Flow::Tried { at, .. } => now.since(*at) < CLOSED_FOR,
+            Flow::Ended { at } => now.since(*at) <= idle,
+        });
+        self.waiting = self.flows.values().filter(|flow| waits(flow)).count();
+    }
+}
+
+fn waits(flow: &Flow) -> bool {
+    matches!(flow, Flow::Open(opened) if opened.waits.is_some())
+}
--- /dev/null
+++ b/crates/flow/src/agent/inbound.rs
@@ -0,0 +1,225 @@
+//! Frames from balancers and other agents.
+
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+use monsoon_model::{Duration, Instant};
+
+use super::flows::{Flow, Offered, Opened};
+use super::{Agent, log, refuse, send};
+use crate::{Action, Facts, FlowKey, Frame, Holds, Kind, Open, Reason};
+
+impl Agent {
+    /// Handles a frame of another process. `facts` are those of the packet behind it.
+    pub fn receive(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        frame: Frame,
+        packet: Bytes,
+        facts: Option<Facts>,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        match (frame, facts) {
+            (Frame::Open(open), Some(facts)) => self.open(now, open, packet, facts, &mut out),
+            (Frame::Data, Some(facts)) => self.data(now, from, packet, facts, &mut out),
+            (Frame::Ask { key, expects }, _) => {
+                let holds = self.holds(key, expects, &mut out);
+                let answer = Frame::Answer { key, holds };
+                out.push(send(from, answer, Bytes::new()));
+            }
+            // Answers and refusals are for balancers.
+            _ => {}
+        }
+        out
+    }
+
+    fn open(
+        &mut self,
+        now: Instant,
+        open: Open,
+        packet: Bytes,
+        facts: Facts,
+        out: &mut Vec<Action>,
+    ) {
+        let key = facts.key;
+        if self.is_copy(&facts) {
+            out.push(Action::Deliver(packet));
+            return;
+        }
+        match self.judge(now, &open, key) {
+            Ok(()) => {
+                let inputs = format!(
+                    "service={} config={} places={} beat_age_ms={} in_flight={}",
+                    open.service,
+                    open.versions.document,
+                    open.versions.places,
+                    self.gate.age(now).map_or(0, Duration::as_millis),
+                    self.flows.in_flight(),
+                );
+                out.push(log(key, "taken", inputs));
+                out.push(Action::Deliver(packet.clone()));
+                let offered = Offered {
+                    open,
+                    packet,
+                    sequence: facts.sequence,
+                    offer: None,
+                    at: now,
+                };
+                self.flows.set(key, Flow::Offered(offered));
+                self.await_answer(now, key);
+            }
+            Err(reason) => self.pass(key, open, packet, reason, out),
+        }
+    }
+
+    /// Whether the target has this opening packet already.
+    fn is_copy(&self, facts: &Facts) -> bool {
+        match self.flows.get(facts.key) {
+            Some(Flow::Offered(offered)) => offered.sequence == facts.sequence,
+            Some(Flow::Open(opened)) => opened.sequence == Some(facts.sequence),
+            _ => false,
+        }
+    }
+
+    /// Whether the target may get the flow.
+    fn judge(&mut self, now: Instant, open: &Open, key: FlowKey) -> Result<(), Reason> {
+        let older = self.floor.is_ahead_of(open.versions);
+        self.floor.document = self.floor.document.max(open.versions.document);
+        self.floor.places = self.floor.places.max(open.versions.places);
+        if let Some(reason) = self.closed(now) {
+            return Err(reason);
+        }
+        if open.service != self.service() {
+            return Err(Reason::Service);
+        }
+        let catalogue = self.catalogue.as_ref().ok_or(Reason::Unchecked)?;
+        let behind = open.versions.document > catalogue.version;
+        let route = catalogue.routes.get(&key.address);
+        if !behind && !route.is_some_and(|route| route.leads_to(open.service)) {
+            return Err(Reason::Route);
+        }
+        // Behind a newer balancer, the route cannot be checked here and an older balancer must not
+        // be believed either.
+        if older
+            && open.versions.document < self.floor.document
+            && self.floor.document > catalogue.version
+        {
+            return Err(Reason::Older);
+        }
+        let cold_rate = catalogue
+            .services
+            .get(&open.service)
+            .map_or(0.0, |service| service.cold_rate);
+        let busy = self.flows.in_flight() >= usize::from(self.slots());
+        if !self.flows.has_room() || (busy && !open.hops.is_empty()) {
+            return Err(Reason::Busy);
+        }
+        self.gate.admit(now, cold_rate)
+    }
+
+    /// Sends an opening packet to the next candidate, or back to its balancer.
+    pub(super) fn pass(
+        &mut self,
+        key: FlowKey,
+        mut open: Open,
+        packet: Bytes,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) {
+        if open.hops.is_empty() {
+            out.push(log(key, "refused", format!("reason=\"{reason}\"")));
+            let versions = self.versions;
+            out.push(send(open.from, Frame::Refused { reason, versions }, packet));
+            return;
+        }
+        let next = open.hops.remove(0);
+        out.push(log(key, "passed", format!("reason=\"{reason}\" to={next}")));
+        out.push(send(next, Frame::Open(open), packet));
+    }
+
+    fn data(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        packet: Bytes,
+        facts: Facts,
+        out: &mut Vec<Action>,
+    ) {
+        let key = facts.key;
+        match self.flows.get(key) {
+            Some(Flow::Offered(offered)) => {
+                let opened = Opened {
+                    sequence: Some(offered.sequence),
+                    offer: offered.offer,
+                    sent: offered.offer.unwrap_or_default(),
+                    used: now,
+                    waits: None,
+                    caller_closed: false,
+                    target_closed: false,
+                };
+                if offered.offer.is_none() || !opened.matches(&facts) {
+                    out.push(send(from, Frame::Missing, packet));
+                    return;
+                }
+                self.flows.set(key, Flow::Open(opened));
+                self.deliver(now, &facts, packet, out);
+            }
+            Some(Flow::Open(opened)) if opened.matches(&facts) => {
+                self.deliver(now, &facts, packet, out);
+            }
+            Some(Flow::Tried { .. }) => out.push(Action::Deliver(packet)),
+            Some(Flow::Ended { .. }) => {
+                out.push(log(key, "reset", "reason=\"target ended\"".to_owned()));
+                out.push(refuse(key, facts.expects));
+            }
+            None if self.unsure => {
+                out.push(log(key, "tried", format!("balancer={from}")));
+                self.flows.set(key, Flow::Tried { from, at: now });
+                out.push(Action::Deliver(packet));
+            }
+            Some(Flow::Open(_)) | None => out.push(send(from, Frame::Missing, packet)),
+        }
+    }
+
+    fn deliver(&mut self, now: Instant, facts: &Facts, packet: Bytes, out: &mut Vec<Action>) {
+        self.flows.update(facts.key, |flow| {
+            flow.used = now;
+            flow.caller_closed |= facts.closes;
+            if facts.bytes > 0 && flow.waits.is_none() {
+                flow.waits = Some(now);
+            }
+        });
+        if facts.kind == Kind::Reset {
+            self.flows.remove(facts.key);
+        }
+        out.push(Action::Deliver(packet));
+    }
+
+    /// Whether the flow is open here. A flow that has ended here for certain is reset.
+    fn holds(&self, key: FlowKey, expects: u32, out: &mut Vec<Action>) -> Holds {
+        match self.flows.get(key) {
+            Some(Flow::Open(opened)) => {
+                let offer = opened.offer.unwrap_or(expects);
+                let room = opened.sent.wrapping_sub(offer).wrapping_add(2);
+                if expects.wrapping_sub(offer) <= room || opened.offer.is_none() {
+                    Holds::Yes
+                } else {
+                    Holds::No
+                }
+            }
+            Some(Flow::Offered(offered)) => match offered.offer {
+                Some(offer) if expects.wrapping_sub(offer) <= 2 => Holds::Yes,
+                _ => Holds::No,
+            },
+            Some(Flow::Tried { .. }) => Holds::Unsure,
+            Some(Flow::Ended { .. }) => {
+                out.push(log(key, "reset", "reason=\"target ended\"".to_owned()));
+                out.push(refuse(key, expects));
+                Holds::No
+            }
+            None if self.unsure => Holds::Unsure,
+            None => Holds::No,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/agent/outbound.rs
@@ -0,0 +1,140 @@
+//! Packets that the target sends.
+
+use bytes::Bytes;
+use monsoon_model::Instant;
+
+use super::flows::{Flow, Opened};
+use super::{Agent, log, refuse, send};
+use crate::{Action, Facts, FlowKey, Frame, Holds, Kind, Reason};
+
+impl Agent {
+    /// Handles a packet of the target: an answer to a caller, or a caller's packet returned. The
+    /// packet of a returned one is clean of the mark.
+    pub fn outbound(&mut self, now: Instant, packet: Bytes, facts: &Facts) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.gate.sounded();
+        match facts.kind {
+            Kind::Open { .. } if facts.returned => self.returned_open(now, facts.key, &mut out),
+            _ if facts.returned => self.returned_data(now, facts, &mut out),
+            Kind::Offer => self.offered(now, packet, facts, &mut out),
+            Kind::Reset => self.target_reset(packet, facts, &mut out),
+            Kind::Open { .. } | Kind::Data => self.answered(now, packet, facts, &mut out),
+        }
+        out
+    }
+
+    fn returned_open(&mut self, now: Instant, key: FlowKey, out: &mut Vec<Action>) {
+        let Some(Flow::Offered(offered)) = self.flows.get(key) else {
+            return;
+        };
+        if offered.offer.is_some() {
+            return;
+        }
+        let (open, packet) = (offered.open.clone(), offered.packet.clone());
+        self.flows.remove(key);
+        self.gate.full(now);
+        self.pass(key, open, packet, Reason::Returned, out);
+    }
+
+    /// A flow that the target itself does not know is over for certain, when this agent saw it
+    /// open there.
+    fn returned_data(&mut self, now: Instant, facts: &Facts, out: &mut Vec<Action>) {
+        let key = facts.key;
+        match self.flows.get(key) {
+            Some(Flow::Open(opened)) if opened.offer.is_some() && opened.matches(facts) => {
+                out.push(log(
+                    key,
+                    "reset",
+                    "reason=\"target returned it\"".to_owned(),
+                ));
+                out.push(refuse(key, facts.expects));
+                self.flows.set(key, Flow::Ended { at: now });
+            }
+            Some(Flow::Tried { from, .. }) => {
+                let holds = Holds::No;
+                out.push(send(*from, Frame::Answer { key, holds }, Bytes::new()));
+                self.flows.remove(key);
+            }
+            _ => {}
+        }
+    }
+
+    fn offered(&mut self, now: Instant, packet: Bytes, facts: &Facts, out: &mut Vec<Action>) {
+        let (key, offer) = (facts.key, facts.sequence);
+        if let Some(Flow::Offered(offered)) = self.flows.get(key) {
+            let mut offered = offered.clone();
+            let known = offered.offer == Some(offer);
+            offered.offer = Some(offer);
+            if !known {
+                let taken = Frame::Taken { key, offer };
+                out.push(send(offered.open.from, taken, Bytes::new()));
+            }
+            self.flows.set(key, Flow::Offered(offered));
+        } else if self.flows.get(key).is_none() {
+            self.adopt(now, facts, Some(offer));
+        }
+        out.push(Action::Return { key, packet });
+    }
+
+    fn target_reset(&mut self, packet: Bytes, facts: &Facts, out: &mut Vec<Action>) {
+        let key = facts.key;
+        match self.flows.get(key) {
+            Some(Flow::Open(_) | Flow::Offered(_)) => {
+                self.flows.remove(key);
+                out.push(log(key, "reset", "reason=\"target reset it\"".to_owned()));
+                out.push(Action::Return { key, packet });
+            }
+            // The target also resets data of a flow that ended long ago, while the same ends may
+            // have opened another flow elsewhere.
+            _ => out.push(log(
+                key,
+                "dropped",
+                "reason=\"reset of an unknown flow\"".to_owned(),
+            )),
+        }
+    }
+
+    fn answered(&mut self, now: Instant, packet: Bytes, facts: &Facts, out: &mut Vec<Action>) {
+        let key = facts.key;
+        match self.flows.get(key) {
+            Some(Flow::Open(_) | Flow::Offered(_)) => {}
+            Some(Flow::Tried { from, .. }) => {
+                let holds = Holds::Yes;
+                out.push(send(*from, Frame::Answer { key, holds }, Bytes::new()));
+                self.adopt(now, facts, None);
+            }
+            // The target's former lifetime sent it; its flow was reset already.
+            Some(Flow::Ended { .. }) => return,
+            None => self.adopt(now, facts, None),
+        }
+        let end = facts.sequence.wrapping_add(u32::from(facts.bytes));
+        let mut asked = None;
+        self.flows.update(key, |flow| {
+            flow.used = now;
+            flow.sent_to(end);
+            flow.target_closed |= facts.closes;
+            if facts.bytes > 0 {
+                asked = flow.waits.take();
+            }
+        });
+        if let Some(at) = asked {
+            let took = now.since(at);
+            out.push(Action::Answered { key, took });
+        }
+        out.push(Action::Return { key, packet });
+    }
+
+    /// Records a flow that this process did not see open.
+    fn adopt(&mut self, now: Instant, facts: &Facts, offer: Option<u32>) {
+        let opened = Opened {
+            sequence: None,
+            offer,
+            sent: facts.sequence.wrapping_add(u32::from(facts.bytes)),
+            used: now,
+            waits: None,
+            caller_closed: false,
+            target_closed: false,
+        };
+        self.flows.set(facts.key, Flow::Open(opened));
+    }
+}
--- /dev/null
+++ b/crates/flow/src/balancer/data.rs
@@ -0,0 +1,174 @@
+//! Packets of flows that are open.
+
+use bytes::Bytes;
+use monsoon_model::Instant;
+
+use super::{Balancer, Flow, Opening, log, refuse};
+use crate::lookup::{Lookup, Verdict};
+use crate::{Action, Facts, FlowKey, Frame, Kind};
+use std::net::SocketAddrV4;
+
+/// Largest distance of what a caller expects from the offer that it accepts in its first packets.
+const OFFER_REACH: u32 = 65_536;
+
+impl Balancer {
+    pub(super) fn data(
+        &mut self,
+        now: Instant,
+        packet: Bytes,
+        facts: &Facts,
+        out: &mut Vec<Action>,
+    ) {
+        let key = facts.key;
+        if !self.has_route(key) {
+            self.drop_flow(facts, out);
+            return;
+        }
+        match self.flows.get_mut(&key) {
+            Some(Flow::Held { agent, used }) => {
+                *used = now;
+                let to = *agent;
+                out.push(forward(to, packet));
+            }
+            Some(Flow::Opening(opening)) => match accepted(opening, facts.expects) {
+                Some(agent) => {
+                    self.remember(key, Flow::Held { agent, used: now });
+                    out.push(forward(agent, packet));
+                }
+                None => self.ask(now, packet, facts, None, out),
+            },
+            Some(Flow::Asking(lookup)) => lookup.keep(packet),
+            Some(Flow::Trying(lookup)) => {
+                let agents = lookup.unsure.iter();
+                out.extend(agents.map(|&agent| forward(agent, packet.clone())));
+            }
+            None => self.ask(now, packet, facts, None, out),
+        }
+    }
+
+    fn has_route(&self, key: FlowKey) -> bool {
+        let catalogue = self.catalogue.as_ref();
+        catalogue.is_none_or(|c| c.routes.contains_key(&key.address))
+    }
+
+    /// A configuration dropped the route, which ends its flows.
+    fn drop_flow(&mut self, facts: &Facts, out: &mut Vec<Action>) {
+        let key = facts.key;
+        self.flows.remove(&key);
+        if self.checked && facts.kind != Kind::Reset {
+            out.push(log(
+                key,
+                "reset",
+                format!("reason=\"route dropped\" config={}", self.versions.document),
+            ));
+            out.push(refuse(key, facts.expects));
+        }
+    }
+
+    /// Asks all agents that may hold the flow, apart from one that has said that it does not.
+    pub(super) fn ask(
+        &mut self,
+        now: Instant,
+        packet: Bytes,
+        facts: &Facts,
+        denied: Option<SocketAddrV4>,
+        out: &mut Vec<Action>,
+    ) {
+        let key = facts.key;
+        let mut asked = self.holders(key.address);
+        if let Some(agent) = denied {
+            asked.remove(&agent);
+        }
+        out.push(log(key, "asked", format!("agents={}", asked.len())));
+        let expects = facts.expects;
+        for &to in &asked {
+            out.push(Action::Send {
+                to,
+                frame: Frame::Ask { key, expects },
+                packet: Bytes::new(),
+            });
+        }
+        let mut lookup = Lookup::new(now, asked, expects, self.is_settled(now));
+        lookup.keep(packet);
+        if lookup.is_answered() {
+            self.settle(now, key, lookup, Verdict::Nobody, out);
+        } else {
+            self.remember(key, Flow::Asking(lookup));
+            self.questions.push_back((now, key));
+        }
+    }
+
+    /// Acts on the answers to a question.
+    pub(super) fn settle(
+        &mut self,
+        now: Instant,
+        key: FlowKey,
+        mut lookup: Lookup,
+        verdict: Verdict,
+        out: &mut Vec<Action>,
+    ) {
+        match verdict {
+            Verdict::Held(agent) => {
+                out.push(log(key, "found", format!("agent={agent}")));
+                out.extend(lookup.packets().into_iter().map(|p| forward(agent, p)));
+                self.remember(key, Flow::Held { agent, used: now });
+            }
+            Verdict::Unsure => {
+                out.push(log(key, "tried", format!("agents={}", lookup.unsure.len())));
+                for packet in lookup.packets() {
+                    let agents = lookup.unsure.iter();
+                    out.extend(agents.map(|&agent| forward(agent, packet.clone())));
+                }
+                lookup.at = now;
+                self.remember(key, Flow::Trying(lookup));
+            }
+            Verdict::Nobody => {
+                self.flows.remove(&key);
+                let certain = lookup.complete;
+                out.push(log(
+                    key,
+                    if certain { "reset" } else { "dropped" },
+                    "reason=\"nobody holds it\"".to_owned(),
+                ));
+                if certain {
+                    out.push(refuse(key, lookup.expects));
+                }
+            }
+            Verdict::Open => self.remember(key, Flow::Asking(lookup)),
+        }
+    }
+
+    /// Not all agents answered: those that could not tell are tried, and otherwise the caller's
+    /// next packet asks again.
+    pub(super) fn not_answered(
+        &mut self,
+        now: Instant,
+        at: Instant,
+        key: FlowKey,
+        out: &mut Vec<Action>,
+    ) {
+        match self.flows.remove(&key) {
+            Some(Flow::Asking(lookup)) if lookup.at == at && !lookup.unsure.is_empty() => {
+                self.settle(now, key, lookup, Verdict::Unsure, out);
+            }
+            Some(Flow::Asking(lookup)) if lookup.at == at => {}
+            Some(flow) => self.remember(key, flow),
+            None => {}
+        }
+    }
+}
+
+/// Agent whose target's offer the caller accepted.
+fn accepted(opening: &Opening, expects: u32) -> Option<SocketAddrV4> {
+    let near = |&&(_, offer): &&(SocketAddrV4, u32)| expects.wrapping_sub(offer) <= OFFER_REACH;
+    let found = opening.offers.iter().find(near);
+    found.map(|&(agent, _)| agent)
+}
+
+fn forward(to: SocketAddrV4, packet: Bytes) -> Action {
+    Action::Send {
+        to,
+        frame: Frame::Data,
+        packet,
+    }
+}
--- /dev/null
+++ b/crates/flow/src/balancer/open.rs
@@ -0,0 +1,201 @@
+//! Placing of new flows.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+use monsoon_model::Instant;
+
+use super::{Balancer, Flow, Opening, log, refuse};
+use crate::placing::{MAX_HOPS, order};
+use crate::{Action, Facts, FlowKey, Frame, Open, ServiceTag};
+
+impl Balancer {
+    pub(super) fn open(
+        &mut self,
+        now: Instant,
+        packet: Bytes,
+        facts: &Facts,
+        copy: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let key = facts.key;
+        if !self.checked {
+            return;
+        }
+        let Some(service) = self.service(key) else {
+            if self.catalogue.is_some() {
+                out.push(log(
+                    key,
+                    "reset",
+                    format!("reason=\"no route\" config={}", self.versions.document),
+                ));
+                out.push(refuse(key, facts.expects));
+            }
+            return;
+        };
+        let known = match self.flows.get(&key) {
+            Some(Flow::Opening(opening)) if opening.sequence == facts.sequence => opening
+                .offers
+                .first()
+                .map(|&(agent, _)| Err(agent))
+                .or_else(|| Some(Ok(opening.tried.clone()))),
+            Some(Flow::Held { agent, .. }) if copy > 0 => Some(Err(*agent)),
+            _ => None,
+        };
+        match known {
+            // The target that offered to take the flow answers a copy again.
+            Some(Err(agent)) => out.push(self.send_open(agent, service, Vec::new(), packet)),
+            Some(Ok(tried)) => self.place(now, service, packet, facts, copy, tried, out),
+            None => self.place(now, service, packet, facts, copy, BTreeSet::new(), out),
+        }
+    }
+
+    pub(super) fn service(&self, key: FlowKey) -> Option<ServiceTag> {
+        let route = self.catalogue.as_ref()?.routes.get(&key.address)?;
+        route.service(key)
+    }
+
+    /// Agents to ask for a new flow, best first.
+    fn candidates(&self, now: Instant, service: ServiceTag, key: FlowKey) -> Vec<SocketAddrV4> {
+        let fits = |target: &super::TargetView| {
+            target.open
+                && target.service == service.number()
+                && !self.out.contains(&target.data_centre)
+        };
+        let targets = self.targets.iter().filter(|(_, target)| fits(target));
+        order(now, key.hash(), self.settings.data_centre, targets)
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the parts of one packet and its history"
+    )]
+    fn place(
+        &mut self,
+        now: Instant,
+        service: ServiceTag,
+        packet: Bytes,
+        facts: &Facts,
+        copy: u32,
+        tried: BTreeSet<SocketAddrV4>,
+        out: &mut Vec<Action>,
+    ) {
+        let key = facts.key;
+        let mut order = self.candidates(now, service, key);
+        // Agents that were asked before come last: they may only have been slow.
+        order.sort_by_key(|agent| tried.contains(agent));
+        order.truncate(MAX_HOPS);
+        let Some(first) = order.first().copied() else {
+            self.reject(key, copy, facts.expects, "no target", out);
+            return;
+        };
+        let mut tried = tried;
+        tried.insert(first);
+        out.push(log(
+            key,
+            "placed",
+            format!(
+                "service={service} agent={first} copy={copy} config={} places={} targets={}",
+                self.versions.document,
+                self.versions.places,
+                self.targets.len()
+            ),
+        ));
+        out.push(self.send_open(first, service, order.split_off(1), packet.clone()));
+        let opening = Opening {
+            service,
+            packet,
+            sequence: facts.sequence,
+            tried,
+            offers: Vec::new(),
+            copy,
+            at: now,
+        };
+        self.remember(key, Flow::Opening(opening));
+        self.awaited.push_back((now, key));
+    }
+
+    fn send_open(
+        &self,
+        to: SocketAddrV4,
+        service: ServiceTag,
+        hops: Vec<SocketAddrV4>,
+        packet: Bytes,
+    ) -> Action {
+        let frame = Frame::Open(Open {
+            from: self.settings.me,
+            service,
+            versions: self.versions,
+            hops,
+        });
+        Action::Send { to, frame, packet }
+    }
+
+    /// Tells the caller that its flow cannot be placed. Only the first packet of a flow is answered:
+    /// when a copy arrives, the flow may have opened through another balancer.
+    pub(super) fn reject(
+        &mut self,
+        key: FlowKey,
+        copy: u32,
+        expects: u32,
+        reason: &str,
+        out: &mut Vec<Action>,
+    ) {
+        self.flows.remove(&key);
+        let decision = if copy == 0 { "rejected" } else { "dropped" };
+        out.push(log(
+            key,
+            decision,
+            format!("reason=\"{reason}\" copy={copy}"),
+        ));
+        if copy == 0 {
+            out.push(refuse(key, expects));
+        }
+    }
+
+    /// The first agent did not answer: it is doubted, and others are asked.
+    pub(super) fn not_taken(
+        &mut self,
+        now: Instant,
+        at: Instant,
+        key: FlowKey,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(Flow::Opening(opening)) = self.flows.get(&key) else {
+            return;
+        };
+        if opening.at != at || !opening.offers.is_empty() {
+            return;
+        }
+        let opening = opening.clone();
+        for &agent in &opening.tried {
+            self.doubt(now, agent);
+        }
+        let candidates = self.candidates(now, opening.service, key);
+        let rest: Vec<_> = candidates
+            .into_iter()
+            .filter(|agent| !opening.tried.contains(agent))
+            .take(MAX_HOPS)
+            .collect();
+        let Some((&first, hops)) = rest.split_first() else {
+            return;
+        };
+        out.push(log(
+            key,
+            "placed again",
+            format!("agent={first} unanswered={}", opening.tried.len()),
+        ));
+        out.push(self.send_open(
+            first,
+            opening.service,
+            hops.to_vec(),
+            opening.packet.clone(),
+        ));
+        if let Some(Flow::Opening(opening)) = self.flows.get_mut(&key) {
+            opening.tried.insert(first);
+            opening.at = now;
+        }
+        self.awaited.push_back((now, key));
+    }
+}
--- /dev/null
+++ b/crates/flow/src/frame.rs
@@ -0,0 +1,137 @@
+//! Frames between balancers and agents: a header, in some cases followed by a caller's packet.
+
+use std::net::SocketAddrV4;
+
+use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error};
+use monsoon_model::Versions;
+use serde::{Deserialize, Serialize};
+
+use crate::{FlowKey, ServiceTag};
+
+/// Room for the header of a frame, in bytes: the largest is an [`Open`] with its hops.
+const HEADER_ROOM: usize = 128;
+
+/// Opening packet on its way along the candidates.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Open {
+    /// Frame address of the balancer that placed the packet.
+    pub from: SocketAddrV4,
+    /// Service that the balancer chose.
+    pub service: ServiceTag,
+    /// Configuration that the balancer acted on.
+    pub versions: Versions,
+    /// Frame addresses of the agents still to be asked, the receiver excluded.
+    pub hops: Vec<SocketAddrV4>,
+}
+
+/// Why an agent does not take an opening packet.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Reason {
+    /// No recent heartbeat of a target.
+    #[display("no recent heartbeat")]
+    Unheard,
+    /// Target is draining or gone.
+    #[display("leaving")]
+    Leaving,
+    /// Data centre is taken out.
+    #[display("data centre out")]
+    Out,
+    /// Target belongs to another service than the balancer chose.
+    #[display("other service")]
+    Service,
+    /// Route does not lead to the service of the target.
+    #[display("no route")]
+    Route,
+    /// Balancer acted on an older configuration than this agent has seen.
+    #[display("older configuration")]
+    Older,
+    /// Configuration of this agent was not checked since it started or was suspended.
+    #[display("configuration not checked")]
+    Unchecked,
+    /// Cold target has its share of this second.
+    #[display("cold")]
+    Cold,
+    /// Target works on as much as it has slots for.
+    #[display("busy")]
+    Busy,
+    /// Target did not answer the last opening packets.
+    #[display("mute")]
+    Mute,
+    /// Target returned the packet.
+    #[display("returned")]
+    Returned,
+}
+
+/// Whether an agent holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Holds {
+    /// The flow is open at its target.
+    Yes,
+    /// The agent started beside a living target and cannot tell.
+    Unsure,
+    /// The flow is not open at its target.
+    No,
+}
+
+/// Message between a balancer and an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Opening packet; the packet follows.
+    Open(Open),
+    /// Later packet of a flow; the packet follows.
+    Data,
+    /// The target offered to take the flow.
+    Taken {
+        /// Flow.
+        key: FlowKey,
+        /// Sequence number of the target's offer.
+        offer: u32,
+    },
+    /// No agent on the way took the opening packet; the packet follows.
+    Refused {
+        /// Reason of the last agent.
+        reason: Reason,
+        /// Configuration of that agent.
+        versions: Versions,
+    },
+    /// The agent does not hold the flow; the packet follows.
+    Missing,
+    /// Asks whether the agent holds a flow.
+    Ask {
+        /// Flow.
+        key: FlowKey,
+        /// Sequence number that the caller expects next.
+        expects: u32,
+    },
+    /// Answers [`Frame::Ask`].
+    Answer {
+        /// Flow.
+        key: FlowKey,
+        /// Whether the agent holds it.
+        holds: Holds,
+    },
+}
+
+/// A datagram that is no frame.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("the datagram is no frame; check that all processes run compatible versions")]
+pub struct FrameError;
+
+/// Datagram of a frame and the packet that follows it.
+pub fn encode(frame: &Frame, packet: &[u8]) -> Bytes {
+    let out = BytesMut::with_capacity(HEADER_ROOM + packet.len());
+    // A frame holds no value that cannot be encoded, and the buffer grows as needed.
+    let mut out = postcard::to_extend(frame, out).unwrap_or_default();
+    out.extend_from_slice(packet);
+    out.freeze()
+}
+
+/// Frame of a datagram and the packet that follows it.
+///
+/// # Errors
+/// Returns an error when the datagram does not start with a frame.
+pub fn decode(datagram: &[u8]) -> Result<(Frame, &[u8]), FrameError> {
+    // The library's error names no remedy beyond that of FrameError.
+    postcard::take_from_bytes(datagram).ok().ok_or(FrameError)
+}
--- /dev/null
+++ b/crates/flow/src/lib.rs
@@ -0,0 +1,31 @@
+//! Forwarding of flows that this system carries but cannot end.
+//!
+//! Callers and targets own both ends of a flow. A [`Balancer`] places the opening packet of a flow
+//! on an agent, and an [`Agent`] hands it to the target beside it or passes it on. The agent owns
+//! what is known about the flows of its target. A balancer only caches which agent holds a flow,
+//! and asks the agents of the service when it does not know.
+//!
+//! Everything here is sans-I/O: each call takes the present time and returns [`Action`]s. The
+//! packet format belongs to the caller, who hands in [`Facts`] beside the opaque bytes.
+
+mod action;
+mod agent;
+mod balancer;
+mod catalogue;
+mod facts;
+mod frame;
+mod gate;
+mod key;
+mod lookup;
+mod pacer;
+mod placing;
+
+pub use action::{Action, Log};
+pub use agent::{Agent, AgentStats, Settings as AgentSettings};
+pub use balancer::{Balancer, Settings as BalancerSettings, TargetView};
+pub use catalogue::{Catalogue, Places, RequestKind, Route, Service, ServiceTag, Share};
+pub use facts::{Facts, Kind, Refusal};
+pub use frame::{Frame, FrameError, Holds, Open, Reason, decode, encode};
+pub use gate::{Announced, Bounds, Gate, Readiness};
+pub use key::FlowKey;
+pub use pacer::Pacer;
--- /dev/null
+++ b/crates/flow/src/lookup.rs
@@ -0,0 +1,97 @@
+//! Which agent holds a flow that a balancer does not know.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+use monsoon_model::Instant;
+
+use crate::Holds;
+
+/// Packets of one flow that wait for the answer. A caller has at most 16 in flight and sends a
+/// lost one again.
+const MAX_PACKETS: usize = 16;
+
+/// A question to the agents of a service.
+#[derive(Clone, Debug)]
+pub(crate) struct Lookup {
+    /// When it was sent.
+    pub at: Instant,
+    /// Agents that have not answered.
+    waiting: BTreeSet<SocketAddrV4>,
+    /// Agents that cannot tell.
+    pub unsure: BTreeSet<SocketAddrV4>,
+    /// Packets that wait.
+    packets: Vec<Bytes>,
+    /// What the caller expects next.
+    pub expects: u32,
+    /// Every agent that may hold the flow was asked.
+    pub complete: bool,
+}
+
+/// State of a question after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// Others may still answer.
+    Open,
+    /// This agent holds the flow.
+    Held(SocketAddrV4),
+    /// All have answered, some without knowing.
+    Unsure,
+    /// All have answered, and none holds the flow.
+    Nobody,
+}
+
+impl Lookup {
+    pub(crate) fn new(
+        now: Instant,
+        asked: BTreeSet<SocketAddrV4>,
+        expects: u32,
+        complete: bool,
+    ) -> Self {
+        Self {
+            at: now,
+            waiting: asked,
+            unsure: BTreeSet::new(),
+            packets: Vec::new(),
+            expects,
+            complete,
+        }
+    }
+
+    /// Keeps a packet until the answer; beyond the bound it is dropped.
+    pub(crate) fn keep(&mut self, packet: Bytes) {
+        if self.packets.len() < MAX_PACKETS {
+            self.packets.push(packet);
+        }
+    }
+
+    /// Takes the packets that wait.
+    pub(crate) fn packets(&mut self) -> Vec<Bytes> {
+        std::mem::take(&mut self.packets)
+    }
+
+    /// Takes an answer.
+    pub(crate) fn answer(&mut self, from: SocketAddrV4, holds: Holds) -> Verdict {
+        let asked = self.waiting.remove(&from);
+        match holds {
+            Holds::Yes => return Verdict::Held(from),
+            Holds::Unsure => {
+                self.unsure.insert(from);
+            }
+            Holds::No => {
+                self.unsure.remove(&from);
+            }
+        }
+        match (asked || holds == Holds::No, self.waiting.is_empty()) {
+            (true, true) if self.unsure.is_empty() => Verdict::Nobody,
+            (true, true) => Verdict::Unsure,
+            _ => Verdict::Open,
+        }
+    }
+
+    /// Whether all agents have answered.
+    pub(crate) fn is_answered(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -134,6 +134,11 @@
         self.lists.has_service()
     }
 
+    /// Adds control addresses of balancers, up to the bound on seeds.
+    pub fn add_seeds(&mut self, found: impl IntoIterator<Item = SocketAddr>) {
+        crate::bounds::add_seeds(&mut self.seeds, found);
+    }
+
     /// This agent as it announces itself.
     pub fn member(&self) -> &Member {
         &self.me
@@ -271,7 +276,7 @@
             self.unanswered.entry(id).or_insert(now);
         }
         if ids.iter().all(|&id| self.is_silent(now, id)) {
-            to.extend(self.rng.pick(&self.seeds, 1));
+            to.extend(self.rng.pick(&self.seeds, self.rule.watchers));
         }
         to
     }
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -202,6 +202,11 @@
         rank::position(salt, self.team.iter().copied(), self.me.id)
     }
 
+    /// Adds control addresses of other balancers, up to the bound on seeds.
+    pub fn add_seeds(&mut self, found: impl IntoIterator<Item = SocketAddr>) {
+        crate::bounds::add_seeds(&mut self.seeds, found);
+    }
+
     /// This balancer as it announces itself.
     pub fn member(&self) -> &Member {
         &self.me
--- a/crates/membership/src/bounds.rs
+++ b/crates/membership/src/bounds.rs
@@ -1,5 +1,7 @@
 //! Intervals and bounds.
 
+use std::net::SocketAddr;
+
 use monsoon_model::Duration;
 
 /// Interval of announcements.
@@ -100,6 +102,8 @@
 /// Other data centres known to a node. At the bound further ones are ignored. Their beats take less
 /// than half of a message.
 pub const MAX_PLACES: usize = 16;
+/// Seeds that a node keeps. At the bound the oldest is dropped for a new one.
+pub const MAX_SEEDS: usize = 64;
 /// Largest encoded message, in bytes. A control datagram has 1,200 bytes with its envelope.
 pub const MAX_MESSAGE: usize = 1_150;
 /// Bytes of a message left to the header and to length fields.
@@ -126,3 +130,16 @@
         asks: true,
     };
 }
+
+/// Adds seeds that are not known yet.
+pub(crate) fn add_seeds(seeds: &mut Vec<SocketAddr>, found: impl IntoIterator<Item = SocketAddr>) {
+    for seed in found {
+        if seeds.contains(&seed) {
+            continue;
+        }
+        if seeds.len() >= MAX_SEEDS {
+            seeds.remove(0);
+        }
+        seeds.push(seed);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/agent.rs
@@ -0,0 +1,145 @@
+//! Process of the role agent.
+
+use std::net::SocketAddr;
+
+use monsoon_flow::{Agent, Announced};
+use monsoon_membership::{AgentNode, Event, LocalState, Message, Role};
+use monsoon_model::{Duration, Instant};
+
+use crate::members::{local, member};
+use crate::process::Process;
+use crate::{AgentSettings, Settings};
+
+/// Interval at which the state for announcements is derived.
+const STATE_EVERY: Duration = Duration::from_millis(100);
+
+/// State of an agent.
+#[derive(Debug)]
+pub(crate) struct AgentPart {
+    pub flows: Agent,
+    pub node: AgentNode,
+    agent: AgentSettings,
+    local: Option<LocalState>,
+    state: Instant,
+}
+
+impl AgentPart {
+    pub(crate) fn new(now: Instant, settings: &Settings, agent: &AgentSettings) -> Self {
+        let me = member(settings, Role::Agent, agent.service.number());
+        let seeds = settings.seeds.clone();
+        Self {
+            flows: Agent::new(now, flow_settings(settings, agent)),
+            node: AgentNode::new(now, me, seeds, rand::random()),
+            agent: agent.clone(),
+            local: None,
+            state: now,
+        }
+    }
+
+    pub(crate) fn next_tick(&self) -> Instant {
+        self.flows.next_tick().min(self.node.next_tick())
+    }
+
+    pub(crate) fn thaw(&mut self) {
+        self.flows.thaw();
+    }
+
+    pub(crate) fn configure(&mut self, settings: &Settings) {
+        self.flows.configure(flow_settings(settings, &self.agent));
+    }
+
+    pub(crate) fn tick(&mut self, process: &mut Process, now: Instant) {
+        if now >= self.flows.next_tick() {
+            let actions = self.flows.tick(now);
+            process.perform(now, actions);
+        }
+        if now >= self.state {
+            self.announce(process, now);
+        }
+        if now >= self.node.next_tick() {
+            self.event(process, now, Event::Tick);
+        }
+    }
+
+    /// Takes a heartbeat of the target.
+    pub(crate) fn hear(&mut self, process: &mut Process, now: Instant, announced: Announced) {
+        let line = format!(
+            "id={} born={} seq={} service={} readiness={:?} cold_ms={} slots={}",
+            announced.id,
+            announced.born,
+            announced.sequence,
+            announced.service,
+            announced.readiness,
+            announced.cold.as_millis(),
+            announced.slots
+        );
+        if let Some(change) = self.flows.hear(now, announced) {
+            log::info!("target: {change} {line}");
+        }
+        self.announce(process, now);
+    }
+
+    /// The target says that it has ended.
+    pub(crate) fn leave(&mut self, process: &mut Process, now: Instant, id: &str) {
+        let present = self.flows.leave(id);
+        log::info!("target: ended id={id} present={present}");
+        self.announce(process, now);
+    }
+
+    pub(crate) fn control(
+        &mut self,
+        process: &mut Process,
+        now: Instant,
+        from: SocketAddr,
+        message: Message,
+    ) {
+        self.event(process, now, Event::Message { from, message });
+    }
+
+    /// Tells membership what has changed. It paces announcements itself.
+    fn announce(&mut self, process: &mut Process, now: Instant) {
+        self.state = now + STATE_EVERY;
+        let local = local(now, &self.flows);
+        if self.local != Some(local) {
+            self.local = Some(local);
+            self.event(process, now, Event::Local(local));
+        }
+    }
+
+    fn event(&mut self, process: &mut Process, now: Instant, event: Event) {
+        let actions = self.node.handle(now, event);
+        process.follow(now, actions);
+    }
+
+    pub(crate) fn gauges(&self) -> Vec<(&'static str, u64)> {
+        let stats = self.flows.stats();
+        vec![
+            ("flows", stats.flows as u64),
+            ("in_flight", stats.in_flight as u64),
+            ("config_version", self.flows.versions().document.0),
+            ("places_version", self.flows.versions().places.0),
+        ]
+    }
+
+    /// Leaves the membership. The target lives on, so the stop is short.
+    pub(crate) fn stop(&mut self, process: &mut Process, now: Instant) -> Duration {
+        self.event(process, now, Event::Leave);
+        Duration::ZERO
+    }
+}
+
+fn flow_settings(settings: &Settings, agent: &AgentSettings) -> monsoon_flow::AgentSettings {
+    let bounds = settings.bounds;
+    monsoon_flow::AgentSettings {
+        me: settings.frames,
+        data_centre: settings.centre.name.clone(),
+        service: agent.service,
+        bounds: monsoon_flow::Bounds {
+            lease: bounds.lease,
+            cold_factor: bounds.cold_factor,
+            cold_burst: bounds.cold_burst,
+        },
+        flow_ttl: bounds.flow_ttl,
+        first_start: settings.first_start,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/dialect.rs
@@ -0,0 +1,111 @@
+//! What a platform speaks, as plain functions.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::Method;
+use monsoon_flow::{Announced, Catalogue, Facts, Refusal};
+
+use crate::Settings;
+
+/// Who sent a packet, as far as the socket tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender {
+    /// A caller, or a process that passes its packet on.
+    Caller,
+    /// A target, which also returns packets of callers.
+    Target,
+}
+
+/// Call of a target at its agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Heartbeat.
+    Beat(Announced),
+    /// The target of this identity has ended.
+    Leave(String),
+    /// A heartbeat that cannot be read; it names no target to use.
+    Malformed(String),
+    /// Anything else.
+    Unknown,
+}
+
+/// Result of a read of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Page<T> {
+    /// Revision of the store up to which this is complete.
+    pub at: u64,
+    /// Entries or changes, in order.
+    pub items: Vec<T>,
+}
+
+/// Presence of a named entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Name.
+    pub name: String,
+    /// Whether the entry exists.
+    pub present: bool,
+}
+
+/// A read of the store failed.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum SourceError {
+    /// The store did not answer or turned the call away.
+    #[display("the store gave no answer ({reason}); it is asked again")]
+    Unavailable {
+        /// What happened.
+        reason: String,
+    },
+    /// The changes since the revision are no longer kept.
+    #[display("the store no longer keeps these changes; the whole list is read again")]
+    Gone,
+    /// The answer cannot be read.
+    #[display("the answer of the store is malformed ({reason}); check the platform's version")]
+    Malformed {
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Future of a call to the store.
+pub type Task<T> = Pin<Box<dyn Future<Output = Result<T, SourceError>> + Send>>;
+
+/// Reads and writes of the store. `after` is a revision; without one the whole list is read.
+#[derive(Clone, Copy, Debug)]
+pub struct Source {
+    /// Configurations, the newest last.
+    pub catalogue: fn(SocketAddr, Option<u64>) -> Task<Page<Catalogue>>,
+    /// Data centres taken out.
+    pub places: fn(SocketAddr, Option<u64>) -> Task<Page<Entry>>,
+    /// Membership addresses of balancers; may be old.
+    pub balancers: fn(SocketAddr) -> Task<Vec<SocketAddr>>,
+    /// Records the membership address of the balancer on an instance.
+    pub register: fn(SocketAddr, String, SocketAddrV4) -> Task<()>,
+}
+
+/// Functions of one platform.
+#[derive(Clone)]
+pub struct Dialect {
+    /// Facts of a packet, `None` when it is none.
+    pub decode: fn(&[u8], Sender) -> Option<Facts>,
+    /// Removes marks that the platform leaves on a returned packet.
+    pub clean: fn(&mut [u8]),
+    /// Reset to a caller.
+    pub refusal: fn(&Refusal) -> Bytes,
+    /// Call of a target.
+    pub call: fn(&Method, &str, &[u8]) -> Call,
+    /// Store.
+    pub source: Source,
+    /// Reads the settings file again; `None` while it is unchanged.
+    pub reload: Arc<dyn Fn() -> Option<Settings> + Send + Sync>,
+}
+
+impl std::fmt::Debug for Dialect {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Dialect").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/discovery.rs
@@ -0,0 +1,54 @@
+//! Finding balancers through the store, when the seeds of the settings do not suffice.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::inbox::{Message, Outlet};
+use crate::{Settings, Source};
+
+/// Pause after a failed call.
+const RETRY: Duration = Duration::from_secs(1);
+/// Interval of reads while no other process answers.
+const AGAIN: Duration = Duration::from_secs(2);
+
+/// Records a balancer, so that others find it.
+pub(crate) async fn register(source: Source, settings: Settings) {
+    let name = settings.instance.clone();
+    let address = settings.control;
+    while let Err(error) = (source.register)(settings.store, name.clone(), address).await {
+        log::warn!("discovery: not registered error=\"{error}\"");
+        sleep(RETRY).await;
+    }
+    log::info!("discovery: registered instance={name} control={address}");
+}
+
+/// Reads the recorded balancers at the start, and again while the process is alone.
+pub(crate) async fn find(
+    source: Source,
+    store: SocketAddr,
+    me: SocketAddrV4,
+    mut alone: watch::Receiver<bool>,
+    outlet: Outlet,
+) {
+    loop {
+        match (source.balancers)(store).await {
+            Ok(mut found) => {
+                found.retain(|&at| at != SocketAddr::V4(me));
+                if outlet.send(Message::Balancers(found)).await.is_err() {
+                    return;
+                }
+                sleep(AGAIN).await;
+                if alone.wait_for(|alone| *alone).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::warn!("discovery: no list of balancers error=\"{error}\"");
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/figures.rs
@@ -0,0 +1,61 @@
+//! Counters and latency histograms as text.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use monsoon_metrics::{Histograms, Outcome};
+use monsoon_model::Duration;
+
+/// Figures of one process.
+#[derive(Debug, Default)]
+pub(crate) struct Figures {
+    counters: BTreeMap<&'static str, u64>,
+    latencies: Histograms,
+}
+
+impl Figures {
+    /// Counts one event.
+    pub(crate) fn count(&mut self, event: &'static str) {
+        *self.counters.entry(event).or_default() += 1;
+    }
+
+    /// Records the time in which a target answered a request.
+    pub(crate) fn answered(&mut self, service: &str, class: &str, took: Duration) {
+        self.latencies.record(service, class, took);
+        self.latencies.count(service, class, Outcome::Answered);
+    }
+
+    /// One line for each figure.
+    pub(crate) fn text(
+        &self,
+        decisions: &BTreeMap<&'static str, u64>,
+        gauges: &[(&'static str, u64)],
+    ) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        for (name, value) in &self.counters {
+            let _ = writeln!(text, "monsoon_events_total{{event=\"{name}\"}} {value}");
+        }
+        for (name, value) in decisions {
+            let _ = writeln!(
+                text,
+                "monsoon_decisions_total{{decision=\"{name}\"}} {value}"
+            );
+        }
+        for (name, value) in gauges {
+            let _ = writeln!(text, "monsoon_{name} {value}");
+        }
+        let _ = writeln!(text, "monsoon_log_lines_lost {}", crate::logs::lost());
+        for row in self.latencies.snapshot() {
+            let labels = format!("service=\"{}\",class=\"{}\"", row.tenant, row.class);
+            for (quantile, micros) in [("0.5", row.p50), ("0.9", row.p90), ("0.99", row.p99)] {
+                let _ = writeln!(
+                    text,
+                    "monsoon_answer_us{{{labels},quantile=\"{quantile}\"}} {micros}"
+                );
+            }
+            let _ = writeln!(text, "monsoon_answer_us_count{{{labels}}} {}", row.count);
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/relay/src/http.rs
@@ -0,0 +1,116 @@
+//! Small HTTP/1.1 server.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+/// Most connections of one listener; further ones wait in its queue.
+const MAX_CONNECTIONS: usize = 64;
+/// Largest request body, in bytes. A heartbeat has a few hundred.
+const MAX_BODY: usize = 16_384;
+/// Time for the head of a request, also between two requests of a connection. Longer than the
+/// heartbeat interval, so that targets may keep a connection.
+const HEAD_WITHIN: Duration = Duration::from_secs(10);
+/// Time for the body of a request.
+const BODY_WITHIN: Duration = Duration::from_secs(2);
+
+/// A request with its body.
+#[derive(Clone, Debug)]
+pub(crate) struct Received {
+    pub method: Method,
+    pub path: String,
+    pub body: Bytes,
+}
+
+/// Status, content type and body of a response.
+#[derive(Clone, Debug)]
+pub(crate) struct Reply {
+    pub status: StatusCode,
+    pub kind: &'static str,
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Response without a body of interest.
+    pub(crate) fn status(status: StatusCode) -> Self {
+        Self {
+            status,
+            kind: "application/json",
+            body: Bytes::from_static(b"{}"),
+        }
+    }
+}
+
+/// Serves requests until the process ends.
+pub(crate) async fn serve<F>(
+    listener: TcpListener,
+    answer: impl Fn(Received) -> F + Send + Sync + 'static,
+) where
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let answer = Arc::new(answer);
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("http: no connection accepted: {error}");
+                continue;
+            }
+        };
+        let answer = Arc::clone(&answer);
+        tokio::spawn(async move {
+            let service = service_fn(move |request| respond(request, Arc::clone(&answer)));
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_WITHIN)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("http: connection ended: {error}");
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn respond<F>(
+    request: Request<Incoming>,
+    answer: Arc<impl Fn(Received) -> F>,
+) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    F: Future<Output = Reply>,
+{
+    let (parts, body) = request.into_parts();
+    let body = Limited::new(body, MAX_BODY).collect();
+    let reply = match tokio::time::timeout(BODY_WITHIN, body).await {
+        Ok(Ok(body)) => {
+            let received = Received {
+                method: parts.method,
+                path: parts.uri.path().to_owned(),
+                body: body.to_bytes(),
+            };
+            answer(received).await
+        }
+        Ok(Err(error)) => {
+            log::warn!("http: request body not read: {error}");
+            Reply::status(StatusCode::BAD_REQUEST)
+        }
+        Err(_) => Reply::status(StatusCode::REQUEST_TIMEOUT),
+    };
+    let mut response = Response::new(Full::from(reply.body));
+    *response.status_mut() = reply.status;
+    let kind = http::HeaderValue::from_static(reply.kind);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    Ok(response)
+}
--- /dev/null
+++ b/crates/relay/src/inbox.rs
@@ -0,0 +1,55 @@
+//! Messages from other tasks to the one that owns the state.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use monsoon_flow::{Announced, Catalogue, Places};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::Settings;
+
+/// Messages that wait at most; a sender waits for room.
+pub(crate) const DEPTH: usize = 64;
+
+/// Sender of messages.
+pub(crate) type Outlet = mpsc::Sender<Message>;
+
+/// Which object of the store a read was for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Object {
+    /// Configuration.
+    Catalogue,
+    /// Data centres taken out.
+    Places,
+}
+
+/// Message to the owner of the state.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// Newest configuration.
+    Catalogue(Arc<Catalogue>),
+    /// Data centres taken out.
+    Places(Places),
+    /// The newest state of an object was read in this generation.
+    Current(Object, u64),
+    /// A peer with a checked configuration was read in this generation.
+    PeerCurrent(u64),
+    /// Reads of an object fail.
+    Failing(Object),
+    /// Membership addresses of balancers.
+    Balancers(Vec<std::net::SocketAddr>),
+    /// Heartbeat of the target, answered once it counts.
+    Beat(Announced, oneshot::Sender<()>),
+    /// The target has ended.
+    Left(String, oneshot::Sender<()>),
+    /// Asks for the configuration in force.
+    Configuration(oneshot::Sender<Bytes>),
+    /// Asks for the metrics.
+    Metrics(oneshot::Sender<String>),
+    /// Asks whether the process takes new flows.
+    Ready(oneshot::Sender<bool>),
+    /// Settings changed.
+    Settings(Box<Settings>),
+    /// Stop.
+    Stop,
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,26 @@
+//! Processes that forward flows which they cannot end: sockets, timers and calls around the state
+//! machines of `monsoon-flow` and `monsoon-membership`.
+//!
+//! One task owns all state. Other tasks serve HTTP or follow the store, and talk to it through a
+//! bounded queue. What a platform speaks comes in as a [`Dialect`] of plain functions.
+
+mod agent;
+mod balancer;
+mod clock;
+mod decisions;
+mod dialect;
+mod discovery;
+mod endpoints;
+mod figures;
+mod follow;
+mod http;
+mod inbox;
+pub mod logs;
+mod members;
+mod peers;
+mod process;
+mod settings;
+
+pub use dialect::{Call, Dialect, Entry, Page, Sender, Source, SourceError, Task};
+pub use process::{RunError, run};
+pub use settings::{AgentSettings, Bounds, Centre, Role, Settings};
--- /dev/null
+++ b/crates/relay/src/logs.rs
@@ -0,0 +1,58 @@
+//! Log lines on standard output that never block the process.
+
+use std::io::ErrorKind;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use logforth::record::Record;
+use logforth::{Append, Diagnostic, Error};
+
+/// Lines that found standard output full since the start.
+static LOST: AtomicU64 = AtomicU64::new(0);
+
+/// Writes one line a record, and drops it when the reader is slow.
+#[derive(Debug)]
+struct Lines;
+
+impl Append for Lines {
+    fn append(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let level = record.level().name();
+        // The time of day is for the reader only; before 1970 it is shown as zero.
+        let time = SystemTime::now().duration_since(UNIX_EPOCH);
+        let millis = time.unwrap_or_default().as_millis();
+        let line = format!("time={millis} level={level} {}\n", record.payload());
+        match rustix::io::write(rustix::stdio::stdout(), line.as_bytes()) {
+            Ok(written) if written == line.len() => {}
+            _ => {
+                LOST.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+/// Number of lines that were dropped because standard output was full.
+pub fn lost() -> u64 {
+    LOST.load(Ordering::Relaxed)
+}
+
+/// Starts logging at `info` and above.
+///
+/// # Errors
+/// Returns an error when standard output cannot be made non-blocking.
+pub fn init() -> std::io::Result<()> {
+    let stdout = rustix::stdio::stdout();
+    let flags = rustix::fs::fcntl_getfl(stdout)?;
+    let nonblocking = flags | rustix::fs::OFlags::NONBLOCK;
+    rustix::fs::fcntl_setfl(stdout, nonblocking)?;
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(Lines))
+        .try_apply()
+        .map_err(|error| std::io::Error::new(ErrorKind::AlreadyExists, error.to_string()))?;
+    log::set_max_level(log::LevelFilter::Info);
+    Ok(())
+}
--- /dev/null
+++ b/crates/relay/src/members.rs
@@ -0,0 +1,78 @@
+//! What membership tells about agents, in the form in which flows are placed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use monsoon_flow::{Agent, Reason, TargetView};
+use monsoon_membership::{LocalState, Member, Role, State};
+use monsoon_model::{AgentId, Instant, ServiceId, Versions};
+
+use crate::Settings;
+
+/// Entry of this process.
+pub(crate) fn member(settings: &Settings, role: Role, service: ServiceId) -> Member {
+    Member {
+        id: AgentId(rand::random()),
+        incarnation: 1,
+        sequence: 0,
+        role,
+        data_centre: settings.centre.group,
+        place: settings.centre.number,
+        service,
+        control: settings.control.into(),
+        data: settings.frames,
+        peer: settings.peer.into(),
+        state: State::Leaving,
+        slots: 0,
+        load: 0,
+        versions: Versions::default(),
+    }
+}
+
+/// State that an agent announces.
+pub(crate) fn local(now: Instant, agent: &Agent) -> LocalState {
+    let figures = agent.stats();
+    let slots = figures.slots.max(1);
+    let state = match agent.closed(now) {
+        // A pause of a moment is not worth an announcement.
+        None | Some(Reason::Returned | Reason::Mute) if agent.gate().is_cold(now) => State::Cold,
+        None | Some(Reason::Returned | Reason::Mute) => State::Ready,
+        Some(_) => State::Leaving,
+    };
+    LocalState {
+        state,
+        load: u16::try_from(figures.in_flight * 100 / usize::from(slots)).unwrap_or(u16::MAX),
+        slots,
+        versions: agent.versions(),
+    }
+}
+
+/// Targets by the frame address of their agent.
+///
+/// For up to two seconds after a crash, the former process of an address is still listed beside the
+/// new one. Such an address takes flows only when both entries say so.
+pub(crate) fn targets<'a>(
+    agents: impl IntoIterator<Item = &'a Member>,
+) -> BTreeMap<SocketAddrV4, TargetView> {
+    let mut targets = BTreeMap::new();
+    for member in agents {
+        let view = TargetView {
+            service: member.service,
+            data_centre: member.place,
+            open: member.state != State::Leaving,
+            cold: member.state == State::Cold,
+            weight: u32::from(member.slots.max(1)),
+            load: member.load,
+            doubt: None,
+        };
+        targets
+            .entry(member.data)
+            .and_modify(|other: &mut TargetView| {
+                other.open &= view.open;
+                other.cold |= view.cold;
+                other.load = other.load.max(view.load);
+            })
+            .or_insert(view);
+    }
+    targets
+}
--- /dev/null
+++ b/crates/relay/src/peers.rs
@@ -0,0 +1,62 @@
+//! Configuration of other processes, for those that the store does not answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use monsoon_flow::{Catalogue, Places};
+use serde::{Deserialize, Serialize};
+
+use crate::inbox::{Message, Outlet};
+
+/// Path at which a process serves its configuration.
+pub(crate) const PATH: &str = "/configuration";
+
+/// Configuration as one process has it in force.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Shared {
+    /// It was compared with the store since the process started or was suspended.
+    pub checked: bool,
+    /// Routes and services.
+    pub catalogue: Option<Catalogue>,
+    /// Data centres taken out.
+    pub places: Places,
+}
+
+/// Encodes a configuration. It holds no value that cannot be encoded.
+pub(crate) fn encode(shared: &Shared) -> Bytes {
+    Bytes::from(postcard::to_stdvec(shared).unwrap_or_default())
+}
+
+/// Reads the configuration of a peer and hands it in. Returns whether the peer had checked it.
+pub(crate) async fn fetch(peer: SocketAddr, outlet: &Outlet) -> bool {
+    let body = match monsoon_store::fetch(peer, PATH).await {
+        Ok(body) => body,
+        Err(error) => {
+            log::warn!("peers: no configuration peer={peer} error=\"{error}\"");
+            return false;
+        }
+    };
+    let shared: Shared = match postcard::from_bytes(&body) {
+        Ok(shared) => shared,
+        Err(error) => {
+            log::warn!("peers: malformed configuration peer={peer} error=\"{error}\"");
+            return false;
+        }
+    };
+    log::info!(
+        "peers: fetched peer={peer} checked={} config={} places={}",
+        shared.checked,
+        shared.catalogue.as_ref().map_or(0, |c| c.version.0),
+        shared.places.version
+    );
+    // An unchecked peer may hold an older list than this process, and says so.
+    let catalogue = shared.catalogue.map(|c| Message::Catalogue(Arc::new(c)));
+    let places = shared.checked.then_some(Message::Places(shared.places));
+    for message in catalogue.into_iter().chain(places) {
+        if outlet.send(message).await.is_err() {
+            return false;
+        }
+    }
+    shared.checked
+}
--- a/crates/store/src/connection.rs
+++ b/crates/store/src/connection.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -21,11 +22,22 @@
 /// Largest response body, in bytes: an object of 1 MB and room for its envelope.
 pub const MAX_BODY: usize = 1_100_000;
 
+/// Idle time after which a connection is probed. A watch is silent for long, and only probes show
+/// that a link went silent for good.
+const KEEPALIVE_AFTER: Duration = Duration::from_secs(1);
+/// Interval of probes.
+const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection is given up.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// Complete response.
 #[derive(Debug)]
 pub struct Response {
+    /// Status.
     pub status: StatusCode,
+    /// Headers.
     pub headers: HeaderMap,
+    /// Body.
     pub body: Bytes,
 }
 
@@ -34,13 +46,26 @@
 pub enum ExchangeError {
     /// Connection was not established, so nothing was sent.
     #[display("{address}: {reason}")]
-    Connect { address: SocketAddr, reason: String },
+    Connect {
+        /// Address of the server.
+        address: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
     /// Failure after the request may have been sent.
     #[display("{address}: {reason}")]
-    Broken { address: SocketAddr, reason: String },
+    Broken {
+        /// Address of the server.
+        address: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
 }
 
 /// Sends a request and reads the complete response within `limit`, connecting included.
+///
+/// # Errors
+/// Returns whether the request was surely not sent or the outcome is unknown.
 pub async fn exchange(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
@@ -51,6 +76,9 @@
         Ok(Err(error)) => return Err(connect(address, &error)),
         Err(_) => return Err(connect(address, &"connecting timed out")),
     };
+    if let Err(error) = keep_alive(&stream) {
+        return Err(connect(address, &error));
+    }
     match timeout(limit, talk(stream, request)).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(reason)) => Err(ExchangeError::Broken { address, reason }),
@@ -61,6 +89,14 @@
     }
 }
 
+fn keep_alive(stream: &TcpStream) -> std::io::Result<()> {
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_AFTER)
+        .with_interval(KEEPALIVE_EVERY)
+        .with_retries(KEEPALIVE_PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&probes)
+}
+
 fn connect(address: SocketAddr, reason: &impl ToString) -> ExchangeError {
     ExchangeError::Connect {
         address,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,7 +12,7 @@
 mod settle;
 
 pub use client::{Client, MAX_ADDRESSES, Watch, fetch};
-pub use connection::{CONNECT_TIMEOUT, MAX_BODY};
+pub use connection::{CONNECT_TIMEOUT, ExchangeError, MAX_BODY, Response, exchange};
 pub use error::{PutError, StoreError};
 pub use object::{Condition, MAX_OBJECT, Stored, is_object_name};
 pub use settle::{Performed, Settled, perform, settle};
