Recover faster after all instances lost power

(1) A cold rate of zero was taken as a limit of five flows a second. (2) Agents that started with their target took themselves for unsure, so every lookup ended in tries. (3) Agents without a target, and the first second without a list of agents, blocked resets and made balancers reject new flows.

Change: no limit where operators set none; an agent that saw the first heartbeats of its target is sure; agents announce whether a target is unheard, here or ended; flows wait for the list of agents for at most 0.8 s after a start instead of being rejected or dropped.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -12,7 +12,7 @@
 use monsoon_model::{Duration, Instant, Versions};
 
 use crate::gate::{Announced, Bounds, Gate};
-use crate::{Action, Catalogue, FlowKey, Log, Places, Reason, Refusal, ServiceTag};
+use crate::{Action, Catalogue, FlowKey, Log, Places, Presence, Reason, Refusal, ServiceTag};
 use flows::{Flow, Flows};
 
 /// Time within which a live target answers an opening packet. A handshake takes a target under a
@@ -22,6 +22,11 @@
 const MAX_AWAITED: usize = 4_096;
 /// Interval of removing expired flows.
 const EXPIRE_EVERY: Duration = Duration::from_secs(1);
+/// Age up to which a target has no flows from before this process: an agent takes longer to be
+/// started again.
+const NEW_WITHIN: Duration = Duration::from_millis(300);
+/// Heartbeats that a target of that age has sent at most, those that met no agent included.
+const NEW_BEATS: u64 = 6;
 
 /// What an agent needs from the settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -51,6 +56,13 @@
     pub slots: u16,
 }
 
+/// What the first heartbeat tells about the age of the target.
+#[derive(Clone, Copy, Debug)]
+struct First {
+    sequence: u64,
+    cold: Duration,
+}
+
 /// Flows of one target.
 #[derive(Debug)]
 pub struct Agent {
@@ -68,6 +80,8 @@
     started: Instant,
     /// Flows that opened before this process started may still be open at the target.
     unsure: bool,
+    /// First heartbeat that was heard.
+    first: Option<First>,
     awaited: VecDeque<(Instant, FlowKey)>,
     expire: Instant,
 }
@@ -79,6 +93,7 @@
             gate: Gate::new(settings.bounds),
             unsure: !settings.first_start,
             settings,
+            first: None,
             flows: Flows::default(),
             catalogue: None,
             out: false,
@@ -135,11 +150,16 @@
         let readiness = announced.readiness;
         let before = self.gate.announced().map(|a| a.readiness);
         let first = self.gate.lifetime() == 0;
+        let (sequence, cold) = (announced.sequence, announced.cold);
         match self.gate.hear(now, announced) {
             None => Some("ignored"),
             Some(true) => {
-                // A lifetime that follows another one began while this process ran.
-                self.unsure &= first;
+                if first {
+                    self.first = Some(First { sequence, cold });
+                } else {
+                    // A lifetime that follows another one began while this process ran.
+                    self.unsure = false;
+                }
                 self.flows.end_all();
                 Some("started")
             }
@@ -156,6 +176,31 @@
         left
     }
 
+    /// Whether the target may hold flows that this process does not know.
+    fn is_unsure(&self) -> bool {
+        self.unsure && !self.first.is_some_and(|first| self.is_new(first))
+    }
+
+    /// Whether the target had just started when it was first heard.
+    fn is_new(&self, first: First) -> bool {
+        let catalogue = self.catalogue.as_ref();
+        let service = catalogue.and_then(|c| c.services.get(&self.service()));
+        let whole = service.map_or(Duration::ZERO, |service| service.cold_time);
+        let cold = whole > NEW_WITHIN && first.cold + NEW_WITHIN >= whole;
+        first.sequence <= 1 || (first.sequence <= NEW_BEATS && cold)
+    }
+
+    /// Whether a target is there. One that was not heard for the time of a heartbeat lease is not.
+    pub fn presence(&self, now: Instant) -> Presence {
+        let silent = now.since(self.started) >= self.settings.bounds.lease;
+        match self.gate.lifetime() {
+            0 if silent => Presence::Ended,
+            0 => Presence::Unheard,
+            _ if self.gate.is_gone() => Presence::Ended,
+            _ => Presence::Here,
+        }
+    }
+
     /// State of the target.
     pub fn gate(&self) -> &Gate {
         &self.gate
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -110,7 +110,7 @@
         let cold_rate = catalogue
             .services
             .get(&open.service)
-            .map_or(0.0, |service| service.cold_rate);
+            .and_then(|service| service.cold_rate);
         let busy = self.flows.in_flight() >= usize::from(self.slots());
         if !self.flows.has_room() || (busy && !open.hops.is_empty()) {
             return Err(Reason::Busy);
@@ -173,7 +173,7 @@
                 out.push(log(key, "reset", "reason=\"target ended\"".to_owned()));
                 out.push(refuse(key, facts.expects));
             }
-            None if self.unsure => {
+            None if self.is_unsure() => {
                 out.push(log(key, "tried", format!("balancer={from}")));
                 self.flows.set(key, Flow::Tried { from, at: now });
                 out.push(Action::Deliver(packet));
@@ -218,7 +218,7 @@
                 out.push(refuse(key, expects));
                 Holds::No
             }
-            None if self.unsure => Holds::Unsure,
+            None if self.is_unsure() => Holds::Unsure,
             None => Holds::No,
         }
     }
--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -24,10 +24,17 @@
 /// Time for which agents that left the list are still asked for flows: longer than a restart, and
 /// than a partition takes to be noticed and heal.
 const RECENT: Duration = Duration::from_secs(10);
+/// Time for which an agent that left without a target is remembered, because flows of that target
+/// may still be idle at their callers.
+const EMPTY_FOR: Duration = Duration::from_secs(60);
 /// Most flows remembered. At the bound a further one is forwarded without being remembered.
 const MAX_FLOWS: usize = 262_144;
 /// Time after which the list of agents is complete: agents announce themselves twice a second.
-const SETTLED_AFTER: Duration = Duration::from_secs(2);
+const SETTLED_AFTER: Duration = Duration::from_millis(800);
+/// Most flows that wait for the list of agents. At the bound a further one is decided at once.
+const MAX_HELD: usize = 16_384;
+/// Time after which a flow that did not open, or that nobody holds, is forgotten.
+const UNDECIDED_FOR: Duration = Duration::from_secs(2);
 /// Interval of removing expired flows.
 const EXPIRE_EVERY: Duration = Duration::from_secs(1);
 
@@ -42,6 +49,17 @@
     pub flow_ttl: Duration,
 }
 
+/// Whether the target of an agent is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// The agent has not heard it yet.
+    Unheard,
+    /// It is there.
+    Here,
+    /// It has ended, and all its flows with it.
+    Ended,
+}
+
 /// A target as its agent announces it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetView {
@@ -49,6 +67,8 @@
     pub service: monsoon_model::ServiceId,
     /// Data centre.
     pub data_centre: DataCentreId,
+    /// Whether a target is there.
+    pub presence: Presence,
     /// Whether it takes new flows.
     pub open: bool,
     /// Whether it is cold.
@@ -67,6 +87,15 @@
     }
 }
 
+/// An agent that is or was listed.
+#[derive(Clone, Copy, Debug)]
+struct Recent {
+    service: monsoon_model::ServiceId,
+    /// When it was last listed.
+    seen: Instant,
+    presence: Presence,
+}
+
 /// What a balancer remembers of a flow.
 #[derive(Clone, Debug)]
 enum Flow {
@@ -84,7 +113,7 @@
 struct Opening {
     service: ServiceTag,
     packet: Bytes,
-    sequence: u32,
+    facts: Facts,
     /// Agents that the packet was sent to first.
     tried: BTreeSet<SocketAddrV4>,
     /// Agents whose targets offered to take the flow, with the offers.
@@ -100,8 +129,8 @@
     settings: Settings,
     flows: BTreeMap<FlowKey, Flow>,
     targets: BTreeMap<SocketAddrV4, TargetView>,
-    /// Agents that were listed lately, with their service and when they were last listed.
-    recent: BTreeMap<SocketAddrV4, (monsoon_model::ServiceId, Instant)>,
+    /// Agents that were listed lately.
+    recent: BTreeMap<SocketAddrV4, Recent>,
     catalogue: Option<Arc<Catalogue>>,
     /// Services that each route has led to since the start, because open flows stay there.
     former: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
@@ -111,6 +140,8 @@
     checked: bool,
     awaited: VecDeque<(Instant, FlowKey)>,
     questions: VecDeque<(Instant, FlowKey)>,
+    /// Flows that wait for the list of agents.
+    held: VecDeque<FlowKey>,
     /// Since when the list of agents has been followed without a pause.
     settled: Instant,
     expire: Instant,
@@ -132,6 +163,7 @@
             checked: false,
             awaited: VecDeque::new(),
             questions: VecDeque::new(),
+            held: VecDeque::new(),
             settled: now,
             expire: now + EXPIRE_EVERY,
         }
@@ -169,24 +201,39 @@
     /// The process was suspended, so that its configuration and list of agents may be old.
     pub fn thaw(&mut self, now: Instant) {
         self.checked = false;
+        self.unsettle(now);
+    }
+
+    /// The list of agents may be incomplete, because no other process was reached.
+    pub fn unsettle(&mut self, now: Instant) {
         self.settled = now;
     }
 
-    /// Replaces the list of agents.
-    pub fn set_targets(&mut self, now: Instant, targets: BTreeMap<SocketAddrV4, TargetView>) {
+    /// Replaces the list of agents, and places flows that waited for it.
+    pub fn set_targets(
+        &mut self,
+        now: Instant,
+        targets: BTreeMap<SocketAddrV4, TargetView>,
+    ) -> Vec<Action> {
         let old = std::mem::replace(&mut self.targets, targets);
         for (at, target) in &mut self.targets {
             target.doubt = old.get(at).and_then(|old| old.doubt);
-            self.recent.insert(*at, (target.service, now));
+            let recent = Recent {
+                service: target.service,
+                seen: now,
+                presence: target.presence,
+            };
+            self.recent.insert(*at, recent);
         }
-        for (at, target) in old {
-            if !self.targets.contains_key(&at) {
-                self.recent.insert(at, (target.service, now));
-            }
-        }
-        let listed = &self.targets;
-        self.recent
-            .retain(|at, (_, seen)| listed.contains_key(at) || now.since(*seen) < RECENT);
+        self.recent.retain(|_, agent| {
+            let memory = match agent.presence {
+                Presence::Unheard => Duration::ZERO,
+                Presence::Here => RECENT,
+                Presence::Ended => EMPTY_FOR,
+            };
+            now.since(agent.seen) <= memory
+        });
+        self.release(now)
     }
 
     /// Versions in force.
@@ -235,14 +282,44 @@
             self.expire = now + EXPIRE_EVERY;
             self.forget(now);
         }
+        if !self.held.is_empty() && self.is_settled(now) {
+            out.extend(self.release(now));
+        }
+        out
+    }
+
+    /// Decides on the flows that waited for the list of agents; some may go on waiting.
+    fn release(&mut self, now: Instant) -> Vec<Action> {
+        let mut out = Vec::new();
+        for key in std::mem::take(&mut self.held) {
+            match self.flows.get(&key).cloned() {
+                Some(Flow::Opening(opening)) if opening.tried.is_empty() => {
+                    self.place(now, key, opening, &mut out);
+                }
+                Some(Flow::Asking(lookup)) if lookup.is_answered() => {
+                    self.ask(now, key, lookup, None, &mut out);
+                }
+                _ => {}
+            }
+        }
         out
     }
 
+    /// Keeps a flow until the list of agents is complete. Returns whether it waits.
+    fn hold(&mut self, now: Instant, key: FlowKey) -> bool {
+        let waits = !self.is_settled(now) && self.held.len() < MAX_HELD;
+        if waits {
+            self.held.push_back(key);
+        }
+        waits
+    }
+
     /// When the next tick is due.
     pub fn next_tick(&self) -> Instant {
         let awaited = self.awaited.front().map(|&(at, _)| at + TAKEN_WITHIN);
         let questions = self.questions.front().map(|&(at, _)| at + ANSWERED_WITHIN);
-        let due = [awaited, questions].into_iter().flatten().min();
+        let held = self.held.front().map(|_| self.settled + SETTLED_AFTER);
+        let due = [awaited, questions, held].into_iter().flatten().min();
         due.map_or(self.expire, |at| at.min(self.expire))
     }
 
@@ -250,9 +327,9 @@
         let idle = self.catalogue.as_ref().map(|c| c.idle);
         let idle = idle.unwrap_or(self.settings.flow_ttl);
         self.flows.retain(|_, flow| match flow {
-            Flow::Opening(opening) => now.since(opening.at) < SETTLED_AFTER,
+            Flow::Opening(opening) => now.since(opening.at) < UNDECIDED_FOR,
             Flow::Held { used, .. } => now.since(*used) <= idle,
-            Flow::Asking(lookup) | Flow::Trying(lookup) => now.since(lookup.at) < SETTLED_AFTER,
+            Flow::Asking(lookup) | Flow::Trying(lookup) => now.since(lookup.at) < UNDECIDED_FOR,
         });
     }
 
@@ -276,10 +353,9 @@
             .flatten()
             .map(|service| service.number())
             .collect();
-        let serves = |(_, (service, _)): &(_, &(monsoon_model::ServiceId, Instant))| {
-            services.contains(service)
-        };
-        let recent = self.recent.iter().filter(serves);
+        let serves =
+            |agent: &Recent| agent.presence != Presence::Ended && services.contains(&agent.service);
+        let recent = self.recent.iter().filter(|(_, agent)| serves(agent));
         recent.map(|(&at, _)| at).collect()
     }
 
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use monsoon_model::Instant;
 
-use super::{Balancer, Flow, Opening, log, refuse};
+use super::{Balancer, Flow, Opening, Presence, log, refuse};
 use crate::lookup::{Lookup, Verdict};
 use crate::{Action, Facts, FlowKey, Frame, Kind};
 use std::net::SocketAddrV4;
@@ -28,21 +28,31 @@
             Some(Flow::Held { agent, used }) => {
                 *used = now;
                 let to = *agent;
-                out.push(forward(to, packet));
+                if self.has_ended(to) {
+                    self.flows.remove(&key);
+                    out.push(log(
+                        key,
+                        "reset",
+                        format!("reason=\"target ended\" agent={to}"),
+                    ));
+                    out.push(refuse(key, facts.expects));
+                } else {
+                    out.push(forward(to, packet));
+                }
             }
             Some(Flow::Opening(opening)) => match accepted(opening, facts.expects) {
                 Some(agent) => {
                     self.remember(key, Flow::Held { agent, used: now });
                     out.push(forward(agent, packet));
                 }
-                None => self.ask(now, packet, facts, None, out),
+                None => self.look_up(now, packet, facts, None, out),
             },
             Some(Flow::Asking(lookup)) => lookup.keep(packet),
             Some(Flow::Trying(lookup)) => {
                 let agents = lookup.unsure.iter();
                 out.extend(agents.map(|&agent| forward(agent, packet.clone())));
             }
-            None => self.ask(now, packet, facts, None, out),
+            None => self.look_up(now, packet, facts, None, out),
         }
     }
 
@@ -65,8 +75,14 @@
         }
     }
 
-    /// Asks all agents that may hold the flow, apart from one that has said that it does not.
-    pub(super) fn ask(
+    /// Whether an agent said that its target and so all its flows have ended.
+    fn has_ended(&self, agent: SocketAddrV4) -> bool {
+        let recent = self.recent.get(&agent);
+        recent.is_some_and(|recent| recent.presence == Presence::Ended)
+    }
+
+    /// Looks for the agent of a flow, apart from one that has said that it does not hold it.
+    pub(super) fn look_up(
         &mut self,
         now: Instant,
         packet: Bytes,
@@ -74,13 +90,28 @@
         denied: Option<SocketAddrV4>,
         out: &mut Vec<Action>,
     ) {
-        let key = facts.key;
+        let mut lookup = Lookup::new(now, facts.expects);
+        lookup.keep(packet);
+        self.ask(now, facts.key, lookup, denied, out);
+    }
+
+    /// Asks all agents that may hold the flow.
+    pub(super) fn ask(
+        &mut self,
+        now: Instant,
+        key: FlowKey,
+        mut lookup: Lookup,
+        denied: Option<SocketAddrV4>,
+        out: &mut Vec<Action>,
+    ) {
         let mut asked = self.holders(key.address);
+        // Without any agent in sight, nothing is known about the flow.
+        lookup.complete = self.is_settled(now) && !asked.is_empty();
         if let Some(agent) = denied {
             asked.remove(&agent);
         }
         out.push(log(key, "asked", format!("agents={}", asked.len())));
-        let expects = facts.expects;
+        let expects = lookup.expects;
         for &to in &asked {
             out.push(Action::Send {
                 to,
@@ -88,8 +119,7 @@
                 packet: Bytes::new(),
             });
         }
-        let mut lookup = Lookup::new(now, asked, expects, self.is_settled(now));
-        lookup.keep(packet);
+        lookup.ask(now, asked);
         if lookup.is_answered() {
             self.settle(now, key, lookup, Verdict::Nobody, out);
         } else {
@@ -122,6 +152,9 @@
                 lookup.at = now;
                 self.remember(key, Flow::Trying(lookup));
             }
+            Verdict::Nobody if !lookup.complete && self.hold(now, key) => {
+                self.remember(key, Flow::Asking(lookup));
+            }
             Verdict::Nobody => {
                 self.flows.remove(&key);
                 let certain = lookup.complete;
--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -45,7 +45,7 @@
         let Some(Flow::Opening(opening)) = self.flows.get(&facts.key) else {
             return;
         };
-        if !opening.offers.is_empty() || opening.sequence != facts.sequence {
+        if !opening.offers.is_empty() || opening.facts.sequence != facts.sequence {
             return;
         }
         let copy = match facts.kind {
@@ -66,7 +66,7 @@
         match self.flows.get_mut(&facts.key) {
             Some(Flow::Asking(lookup)) => lookup.keep(packet),
             Some(Flow::Held { agent, .. }) if *agent != from => {}
-            _ => self.ask(now, packet, facts, Some(from), out),
+            _ => self.look_up(now, packet, facts, Some(from), out),
         }
     }
 
--- a/crates/flow/src/balancer/open.rs
+++ b/crates/flow/src/balancer/open.rs
@@ -34,21 +34,33 @@
             }
             return;
         };
-        let known = match self.flows.get(&key) {
-            Some(Flow::Opening(opening)) if opening.sequence == facts.sequence => opening
-                .offers
-                .first()
-                .map(|&(agent, _)| Err(agent))
-                .or_else(|| Some(Ok(opening.tried.clone()))),
-            Some(Flow::Held { agent, .. }) if copy > 0 => Some(Err(*agent)),
-            _ => None,
+        let opening = match self.flows.get(&key) {
+            Some(Flow::Opening(opening)) if opening.facts.sequence == facts.sequence => {
+                let mut opening = opening.clone();
+                opening.copy = opening.copy.max(copy);
+                opening
+            }
+            // The target that holds the flow answers a copy again.
+            Some(Flow::Held { agent, .. }) if copy > 0 => {
+                out.push(self.send_open(*agent, service, Vec::new(), packet));
+                return;
+            }
+            _ => Opening {
+                service,
+                packet,
+                facts: *facts,
+                tried: BTreeSet::new(),
+                offers: Vec::new(),
+                copy,
+                at: now,
+            },
         };
-        match known {
-            // The target that offered to take the flow answers a copy again.
-            Some(Err(agent)) => out.push(self.send_open(agent, service, Vec::new(), packet)),
-            Some(Ok(tried)) => self.place(now, service, packet, facts, copy, tried, out),
-            None => self.place(now, service, packet, facts, copy, BTreeSet::new(), out),
+        if let Some(&(agent, _)) = opening.offers.first() {
+            let packet = opening.packet.clone();
+            out.push(self.send_open(agent, service, Vec::new(), packet));
+            return;
         }
+        self.place(now, key, opening, out);
     }
 
     pub(super) fn service(&self, key: FlowKey) -> Option<ServiceTag> {
@@ -67,51 +79,42 @@
         order(now, key.hash(), self.settings.data_centre, targets)
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the parts of one packet and its history"
-    )]
-    fn place(
+    /// Offers a flow to the candidates, those that were asked before last.
+    pub(super) fn place(
         &mut self,
         now: Instant,
-        service: ServiceTag,
-        packet: Bytes,
-        facts: &Facts,
-        copy: u32,
-        tried: BTreeSet<SocketAddrV4>,
+        key: FlowKey,
+        mut opening: Opening,
         out: &mut Vec<Action>,
     ) {
-        let key = facts.key;
-        let mut order = self.candidates(now, service, key);
-        // Agents that were asked before come last: they may only have been slow.
-        order.sort_by_key(|agent| tried.contains(agent));
+        let mut order = self.candidates(now, opening.service, key);
+        order.sort_by_key(|agent| opening.tried.contains(agent));
         order.truncate(MAX_HOPS);
         let Some(first) = order.first().copied() else {
-            self.reject(key, copy, facts.expects, "no target", out);
+            if self.hold(now, key) {
+                self.remember(key, Flow::Opening(opening));
+            } else {
+                let (copy, expects) = (opening.copy, opening.facts.expects);
+                self.reject(key, copy, expects, "no target", out);
+            }
             return;
         };
-        let mut tried = tried;
-        tried.insert(first);
         out.push(log(
             key,
             "placed",
             format!(
-                "service={service} agent={first} copy={copy} config={} places={} targets={}",
+                "service={} agent={first} copy={} config={} places={} targets={}",
+                opening.service,
+                opening.copy,
                 self.versions.document,
                 self.versions.places,
                 self.targets.len()
             ),
         ));
-        out.push(self.send_open(first, service, order.split_off(1), packet.clone()));
-        let opening = Opening {
-            service,
-            packet,
-            sequence: facts.sequence,
-            tried,
-            offers: Vec::new(),
-            copy,
-            at: now,
-        };
+        let hops = order.split_off(1);
+        out.push(self.send_open(first, opening.service, hops, opening.packet.clone()));
+        opening.tried.insert(first);
+        opening.at = now;
         self.remember(key, Flow::Opening(opening));
         self.awaited.push_back((now, key));
     }
--- a/crates/flow/src/catalogue.rs
+++ b/crates/flow/src/catalogue.rs
@@ -106,8 +106,10 @@
 pub struct Service {
     /// Name.
     pub name: String,
-    /// Requests that a cold target bears in a second.
-    pub cold_rate: f64,
+    /// Requests that a cold target bears in a second, if operators limit it.
+    pub cold_rate: Option<f64>,
+    /// Time for which a target stays cold after its start.
+    pub cold_time: Duration,
     /// Path of the health check.
     pub health: String,
 }
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -201,19 +201,16 @@
         (now < self.full_until).then_some(Reason::Returned)
     }
 
-    /// Admits one opening packet at the rate `cold_rate` of the service's cold targets.
+    /// Admits one opening packet. `cold_rate` limits a cold target; without one it is only slower.
     ///
     /// # Errors
     /// Returns the reason when the target gets no new flow now.
-    pub fn admit(&mut self, now: Instant, cold_rate: f64) -> Result<(), Reason> {
+    pub fn admit(&mut self, now: Instant, cold_rate: Option<f64>) -> Result<(), Reason> {
         if let Some(reason) = self.closed(now) {
             return Err(reason);
         }
-        let limit = if self.is_cold(now) {
-            self.cold_limit(cold_rate)
-        } else {
-            usize::MAX
-        };
+        let rate = cold_rate.filter(|_| self.is_cold(now));
+        let limit = rate.map_or(usize::MAX, |rate| self.cold_limit(rate));
         if !self.pacer.allows(now, limit) {
             return Err(Reason::Cold);
         }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use action::{Action, Log};
 pub use agent::{Agent, AgentStats, Settings as AgentSettings};
-pub use balancer::{Balancer, Settings as BalancerSettings, TargetView};
+pub use balancer::{Balancer, Presence, Settings as BalancerSettings, TargetView};
 pub use catalogue::{Catalogue, Places, RequestKind, Route, Service, ServiceTag, Share};
 pub use facts::{Facts, Kind, Refusal};
 pub use frame::{Frame, FrameError, Holds, Open, Reason, decode, encode};
--- a/crates/flow/src/lookup.rs
+++ b/crates/flow/src/lookup.rs
@@ -43,22 +43,24 @@
 }
 
 impl Lookup {
-    pub(crate) fn new(
-        now: Instant,
-        asked: BTreeSet<SocketAddrV4>,
-        expects: u32,
-        complete: bool,
-    ) -> Self {
+    pub(crate) fn new(now: Instant, expects: u32) -> Self {
         Self {
             at: now,
-            waiting: asked,
+            waiting: BTreeSet::new(),
             unsure: BTreeSet::new(),
             packets: Vec::new(),
             expects,
-            complete,
+            complete: false,
         }
     }
 
+    /// Notes which agents were asked.
+    pub(crate) fn ask(&mut self, now: Instant, asked: BTreeSet<SocketAddrV4>) {
+        self.at = now;
+        self.waiting = asked;
+        self.unsure.clear();
+    }
+
     /// Keeps a packet until the answer; beyond the bound it is dropped.
     pub(crate) fn keep(&mut self, packet: Bytes) {
         if self.packets.len() < MAX_PACKETS {
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -77,7 +77,7 @@
             self.event(process, now, Event::Tick);
         }
         if now >= self.refresh {
-            self.refresh(now);
+            self.refresh(process, now);
         }
     }
 
@@ -94,13 +94,14 @@
     fn event(&mut self, process: &mut Process, now: Instant, event: Event) {
         let actions = self.node.handle(now, event);
         if process.follow(now, actions) {
-            self.refresh(now);
+            self.refresh(process, now);
         }
     }
 
-    fn refresh(&mut self, now: Instant) {
+    fn refresh(&mut self, process: &mut Process, now: Instant) {
         self.refresh = now + REFRESH_EVERY;
-        self.flows.set_targets(now, targets(self.node.agents()));
+        let actions = self.flows.set_targets(now, targets(self.node.agents()));
+        process.perform(now, actions);
     }
 
     pub(crate) fn gauges(&self) -> Vec<(&'static str, u64)> {
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-use monsoon_flow::{Agent, Reason, TargetView};
+use monsoon_flow::{Agent, Presence, Reason, TargetView};
 use monsoon_membership::{LocalState, Member, Role, State};
 use monsoon_model::{AgentId, Instant, ServiceId, Versions};
 
@@ -39,10 +39,16 @@
         None | Some(Reason::Returned | Reason::Mute) => State::Ready,
         Some(_) => State::Leaving,
     };
+    // Without slots, the state tells whether a target may still be heard or has ended.
+    let (state, offered) = match agent.presence(now) {
+        Presence::Here => (state, slots),
+        Presence::Unheard => (State::Cold, 0),
+        Presence::Ended => (State::Leaving, 0),
+    };
     LocalState {
         state,
         load: u16::try_from(figures.in_flight * 100 / usize::from(slots)).unwrap_or(u16::MAX),
-        slots,
+        slots: offered,
         versions: agent.versions(),
     }
 }
@@ -59,9 +65,14 @@
         let view = TargetView {
             service: member.service,
             data_centre: member.place,
-            open: member.state != State::Leaving,
+            presence: match (member.slots, member.state) {
+                (0, State::Leaving) => Presence::Ended,
+                (0, _) => Presence::Unheard,
+                _ => Presence::Here,
+            },
+            open: member.slots > 0 && member.state != State::Leaving,
             cold: member.state == State::Cold,
-            weight: u32::from(member.slots.max(1)),
+            weight: u32::from(member.slots),
             load: member.load,
             doubt: None,
         };
@@ -71,6 +82,10 @@
                 other.open &= view.open;
                 other.cold |= view.cold;
                 other.load = other.load.max(view.load);
+                other.weight = other.weight.max(view.weight);
+                if view.presence != Presence::Ended {
+                    other.presence = view.presence;
+                }
             })
             .or_insert(view);
     }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -280,6 +280,9 @@
             self.unsettle(now, part);
         }
         let alone = now.since(self.heard) >= ALONE_AFTER;
+        if alone && let Part::Balancer(part) = part {
+            part.flows.unsettle(now);
+        }
         self.alone.send_if_modified(|old| {
             let changed = *old != alone;
             if changed {
