Test the forwarding of opaque flows on virtual time; know agents that died

Cause: the new test a_flow_of_a_silent_agent_is_not_reset failed: a restarted balancer knew nothing of an agent that had just died, so that all others denied the flow and it was reset on suspicion.

Change: balancers also ask agents that membership declared dead within 10 s (new BalancerNode::dead_agents), and an agent keeps an offer as long as an idle flow. A starting agent announces to up to 16 seeds; the list of agents counts as complete 0.25 s after the last new one, 0.5 s to 1.2 s after the start (before: 0.8 s).

--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -153,7 +153,8 @@
             }
         }
         self.flows.retain(|_, flow| match flow {
-            Flow::Offered(offered) => now.since(offered.at) < CLOSED_FOR,
+            // The caller's answer to the offer may be lost, and come again with its next request.
+            Flow::Offered(offered) => now.since(offered.at) <= idle,
             Flow::Open(opened) if opened.caller_closed && opened.target_closed => {
                 now.since(opened.used) < CLOSED_FOR
             }
--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -21,16 +21,21 @@
 const DOUBT_FOR: Duration = Duration::from_secs(3);
 /// Time after which unanswered questions are given up.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(100);
-/// Time for which agents that left the list are still asked for flows: longer than a restart, and
-/// than a partition takes to be noticed and heal.
+/// Time for which agents that left the list are still asked for flows, such as those of a data
+/// centre that is out of reach: longer than a restart.
 const RECENT: Duration = Duration::from_secs(10);
 /// Time for which an agent that left without a target is remembered, because flows of that target
 /// may still be idle at their callers.
 const EMPTY_FOR: Duration = Duration::from_secs(60);
 /// Most flows remembered. At the bound a further one is forwarded without being remembered.
 const MAX_FLOWS: usize = 262_144;
-/// Time after which the list of agents is complete: agents announce themselves twice a second.
-const SETTLED_AFTER: Duration = Duration::from_millis(800);
+/// Least time after a start in which the list of agents may be complete: an announcement and a
+/// round of gossip.
+const SETTLED_FROM: Duration = Duration::from_millis(500);
+/// Time without a further agent after which the list counts as complete: a round of gossip.
+const QUIET_FOR: Duration = Duration::from_millis(250);
+/// Time after which it counts as complete in any case: agents announce themselves twice a second.
+const SETTLED_AFTER: Duration = Duration::from_millis(1_200);
 /// Most flows that wait for the list of agents. At the bound a further one is decided at once.
 const MAX_HELD: usize = 16_384;
 /// Time after which a flow that did not open, or that nobody holds, is forgotten.
@@ -144,6 +149,8 @@
     held: VecDeque<FlowKey>,
     /// Since when the list of agents has been followed without a pause.
     settled: Instant,
+    /// When an agent was last listed for the first time.
+    grown: Instant,
     expire: Instant,
 }
 
@@ -165,6 +172,7 @@
             questions: VecDeque::new(),
             held: VecDeque::new(),
             settled: now,
+            grown: now,
             expire: now + EXPIRE_EVERY,
         }
     }
@@ -216,6 +224,10 @@
         targets: BTreeMap<SocketAddrV4, TargetView>,
     ) -> Vec<Action> {
         let old = std::mem::replace(&mut self.targets, targets);
+        let unknown = |at| !old.contains_key(at);
+        if self.targets.keys().any(unknown) {
+            self.grown = now;
+        }
         for (at, target) in &mut self.targets {
             target.doubt = old.get(at).and_then(|old| old.doubt);
             let recent = Recent {
@@ -318,7 +330,7 @@
     pub fn next_tick(&self) -> Instant {
         let awaited = self.awaited.front().map(|&(at, _)| at + TAKEN_WITHIN);
         let questions = self.questions.front().map(|&(at, _)| at + ANSWERED_WITHIN);
-        let held = self.held.front().map(|_| self.settled + SETTLED_AFTER);
+        let held = self.held.front().map(|_| self.complete_at());
         let due = [awaited, questions, held].into_iter().flatten().min();
         due.map_or(self.expire, |at| at.min(self.expire))
     }
@@ -341,7 +353,12 @@
 
     /// Whether the list of agents covers every agent that could hold a flow.
     fn is_settled(&self, now: Instant) -> bool {
-        now.since(self.settled) >= SETTLED_AFTER
+        now >= self.complete_at()
+    }
+
+    fn complete_at(&self) -> Instant {
+        let quiet = (self.settled + SETTLED_FROM).max(self.grown + QUIET_FOR);
+        quiet.min(self.settled + SETTLED_AFTER)
     }
 
     /// Agents that may hold a flow of the route: those of every service that it has led to.
--- /dev/null
+++ b/crates/flow/tests/flows.rs
@@ -0,0 +1,177 @@
+//! Flows across balancers and agents that stop, start and lose datagrams.
+
+mod world;
+
+use monsoon_model::Duration;
+use quickcheck::{QuickCheck, TestResult};
+use world::{Seen, World, caller, strangers};
+
+/// Guards against a balancer that knows no flow and guesses its agent: the packet would reach
+/// targets that return it.
+#[test]
+fn any_balancer_finds_the_agent_of_an_open_flow() {
+    let mut world = World::new(1, 3, 4);
+    let key = caller(1);
+    assert!(world.open_flow(key));
+    let (own, ..) = world.open[&key];
+    for number in 1..=3 {
+        world.balancers.remove(&number);
+        world.start_balancer(number);
+    }
+    world.run(Duration::from_secs(2));
+    for _ in 0..10 {
+        let seen = world.request(key);
+        assert!(seen.contains(&Seen::Answer), "{seen:?}");
+        assert!(strangers(&seen, own).is_empty(), "{seen:?}");
+    }
+}
+
+/// Guards against flows that are lost when the agent restarts beside its living target.
+#[test]
+fn a_restarted_agent_learns_the_flows_of_its_living_target() {
+    let mut world = World::new(2, 2, 4);
+    let key = caller(1);
+    assert!(world.open_flow(key));
+    let (own, ..) = world.open[&key];
+    world.restart_agent(own);
+    for number in 1..=2 {
+        world.start_balancer(number);
+    }
+    world.run(Duration::from_secs(2));
+    let seen = world.request(key);
+    assert!(seen.contains(&Seen::Answer), "{seen:?}");
+    assert!(!seen.contains(&Seen::Reset), "{seen:?}");
+}
+
+/// Guards against packets at strange targets while several agents cannot tell: the own one gets
+/// them too.
+#[test]
+fn a_flow_is_found_when_all_agents_restarted() {
+    let mut world = World::new(3, 2, 5);
+    let key = caller(1);
+    assert!(world.open_flow(key));
+    let (own, ..) = world.open[&key];
+    for number in 1..=5 {
+        world.restart_agent(number);
+    }
+    for number in 1..=2 {
+        world.start_balancer(number);
+    }
+    world.run(Duration::from_secs(2));
+    let seen = world.request(key);
+    assert!(seen.contains(&Seen::Target(own)), "{seen:?}");
+    assert!(seen.contains(&Seen::Answer), "{seen:?}");
+    assert!(!seen.contains(&Seen::Reset), "{seen:?}");
+    let again = world.request(key);
+    assert!(strangers(&again, own).is_empty(), "{again:?}");
+}
+
+/// Guards against callers that wait for their deadline on a flow whose target is gone.
+#[test]
+fn a_flow_of_an_ended_lifetime_is_reset() {
+    let mut world = World::new(4, 2, 3);
+    let key = caller(1);
+    assert!(world.open_flow(key));
+    let (own, ..) = world.open[&key];
+    world.replace_target(own);
+    world.run(Duration::from_millis(100));
+    assert!(world.request(key).contains(&Seen::Reset));
+}
+
+/// Guards against a reset on suspicion: an agent that does not answer may still hold the flow.
+#[test]
+fn a_flow_of_a_silent_agent_is_not_reset() {
+    let mut world = World::new(5, 2, 3);
+    let key = caller(1);
+    assert!(world.open_flow(key));
+    let (own, ..) = world.open[&key];
+    let agent = world.agents.remove(&own).expect("agent runs");
+    world.start_balancer(1);
+    let seen = world.request(key);
+    assert!(!seen.contains(&Seen::Reset), "{seen:?}");
+    world.agents.insert(own, agent);
+    assert!(world.request(key).contains(&Seen::Answer));
+}
+
+/// Guards against new flows that wait for a dead agent until a detection time has passed.
+#[test]
+fn an_unanswered_opening_goes_to_another_agent() {
+    let mut world = World::new(6, 1, 3);
+    let first: Vec<_> = (1..=12).map(caller).collect();
+    for &key in &first {
+        assert!(world.open_flow(key));
+    }
+    let counts = |world: &World, n: u8| world.open.values().filter(|(own, ..)| *own == n).count();
+    let busiest = (1..=3)
+        .max_by_key(|&n| counts(&world, n))
+        .expect("three agents");
+    let agent = world.agents.remove(&busiest).expect("agent runs");
+    // Membership has not noticed yet.
+    let mut opened = 0;
+    for number in 13..=24 {
+        let views = world::views(1..=3);
+        let now = world.now;
+        let balancer = world.balancers.get_mut(&1).expect("balancer runs");
+        balancer.set_targets(now, views);
+        opened += usize::from(world.open_flow(caller(number)));
+    }
+    assert_eq!(opened, 12);
+    world.agents.insert(busiest, agent);
+}
+
+/// Guards against a target that accepts packets and never answers.
+#[test]
+fn an_opening_that_a_target_leaves_unanswered_is_passed_on() {
+    let mut world = World::new(7, 1, 3);
+    world.targets.get_mut(&2).expect("target exists").up = false;
+    for number in 1..=12 {
+        assert!(world.open_flow(caller(number)));
+    }
+    assert!(world.open.values().all(|(own, ..)| *own != 2));
+}
+
+/// Guards against resets and strange deliveries under restarts in any order, with lost datagrams.
+#[test]
+fn flows_survive_restarts_in_any_order() {
+    fn survives(seed: u64) -> TestResult {
+        let mut world = World::new(seed, 3, 4);
+        world.loss = seed % 4;
+        let keys: Vec<_> = (1..=6).map(caller).collect();
+        let opened: Vec<_> = keys
+            .into_iter()
+            .filter(|&key| world.open_flow(key))
+            .collect();
+        for _ in 0..6 {
+            let number = world.random(4) as u8;
+            match world.random(3) {
+                0 => world.restart_agent(number + 1),
+                1 => world.start_balancer(number % 3 + 1),
+                _ => {
+                    world.balancers.remove(&(number % 3 + 1));
+                    world.run(Duration::from_millis(100));
+                    world.start_balancer(number % 3 + 1);
+                }
+            }
+            world.run(Duration::from_millis(300));
+            for &key in &opened {
+                let own = world.open[&key].0;
+                let seen = world.request(key);
+                if seen.contains(&Seen::Reset) {
+                    let trace = world.trace[&key].join("\n");
+                    return TestResult::error(format!("seed {seed}: reset of {key}\n{trace}"));
+                }
+                if strangers(&seen, own).len() >= 3 && !seen.contains(&Seen::Target(own)) {
+                    return TestResult::error(format!("seed {seed}: {key} strayed: {seen:?}"));
+                }
+            }
+        }
+        TestResult::passed()
+    }
+    for seed in 0..60 {
+        let result = survives(seed);
+        assert!(!result.is_failure(), "{result:?}");
+    }
+    QuickCheck::new()
+        .tests(20)
+        .quickcheck(survives as fn(u64) -> TestResult);
+}
--- /dev/null
+++ b/crates/flow/tests/limits.rs
@@ -0,0 +1,312 @@
+//! What an agent lets through to its target, and what a balancer refuses.
+
+mod world;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use monsoon_flow::{Action, Agent, Frame, Open, Places, Readiness, Reason, ServiceTag};
+use monsoon_model::{Duration, Instant, Version, Versions};
+use world::{
+    LEASE, agent_at, agent_settings, balancer_at, beat, caller, catalogue, data, offer, opening,
+    other_tag, ready_agent, ready_balancer, tag, views,
+};
+
+const START: Instant = Instant::from_secs(100);
+
+fn open_frame(document: u64, service: ServiceTag) -> Frame {
+    Frame::Open(Open {
+        from: balancer_at(1),
+        service,
+        versions: Versions {
+            document: Version(document),
+            places: Version(0),
+        },
+        hops: Vec::new(),
+    })
+}
+
+/// Reason for which the agent refuses the flow, `None` when it takes it.
+fn offered(agent: &mut Agent, now: Instant, number: u16, frame: Frame) -> Option<Reason> {
+    let facts = opening(caller(number), 0);
+    let packet = Bytes::from_static(b"p");
+    let actions = agent.receive(now, balancer_at(1), frame, packet, Some(facts));
+    actions.into_iter().find_map(|action| match action {
+        Action::Send {
+            frame: Frame::Refused { reason, .. },
+            ..
+        } => Some(reason),
+        _ => None,
+    })
+}
+
+fn offered_now(agent: &mut Agent, now: Instant) -> Option<Reason> {
+    offered(agent, now, 1, open_frame(1, tag()))
+}
+
+/// Guards against new work for a target that said it drains or ended.
+#[test]
+fn a_leaving_target_gets_no_new_flow() {
+    let mut agent = ready_agent(START, 1);
+    assert_eq!(offered_now(&mut agent, START), None);
+    let mut draining = beat("i", 2);
+    draining.readiness = Readiness::Draining;
+    agent.hear(START, draining);
+    assert_eq!(
+        offered(&mut agent, START, 2, open_frame(1, tag())),
+        Some(Reason::Leaving)
+    );
+    let mut agent = ready_agent(START, 1);
+    assert!(agent.leave("i"));
+    assert_eq!(offered_now(&mut agent, START), Some(Reason::Leaving));
+}
+
+/// Guards against a late heartbeat of a former lifetime that revives it.
+#[test]
+fn an_old_heartbeat_changes_nothing() {
+    let mut agent = ready_agent(START, 1);
+    let mut draining = beat("i", 5);
+    draining.readiness = Readiness::Draining;
+    agent.hear(START, draining);
+    assert_eq!(agent.hear(START, beat("i", 4)), Some("ignored"));
+    assert_eq!(offered_now(&mut agent, START), Some(Reason::Leaving));
+    let mut older = beat("former", 9);
+    older.born = 0;
+    assert_eq!(agent.hear(START, older), Some("ignored"));
+}
+
+/// Guards against a flow at an address that went to another target in the meantime.
+#[test]
+fn a_target_without_recent_heartbeat_gets_no_new_flow() {
+    let mut agent = ready_agent(START, 1);
+    let late = START + LEASE;
+    assert_eq!(offered_now(&mut agent, late), Some(Reason::Unheard));
+    agent.hear(late, beat("i", 2));
+    assert_eq!(offered_now(&mut agent, late), None);
+}
+
+/// Guards against a flow at another service when the address was given to it.
+#[test]
+fn a_target_of_another_service_gets_no_flow() {
+    let mut agent = ready_agent(START, 1);
+    let wrong = open_frame(1, other_tag());
+    assert_eq!(offered(&mut agent, START, 1, wrong), Some(Reason::Service));
+    let mut moved = beat("j", 1);
+    moved.born = 2;
+    moved.service = other_tag();
+    agent.hear(START, moved);
+    assert_eq!(offered_now(&mut agent, START), Some(Reason::Service));
+}
+
+/// Guards against flows at a data centre that operators took out, and against the first flows
+/// after its return overrunning targets that turned cold meanwhile.
+#[test]
+fn a_data_centre_out_gets_no_new_flow_and_returns_cold() {
+    let mut agent = ready_agent(START, 1);
+    let out = Places {
+        version: Version(5),
+        out: BTreeSet::from(["a".to_owned()]),
+    };
+    agent.set_places(START, &out);
+    assert_eq!(offered_now(&mut agent, START), Some(Reason::Out));
+    let stale = Places {
+        version: Version(4),
+        out: BTreeSet::new(),
+    };
+    agent.set_places(START, &stale);
+    assert_eq!(offered_now(&mut agent, START), Some(Reason::Out));
+    let back = Places {
+        version: Version(6),
+        out: BTreeSet::new(),
+    };
+    agent.set_places(START, &back);
+    assert!(agent.gate().is_cold(START));
+    agent.hear(START + Duration::from_millis(1), beat("i", 2));
+    assert!(!agent.gate().is_cold(START + Duration::from_millis(1)));
+}
+
+/// Load pattern: many flows at once at a target that has just started. Guards against more flows in
+/// any second than it bears: 2 a second times 1.5, and 5 more.
+#[test]
+fn a_cold_target_gets_what_it_bears_in_any_second() {
+    let mut agent = Agent::new(START, agent_settings(1, true));
+    agent.set_catalogue(Arc::new(catalogue(1)));
+    agent.set_checked();
+    let mut cold = beat("i", 1);
+    cold.cold = Duration::from_secs(4);
+    agent.hear(START, cold);
+    let mut taken = Vec::new();
+    for step in 0..400_u16 {
+        let now = START + Duration::from_millis(u64::from(step) * 10);
+        if step % 100 == 0 {
+            let mut again = beat("i", u64::from(step) / 100 + 2);
+            again.cold = Duration::from_secs(4).saturating_sub(now - START);
+            agent.hear(now, again);
+        }
+        let frame = open_frame(1, tag());
+        if offered(&mut agent, now, step, frame).is_none() {
+            taken.push(now);
+            answer(&mut agent, now, step);
+        }
+    }
+    let most = |from: Instant| {
+        let second = |at: &&Instant| **at >= from && **at - from <= Duration::from_secs(1);
+        taken.iter().filter(second).count()
+    };
+    let busiest = taken.iter().map(|&at| most(at)).max();
+    assert!(busiest <= Some(8), "{busiest:?} flows in a second");
+    assert!(
+        taken.len() >= 20,
+        "only {} flows in four seconds",
+        taken.len()
+    );
+}
+
+fn answer(agent: &mut Agent, now: Instant, number: u16) {
+    let facts = offer(caller(number), 7_000);
+    agent.outbound(now, Bytes::from_static(b"o"), &facts);
+}
+
+/// Guards against a configuration that reverts at one target, because one balancer is behind.
+#[test]
+fn an_opening_by_an_older_configuration_is_refused() {
+    let mut agent = ready_agent(START, 1);
+    let mut without = catalogue(3);
+    without.routes.clear();
+    agent.set_catalogue(Arc::new(without));
+    assert_eq!(offered_now(&mut agent, START), Some(Reason::Route));
+    // A newer balancer acted on a version that this agent has not read yet.
+    let mut behind = ready_agent(START, 1);
+    assert_eq!(offered(&mut behind, START, 1, open_frame(3, tag())), None);
+    answer(&mut behind, START, 1);
+    let older = open_frame(2, tag());
+    assert_eq!(offered(&mut behind, START, 2, older), Some(Reason::Older));
+}
+
+/// Guards against decisions by a configuration from before a suspension.
+#[test]
+fn a_suspended_process_takes_no_flow_until_it_has_checked() {
+    let mut agent = ready_agent(START, 1);
+    agent.thaw();
+    assert_eq!(offered_now(&mut agent, START), Some(Reason::Unchecked));
+    agent.set_checked();
+    assert_eq!(offered_now(&mut agent, START), Some(Reason::Unheard));
+    let mut balancer = ready_balancer(START, 1);
+    balancer.thaw(START);
+    assert!(!balancer.is_ready());
+    let actions = balancer.packet(START, Bytes::new(), &opening(caller(1), 0));
+    assert_eq!(actions, []);
+}
+
+/// Load pattern: a burst at one target while others have room. Guards against a queue at the target
+/// that the hash prefers.
+#[test]
+fn a_busy_target_passes_new_flows_on() {
+    let mut agent = ready_agent(START, 1);
+    for number in 0..4 {
+        offered(&mut agent, START, number, open_frame(1, tag()));
+        answer(&mut agent, START, number);
+        let request = data(caller(number), 7_001);
+        let packet = Bytes::from_static(b"r");
+        agent.receive(START, balancer_at(1), Frame::Data, packet, Some(request));
+    }
+    assert_eq!(agent.stats().in_flight, 4);
+    let Frame::Open(mut open) = open_frame(1, tag()) else {
+        unreachable!("open_frame makes an opening frame")
+    };
+    open.hops = vec![agent_at(2)];
+    let facts = opening(caller(9), 0);
+    let packet = Bytes::from_static(b"p");
+    let actions = agent.receive(
+        START,
+        balancer_at(1),
+        Frame::Open(open),
+        packet,
+        Some(facts),
+    );
+    let passed = |a: &Action| matches!(a, Action::Send { to, .. } if *to == agent_at(2));
+    assert!(actions.iter().any(passed), "{actions:?}");
+    // Nobody else is left to ask, so the target queues it.
+    assert_eq!(offered(&mut agent, START, 10, open_frame(1, tag())), None);
+}
+
+/// Guards against a wait for the deadline where no target exists, and against a reset of a flow
+/// that may have opened through another balancer.
+#[test]
+fn a_flow_without_target_is_rejected_at_once_but_its_copies_are_not() {
+    let mut balancer = ready_balancer(START, 1);
+    let now = START + Duration::from_secs(5);
+    let refused = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Refuse(_)));
+    let first = balancer.packet(now, Bytes::new(), &opening(caller(1), 0));
+    assert!(refused(&first));
+    let copy = balancer.packet(now, Bytes::new(), &opening(caller(2), 1));
+    assert!(!refused(&copy));
+}
+
+/// Guards against rejections by a balancer that has just started and knows no agents yet.
+#[test]
+fn a_flow_waits_for_the_list_of_agents_after_a_start() {
+    let mut balancer = ready_balancer(START, 1);
+    let actions = balancer.packet(START, Bytes::new(), &opening(caller(1), 0));
+    assert_eq!(actions, []);
+    let actions = balancer.set_targets(START + Duration::from_millis(200), views([1]));
+    let placed = |a: &Action| matches!(a, Action::Send { to, .. } if *to == agent_at(1));
+    assert!(actions.iter().any(placed), "{actions:?}");
+}
+
+/// Guards against a packet at the wrong one of two targets that both offered to take the flow.
+#[test]
+fn the_accepted_offer_tells_which_target_holds_the_flow() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_targets(START, views([1, 2]));
+    let key = caller(1);
+    balancer.packet(START, Bytes::new(), &opening(key, 0));
+    for (number, offer) in [(1, 1_000_000), (2, 9_000_000)] {
+        let frame = Frame::Taken { key, offer };
+        balancer.receive(START, agent_at(number), frame, Bytes::new(), None);
+    }
+    let actions = balancer.packet(START, Bytes::new(), &data(key, 9_000_001));
+    let sent = |a: &Action| matches!(a, Action::Send { to, .. } if *to == agent_at(2));
+    assert!(actions.iter().all(sent), "{actions:?}");
+}
+
+/// Guards against an agent that hands its target packets of a flow which opened elsewhere.
+#[test]
+fn a_packet_that_accepts_another_offer_is_not_delivered() {
+    let mut agent = ready_agent(START, 1);
+    offered(&mut agent, START, 1, open_frame(1, tag()));
+    answer(&mut agent, START, 1);
+    let strange = data(caller(1), 9_000_001);
+    let packet = Bytes::from_static(b"r");
+    let actions = agent.receive(START, balancer_at(1), Frame::Data, packet, Some(strange));
+    let delivered = |a: &Action| matches!(a, Action::Deliver(_));
+    assert!(!actions.iter().any(delivered), "{actions:?}");
+}
+
+/// Guards against open flows of a route that a configuration dropped.
+#[test]
+fn a_dropped_route_ends_its_flows() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_targets(START, views([1]));
+    let key = caller(1);
+    balancer.packet(START, Bytes::new(), &opening(key, 0));
+    let offer = 5;
+    balancer.receive(
+        START,
+        agent_at(1),
+        Frame::Taken { key, offer },
+        Bytes::new(),
+        None,
+    );
+    balancer.packet(START, Bytes::new(), &data(key, 6));
+    let mut without = catalogue(2);
+    without.routes.clear();
+    balancer.set_catalogue(Arc::new(without));
+    let actions = balancer.packet(START, Bytes::new(), &data(key, 6));
+    assert!(actions.iter().any(|a| matches!(a, Action::Refuse(_))));
+    // An older configuration does not bring it back.
+    balancer.set_catalogue(Arc::new(catalogue(1)));
+    let actions = balancer.packet(START, Bytes::new(), &data(key, 6));
+    assert!(actions.iter().any(|a| matches!(a, Action::Refuse(_))));
+}
--- /dev/null
+++ b/crates/flow/tests/world/mod.rs
@@ -0,0 +1,520 @@
+//! A small deployment on virtual time: balancers and agents from the crate, with model targets and
+//! callers around them. Every packet may reach any balancer, and datagrams may be lost.
+
+#![allow(dead_code, reason = "each test uses a part of the world")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use monsoon_flow::{
+    Action, Agent, AgentSettings, Announced, Balancer, BalancerSettings, Bounds, Catalogue, Facts,
+    FlowKey, Frame, Kind, Places, Presence, Readiness, RequestKind, Route, Service, ServiceTag,
+    Share, TargetView,
+};
+use monsoon_model::hash::mix;
+use monsoon_model::{DataCentreId, Duration, Instant, Version};
+
+pub const LEASE: Duration = Duration::from_millis(1_800);
+pub const BEAT: Duration = Duration::from_millis(1_000);
+const HOP: Duration = Duration::from_millis(1);
+
+pub fn tag() -> ServiceTag {
+    ServiceTag::of("stock")
+}
+
+pub fn other_tag() -> ServiceTag {
+    ServiceTag::of("documents")
+}
+
+pub fn route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+pub fn caller(number: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), 1_024 + number),
+        address: route(),
+    }
+}
+
+pub fn agent_at(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), 7_000)
+}
+
+pub fn balancer_at(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 2, 0, number), 7_000)
+}
+
+/// Configuration of one route to the service [`tag`].
+pub fn catalogue(version: u64) -> Catalogue {
+    let share = Share {
+        service: tag(),
+        weight: 1,
+    };
+    let route_of = Route {
+        name: "r".to_owned(),
+        shares: vec![share],
+        kind: RequestKind::Idempotent,
+    };
+    let service = Service {
+        name: "stock".to_owned(),
+        cold_rate: Some(2.0),
+        cold_time: Duration::from_secs(2),
+        health: "/health".to_owned(),
+    };
+    Catalogue {
+        version: Version(version),
+        routes: BTreeMap::from([(route(), route_of)]),
+        services: BTreeMap::from([(tag(), service)]),
+        idle: Duration::from_secs(15),
+    }
+}
+
+pub fn agent_settings(number: u8, first_start: bool) -> AgentSettings {
+    AgentSettings {
+        me: agent_at(number),
+        data_centre: "a".to_owned(),
+        service: tag(),
+        bounds: Bounds {
+            lease: LEASE,
+            cold_factor: 1.5,
+            cold_burst: 5.0,
+        },
+        flow_ttl: Duration::from_secs(60),
+        first_start,
+    }
+}
+
+pub fn beat(id: &str, sequence: u64) -> Announced {
+    Announced {
+        id: id.to_owned(),
+        born: 1,
+        sequence,
+        service: tag(),
+        readiness: Readiness::Ready,
+        slots: 4,
+        cold: Duration::ZERO,
+    }
+}
+
+/// Agent with a checked configuration and a ready target.
+pub fn ready_agent(now: Instant, number: u8) -> Agent {
+    let mut agent = Agent::new(now, agent_settings(number, true));
+    agent.set_catalogue(Arc::new(catalogue(1)));
+    agent.set_places(now, &Places::default());
+    agent.set_checked();
+    agent.hear(now, beat("i", 1));
+    agent
+}
+
+pub fn ready_balancer(now: Instant, number: u8) -> Balancer {
+    let settings = BalancerSettings {
+        me: balancer_at(number),
+        data_centre: DataCentreId(1),
+        flow_ttl: Duration::from_secs(60),
+    };
+    let mut balancer = Balancer::new(now, settings);
+    balancer.set_catalogue(Arc::new(catalogue(1)));
+    balancer.set_checked();
+    balancer
+}
+
+pub fn view() -> TargetView {
+    TargetView {
+        service: tag().number(),
+        data_centre: DataCentreId(1),
+        presence: Presence::Here,
+        open: true,
+        cold: false,
+        weight: 4,
+        load: 0,
+        doubt: None,
+    }
+}
+
+pub fn views(agents: impl IntoIterator<Item = u8>) -> BTreeMap<SocketAddrV4, TargetView> {
+    agents.into_iter().map(|n| (agent_at(n), view())).collect()
+}
+
+pub fn opening(key: FlowKey, copy: u32) -> Facts {
+    Facts {
+        key,
+        kind: Kind::Open { copy },
+        returned: false,
+        closes: false,
+        sequence: 100,
+        expects: copy,
+        bytes: 0,
+    }
+}
+
+pub fn data(key: FlowKey, expects: u32) -> Facts {
+    Facts {
+        kind: Kind::Data,
+        sequence: 101,
+        expects,
+        bytes: 10,
+        ..opening(key, 0)
+    }
+}
+
+pub fn offer(key: FlowKey, sequence: u32) -> Facts {
+    Facts {
+        kind: Kind::Offer,
+        sequence,
+        expects: 101,
+        ..opening(key, 0)
+    }
+}
+
+/// Where a packet ended up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// At the target of this agent.
+    Target(u8),
+    /// At the caller: an answer of a target.
+    Answer,
+    /// At the caller: a reset of the system.
+    Reset,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Balancer(u8, Bytes),
+    Frame(SocketAddrV4, SocketAddrV4, Frame, Bytes),
+    Target(u8, Bytes),
+    Outbound(u8, Bytes),
+    Caller(FlowKey, Bytes),
+    Refused(FlowKey),
+}
+
+/// A model target: accepts every flow and returns packets of others.
+#[derive(Clone, Debug, Default)]
+pub struct Target {
+    pub id: u64,
+    pub up: bool,
+    pub flows: BTreeMap<FlowKey, u32>,
+    pub beats: u64,
+}
+
+#[derive(Debug)]
+pub struct World {
+    pub now: Instant,
+    pub seed: u64,
+    pub loss: u64,
+    pub balancers: BTreeMap<u8, Balancer>,
+    pub agents: BTreeMap<u8, Agent>,
+    pub targets: BTreeMap<u8, Target>,
+    /// Packets by number, so that they stay opaque.
+    packets: Vec<Facts>,
+    queue: BTreeMap<(Instant, u64), Event>,
+    order: u64,
+    /// Offer that each caller accepted, with the target that made it.
+    pub open: BTreeMap<FlowKey, (u8, u32, u64)>,
+    pub seen: BTreeMap<FlowKey, Vec<Seen>>,
+    /// Decisions on each flow, for the message of a failed test.
+    pub trace: BTreeMap<FlowKey, Vec<String>>,
+    beat: Instant,
+}
+
+impl World {
+    pub fn new(seed: u64, balancers: u8, agents: u8) -> Self {
+        let now = Instant::from_secs(100);
+        let mut world = Self {
+            now,
+            seed,
+            loss: 0,
+            balancers: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            packets: Vec::new(),
+            queue: BTreeMap::new(),
+            order: 0,
+            open: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            trace: BTreeMap::new(),
+            beat: now,
+        };
+        for number in 1..=agents {
+            let target = Target {
+                id: u64::from(number),
+                up: true,
+                ..Target::default()
+            };
+            world.targets.insert(number, target);
+            let mut agent = Agent::new(now, agent_settings(number, true));
+            world.configure(&mut agent);
+            world.agents.insert(number, agent);
+        }
+        for number in 1..=balancers {
+            world.start_balancer(number);
+        }
+        world.run(Duration::from_secs(2));
+        world
+    }
+
+    fn configure(&self, agent: &mut Agent) {
+        agent.set_catalogue(Arc::new(catalogue(1)));
+        agent.set_places(self.now, &Places::default());
+        agent.set_checked();
+    }
+
+    pub fn random(&mut self, below: u64) -> u64 {
+        self.seed = mix(self.seed, 7);
+        self.seed % below
+    }
+
+    pub fn start_balancer(&mut self, number: u8) {
+        let balancer = ready_balancer(self.now, number);
+        self.balancers.insert(number, balancer);
+    }
+
+    /// Starts the agent again beside its living target.
+    pub fn restart_agent(&mut self, number: u8) {
+        let mut agent = Agent::new(self.now, agent_settings(number, false));
+        self.configure(&mut agent);
+        self.agents.insert(number, agent);
+        self.beat = self.now;
+    }
+
+    /// Ends a target and starts a new one in its place.
+    pub fn replace_target(&mut self, number: u8) {
+        let target = self.targets.get_mut(&number).expect("target exists");
+        target.id += 1_000;
+        target.flows.clear();
+        target.beats = 0;
+        self.beat = self.now;
+    }
+
+    fn push(&mut self, after: Duration, event: Event) {
+        self.order += 1;
+        self.queue.insert((self.now + after, self.order), event);
+    }
+
+    fn packet(&mut self, facts: Facts) -> Bytes {
+        self.packets.push(facts);
+        Bytes::copy_from_slice(&(self.packets.len() as u64 - 1).to_le_bytes())
+    }
+
+    fn facts(&self, packet: &[u8]) -> Option<Facts> {
+        let number = u64::from_le_bytes(packet.try_into().ok()?);
+        self.packets.get(number as usize).copied()
+    }
+
+    /// Sends a caller's packet through a random live balancer.
+    pub fn send(&mut self, facts: Facts) {
+        let live: Vec<u8> = self.balancers.keys().copied().collect();
+        let pick = self.random(live.len() as u64) as usize;
+        let packet = self.packet(facts);
+        self.push(HOP, Event::Balancer(live[pick], packet));
+    }
+
+    /// Opens a flow and waits until it is open or 2 s have passed.
+    pub fn open_flow(&mut self, key: FlowKey) -> bool {
+        for copy in 0..3 {
+            if !self.open.contains_key(&key) {
+                self.send(opening(key, copy));
+            }
+            self.run(Duration::from_millis(300));
+        }
+        if let Some(&(_, offer, _)) = self.open.get(&key) {
+            self.send(data(key, offer + 1));
+            self.run(Duration::from_millis(20));
+            true
+        } else {
+            false
+        }
+    }
+
+    /// Sends a request on an open flow, with retransmissions. Returns what was seen of it.
+    pub fn request(&mut self, key: FlowKey) -> Vec<Seen> {
+        self.seen.remove(&key);
+        let (_, offer, _) = self.open[&key];
+        for _ in 0..4 {
+            self.send(data(key, offer + 1));
+            self.run(Duration::from_millis(200));
+            let seen = self.seen.get(&key).map_or(&[][..], Vec::as_slice);
+            if seen.contains(&Seen::Answer) || seen.contains(&Seen::Reset) {
+                break;
+            }
+        }
+        self.seen.get(&key).cloned().unwrap_or_default()
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            let next = self.queue.first_key_value().map(|((at, _), _)| *at);
+            let tick = self.now + Duration::from_millis(10);
+            let at = next.unwrap_or(tick).min(tick).min(end).max(self.now);
+            self.now = at;
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let event = entry.remove();
+                self.handle(event);
+            }
+            self.tick();
+            if next.is_none_or(|next| next > self.now) && at == tick {
+                continue;
+            }
+            if at == self.now && self.queue.is_empty() {
+                self.now = tick.min(end);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.now >= self.beat {
+            self.beat = self.now + BEAT;
+            self.beats();
+        }
+        // Membership still tells of agents that died lately, but places no flow there.
+        let mut targets = views(self.targets.keys().copied());
+        for number in self.targets.keys() {
+            if let Some(target) = targets.get_mut(&agent_at(*number)) {
+                target.open = self.agents.contains_key(number);
+            }
+        }
+        let numbers: Vec<u8> = self.balancers.keys().copied().collect();
+        for number in numbers {
+            let balancer = self.balancers.get_mut(&number).expect("number is listed");
+            let mut actions = balancer.set_targets(self.now, targets.clone());
+            actions.extend(balancer.tick(self.now));
+            self.perform(balancer_at(number), actions);
+        }
+        let numbers: Vec<u8> = self.agents.keys().copied().collect();
+        for number in numbers {
+            let agent = self.agents.get_mut(&number).expect("number is listed");
+            let actions = agent.tick(self.now);
+            self.perform(agent_at(number), actions);
+        }
+    }
+
+    fn beats(&mut self) {
+        for (number, target) in &mut self.targets {
+            if !target.up {
+                continue;
+            }
+            target.beats += 1;
+            if let Some(agent) = self.agents.get_mut(number) {
+                let mut announced = beat(&target.id.to_string(), target.beats);
+                announced.born = target.id;
+                agent.hear(self.now, announced);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if self.loss > 0 && self.random(100) < self.loss {
+            return;
+        }
+        match event {
+            Event::Balancer(number, packet) => {
+                let facts = self.facts(&packet).expect("packet is known");
+                if let Some(balancer) = self.balancers.get_mut(&number) {
+                    let actions = balancer.packet(self.now, packet, &facts);
+                    self.perform(balancer_at(number), actions);
+                }
+            }
+            Event::Frame(from, to, frame, packet) => {
+                let facts = self.facts(&packet);
+                let number = to.ip().octets()[3];
+                let now = self.now;
+                let actions = if to.ip().octets()[1] == 1 {
+                    let agent = self.agents.get_mut(&number);
+                    agent.map(|agent| agent.receive(now, from, frame, packet, facts))
+                } else {
+                    let balancer = self.balancers.get_mut(&number);
+                    balancer.map(|balancer| balancer.receive(now, from, frame, packet, facts))
+                };
+                self.perform(to, actions.unwrap_or_default());
+            }
+            Event::Target(number, packet) => self.at_target(number, packet),
+            Event::Outbound(number, packet) => {
+                let facts = self.facts(&packet).expect("packet is known");
+                if let Some(agent) = self.agents.get_mut(&number) {
+                    let actions = agent.outbound(self.now, packet, &facts);
+                    self.perform(agent_at(number), actions);
+                }
+            }
+            Event::Caller(key, packet) => {
+                let facts = self.facts(&packet).expect("packet is known");
+                if facts.kind == Kind::Offer {
+                    let number = (facts.sequence >> 24) as u8;
+                    let id = self.targets[&number].id;
+                    self.open.entry(key).or_insert((number, facts.sequence, id));
+                } else {
+                    self.seen.entry(key).or_default().push(Seen::Answer);
+                }
+            }
+            Event::Refused(key) => self.seen.entry(key).or_default().push(Seen::Reset),
+        }
+    }
+
+    fn at_target(&mut self, number: u8, packet: Bytes) {
+        let facts = self.facts(&packet).expect("packet is known");
+        let key = facts.key;
+        self.seen.entry(key).or_default().push(Seen::Target(number));
+        let fresh = u32::from(number) << 24 | self.random(1 << 20) as u32;
+        let target = self.targets.get_mut(&number).expect("target exists");
+        if !target.up {
+            return;
+        }
+        let answer = match facts.kind {
+            Kind::Open { .. } => {
+                let sequence = *target.flows.entry(key).or_insert(fresh);
+                offer(key, sequence)
+            }
+            _ => match target.flows.get(&key) {
+                Some(&sequence) if facts.expects.wrapping_sub(sequence) < 1 << 16 => Facts {
+                    kind: Kind::Data,
+                    sequence: sequence + 1,
+                    expects: 111,
+                    bytes: 20,
+                    ..opening(key, 0)
+                },
+                _ => Facts {
+                    returned: true,
+                    ..facts
+                },
+            },
+        };
+        let answer = self.packet(answer);
+        self.push(HOP, Event::Outbound(number, answer));
+    }
+
+    fn perform(&mut self, by: SocketAddrV4, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, frame, packet } => {
+                    self.push(HOP, Event::Frame(by, to, frame, packet));
+                }
+                Action::Deliver(packet) => {
+                    let number = by.ip().octets()[3];
+                    self.push(HOP, Event::Target(number, packet));
+                }
+                Action::Return { key, packet } => self.push(HOP, Event::Caller(key, packet)),
+                Action::Refuse(refusal) => self.push(HOP, Event::Refused(refusal.key)),
+                Action::Log(log) => {
+                    let at = self.now.as_micros() / 1_000;
+                    let line = format!("{at} {by} {} {}", log.decision, log.inputs);
+                    self.trace.entry(log.key).or_default().push(line);
+                }
+                Action::Answered { .. } => {}
+            }
+        }
+    }
+}
+
+/// Targets that a packet of the flow reached, apart from its own.
+pub fn strangers(seen: &[Seen], own: u8) -> BTreeSet<u8> {
+    let targets = seen.iter().filter_map(|seen| match seen {
+        Seen::Target(number) if *number != own => Some(*number),
+        _ => None,
+    });
+    targets.collect()
+}
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -10,7 +10,7 @@
 
 pub use lists::{Peer, ServiceMember};
 
-use crate::bounds::{ANNOUNCE_EVERY, FREEZE_GAP, Rule, SUSPECT_AFTER};
+use crate::bounds::{ANNOUNCE_EVERY, FREEZE_GAP, Rule, START_SEEDS, SUSPECT_AFTER};
 use crate::freshness::Freshness;
 use crate::rng::Rng;
 use crate::{Action, Body, Event, Head, LocalState, Member, Message, Role, rank};
@@ -276,7 +276,13 @@
             self.unanswered.entry(id).or_insert(now);
         }
         if ids.iter().all(|&id| self.is_silent(now, id)) {
-            to.extend(self.rng.pick(&self.seeds, self.rule.watchers));
+            // At the start nobody else passes an announcement on yet.
+            let count = if list.is_empty() {
+                START_SEEDS
+            } else {
+                self.rule.watchers
+            };
+            to.extend(self.rng.pick(&self.seeds, count));
         }
         to
     }
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -183,6 +183,13 @@
         self.visible().filter(|m| m.role == Role::Agent)
     }
 
+    /// Agents that were declared dead within `span`. They may only have been out of reach.
+    pub fn dead_agents(&self, now: Instant, span: Duration) -> impl Iterator<Item = &Member> {
+        let dead = self.members.departed(now, span);
+        dead.map(|row| &row.member)
+            .filter(|m| m.role == Role::Agent)
+    }
+
     /// Live balancers in reach that are not leaving, own data centre first.
     pub fn balancers(&self) -> Vec<&Member> {
         let own = self.me.data_centre;
--- a/crates/membership/src/bounds.rs
+++ b/crates/membership/src/bounds.rs
@@ -104,6 +104,9 @@
 pub const MAX_PLACES: usize = 16;
 /// Seeds that a node keeps. At the bound the oldest is dropped for a new one.
 pub const MAX_SEEDS: usize = 64;
+/// Seeds that an agent announces to until it has a list of balancers. Bounds the messages of an
+/// agent at the start of a large deployment.
+pub const START_SEEDS: usize = 16;
 /// Largest encoded message, in bytes. A control datagram has 1,200 bytes with its envelope.
 pub const MAX_MESSAGE: usize = 1_150;
 /// Bytes of a message left to the header and to length fields.
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use monsoon_model::hash::mix;
-use monsoon_model::{AgentId, DataCentreId, Instant, ServiceId};
+use monsoon_model::{AgentId, DataCentreId, Duration, Instant, ServiceId};
 
 use crate::bounds::{BUCKETS, DEPARTED_FOR, MAX_MEMBERS, TOMBSTONE_TTL};
 use crate::{Entry, Member, Role, State, Status};
@@ -54,6 +54,13 @@
             .is_some_and(|row| row.status == Status::Alive)
     }
 
+    /// Members declared dead within `span`.
+    pub(crate) fn departed(&self, now: Instant, span: Duration) -> impl Iterator<Item = &Row> {
+        let recent = move |row: &&Row| now.since(row.since) < span;
+        let dead = self.rows.values().filter(|row| row.status == Status::Dead);
+        dead.filter(recent)
+    }
+
     /// Members not known as departed.
     pub(crate) fn live(&self) -> impl Iterator<Item = &Row> {
         self.rows.values().filter(|row| row.status == Status::Alive)
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -100,7 +100,7 @@
 
     fn refresh(&mut self, process: &mut Process, now: Instant) {
         self.refresh = now + REFRESH_EVERY;
-        let actions = self.flows.set_targets(now, targets(self.node.agents()));
+        let actions = self.flows.set_targets(now, targets(now, &self.node));
         process.perform(now, actions);
     }
 
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddrV4;
 
 use monsoon_flow::{Agent, Presence, Reason, TargetView};
-use monsoon_membership::{LocalState, Member, Role, State};
-use monsoon_model::{AgentId, Instant, ServiceId, Versions};
+use monsoon_membership::{BalancerNode, LocalState, Member, Role, State};
+use monsoon_model::{AgentId, Duration, Instant, ServiceId, Versions};
 
 use crate::Settings;
 
@@ -53,29 +53,18 @@
     }
 }
 
-/// Targets by the frame address of their agent.
+/// Time for which an agent that was declared dead may still hold flows: longer than a restart, and
+/// than a partition takes to be noticed and heal.
+const DEAD_FOR: Duration = Duration::from_secs(10);
+
+/// Targets by the frame address of their agent, those of agents that died lately included.
 ///
 /// For up to two seconds after a crash, the former process of an address is still listed beside the
 /// new one. Such an address takes flows only when both entries say so.
-pub(crate) fn targets<'a>(
-    agents: impl IntoIterator<Item = &'a Member>,
-) -> BTreeMap<SocketAddrV4, TargetView> {
+pub(crate) fn targets(now: Instant, node: &BalancerNode) -> BTreeMap<SocketAddrV4, TargetView> {
     let mut targets = BTreeMap::new();
-    for member in agents {
-        let view = TargetView {
-            service: member.service,
-            data_centre: member.place,
-            presence: match (member.slots, member.state) {
-                (0, State::Leaving) => Presence::Ended,
-                (0, _) => Presence::Unheard,
-                _ => Presence::Here,
-            },
-            open: member.slots > 0 && member.state != State::Leaving,
-            cold: member.state == State::Cold,
-            weight: u32::from(member.slots),
-            load: member.load,
-            doubt: None,
-        };
+    for member in node.agents() {
+        let view = view(member);
         targets
             .entry(member.data)
             .and_modify(|other: &mut TargetView| {
@@ -89,5 +78,29 @@
             })
             .or_insert(view);
     }
+    for member in node.dead_agents(now, DEAD_FOR) {
+        let view = TargetView {
+            open: false,
+            ..view(member)
+        };
+        targets.entry(member.data).or_insert(view);
+    }
     targets
 }
+
+fn view(member: &Member) -> TargetView {
+    TargetView {
+        service: member.service,
+        data_centre: member.place,
+        presence: match (member.slots, member.state) {
+            (0, State::Leaving) => Presence::Ended,
+            (0, _) => Presence::Unheard,
+            _ => Presence::Here,
+        },
+        open: member.slots > 0 && member.state != State::Leaving,
+        cold: member.state == State::Cold,
+        weight: u32::from(member.slots),
+        load: member.load,
+        doubt: None,
+    }
+}
