--- a/crates/flow/tests/flows.rs
+++ b/crates/flow/tests/flows.rs
@@ -155,13 +155,13 @@
             world.run(Duration::from_millis(300));
             for &key in &opened {
                 let own = world.open[&key].0;
-                let seen = world.request(key);
-                if seen.contains(&Seen::Reset) {
+                let got = world.request(key);
+                if got.contains(&Seen::Reset) {
                     let trace = world.trace[&key].join("\n");
                     return TestResult::error(format!("seed {seed}: reset of {key}\n{trace}"));
                 }
-                if strangers(&seen, own).len() >= 3 && !seen.contains(&Seen::Target(own)) {
-                    return TestResult::error(format!("seed {seed}: {key} strayed: {seen:?}"));
+                if strangers(&got, own).len() >= 3 && !got.contains(&Seen::Target(own)) {
+                    return TestResult::error(format!("seed {seed}: {key} strayed: {got:?}"));
                 }
             }
         }
--- a/crates/flow/tests/world/mod.rs
+++ b/crates/flow/tests/world/mod.rs
@@ -433,7 +433,7 @@
                 };
                 self.perform(to, actions.unwrap_or_default());
             }
-            Event::Target(number, packet) => self.at_target(number, packet),
+            Event::Target(number, packet) => self.at_target(number, &packet),
             Event::Outbound(number, packet) => {
                 let facts = self.facts(&packet).expect("packet is known");
                 if let Some(agent) = self.agents.get_mut(&number) {
@@ -455,8 +455,8 @@
         }
     }
 
-    fn at_target(&mut self, number: u8, packet: Bytes) {
-        let facts = self.facts(&packet).expect("packet is known");
+    fn at_target(&mut self, number: u8, packet: &[u8]) {
+        let facts = self.facts(packet).expect("packet is known");
         let key = facts.key;
         self.seen.entry(key).or_default().push(Seen::Target(number));
         let fresh = u32::from(number) << 24 | self.random(1 << 20) as u32;
