--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -23,7 +23,7 @@
         source: std::io::Error,
     },
     /// The file is not valid TOML or has an unknown or missing key.
-    #[display("{} is malformed: {source}see docs/operations.md for all keys", path.display())]
+    #[display("{} is malformed: {source}see docs/OPERATIONS.md for all keys", path.display())]
     Malformed {
         /// File that was read.
         path: PathBuf,
