Place a refused flow elsewhere, or when a target opens a moment later

Ruled out: load and ports, by the log (placed, refused reason=leaving, rejected).

Change: a refusal asks the candidates that were not asked yet. Without any, a flow whose service has targets waits up to 0.4 s for one to open, and is rejected then; a flow whose copies all came here is told so.

Test: a_flow_that_was_refused_goes_to_a_target_that_opens_a_moment_later (fails without the change).

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -36,6 +36,9 @@
 const QUIET_FOR: Duration = Duration::from_millis(250);
 /// Time after which it counts as complete in any case: agents announce themselves twice a second.
 const SETTLED_AFTER: Duration = Duration::from_millis(1_200);
+/// Time for which a new flow waits for an agent to open while there are targets of its service:
+/// announcements are up to half a second old, and a caller tries for 1.4 s.
+const WAIT_FOR: Duration = Duration::from_millis(400);
 /// Most flows that wait for the list of agents. At the bound a further one is decided at once.
 const MAX_HELD: usize = 16_384;
 /// Time after which a flow that did not open, or that nobody holds, is forgotten.
@@ -121,10 +124,18 @@
     facts: Facts,
     /// Agents that the packet was sent to first.
     tried: BTreeSet<SocketAddrV4>,
+    /// Agents that did not take it.
+    refused: BTreeSet<SocketAddrV4>,
+    /// Agents that were asked last.
+    asked: Vec<SocketAddrV4>,
+    /// When the first packet came.
+    since: Instant,
     /// Agents whose targets offered to take the flow, with the offers.
     offers: Vec<(SocketAddrV4, u32)>,
     /// Number of the last copy.
     copy: u32,
+    /// Every copy so far came here, so that the flow cannot have opened through another balancer.
+    whole: bool,
     at: Instant,
 }
 
@@ -145,8 +156,8 @@
     checked: bool,
     awaited: VecDeque<(Instant, FlowKey)>,
     questions: VecDeque<(Instant, FlowKey)>,
-    /// Flows that wait for the list of agents.
-    held: VecDeque<FlowKey>,
+    /// Flows that wait for a change of the list of agents, with the end of their wait.
+    held: VecDeque<(Instant, FlowKey)>,
     /// Since when the list of agents has been followed without a pause.
     settled: Instant,
     /// When an agent was last listed for the first time.
@@ -294,7 +305,7 @@
             self.expire = now + EXPIRE_EVERY;
             self.forget(now);
         }
-        if !self.held.is_empty() && self.is_settled(now) {
+        if self.held.front().is_some_and(|&(end, _)| now >= end) {
             out.extend(self.release(now));
         }
         out
@@ -303,9 +314,9 @@
     /// Decides on the flows that waited for the list of agents; some may go on waiting.
     fn release(&mut self, now: Instant) -> Vec<Action> {
         let mut out = Vec::new();
-        for key in std::mem::take(&mut self.held) {
+        for (_, key) in std::mem::take(&mut self.held) {
             match self.flows.get(&key).cloned() {
-                Some(Flow::Opening(opening)) if opening.tried.is_empty() => {
+                Some(Flow::Opening(opening)) if opening.asked.is_empty() => {
                     self.place(now, key, opening, &mut out);
                 }
                 Some(Flow::Asking(lookup)) if lookup.is_answered() => {
@@ -317,20 +328,35 @@
         out
     }
 
-    /// Keeps a flow until the list of agents is complete. Returns whether it waits.
-    fn hold(&mut self, now: Instant, key: FlowKey) -> bool {
-        let waits = !self.is_settled(now) && self.held.len() < MAX_HELD;
+    /// Keeps a flow until the list of agents changes, at most until `end`. Returns whether it waits.
+    fn hold(&mut self, now: Instant, key: FlowKey, end: Instant) -> bool {
+        let waits = now < end && self.held.len() < MAX_HELD;
         if waits {
-            self.held.push_back(key);
+            let at = self.held.partition_point(|&(other, _)| other <= end);
+            self.held.insert(at, (end, key));
         }
         waits
     }
 
+    /// Until when a new flow may wait: for the list of agents, or for a target of its service that
+    /// takes no flows at present.
+    fn wait_end(&self, opening: &Opening) -> Instant {
+        let serves = |target: &TargetView| {
+            target.service == opening.service.number() && target.presence != Presence::Ended
+        };
+        let complete = self.complete_at();
+        if self.targets.values().any(serves) {
+            complete.max(opening.since + WAIT_FOR)
+        } else {
+            complete
+        }
+    }
+
     /// When the next tick is due.
     pub fn next_tick(&self) -> Instant {
         let awaited = self.awaited.front().map(|&(at, _)| at + TAKEN_WITHIN);
         let questions = self.questions.front().map(|&(at, _)| at + ANSWERED_WITHIN);
-        let held = self.held.front().map(|_| self.complete_at());
+        let held = self.held.front().map(|&(end, _)| end);
         let due = [awaited, questions, held].into_iter().flatten().min();
         due.map_or(self.expire, |at| at.min(self.expire))
     }
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -152,7 +152,7 @@
                 lookup.at = now;
                 self.remember(key, Flow::Trying(lookup));
             }
-            Verdict::Nobody if !lookup.complete && self.hold(now, key) => {
+            Verdict::Nobody if !lookup.complete && self.hold(now, key, self.complete_at()) => {
                 self.remember(key, Flow::Asking(lookup));
             }
             Verdict::Nobody => {
--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use monsoon_model::Instant;
 
-use super::{Balancer, Flow};
-use crate::{Action, Facts, FlowKey, Frame, Holds, Kind};
+use super::{Balancer, Flow, log};
+use crate::{Action, Facts, FlowKey, Frame, Holds, Reason};
 
 impl Balancer {
     /// Handles a frame of an agent. `facts` are those of the packet behind it.
@@ -25,7 +25,7 @@
         match (frame, facts) {
             (Frame::Taken { key, offer }, _) => self.taken(from, key, offer),
             (Frame::Refused { reason, .. }, Some(facts)) => {
-                self.refused(&facts, &reason.to_string(), &mut out);
+                self.refused(now, &facts, reason, &mut out);
             }
             (Frame::Missing, Some(facts)) => self.missing(now, from, packet, &facts, &mut out),
             (Frame::Answer { key, holds }, _) => self.answered(now, from, key, holds, &mut out),
@@ -41,18 +41,19 @@
         }
     }
 
-    fn refused(&mut self, facts: &Facts, reason: &str, out: &mut Vec<Action>) {
+    /// No agent on the way took the packet. Others are asked, and without any it waits for a short
+    /// while, because what balancers know of agents is older than what the agents know.
+    fn refused(&mut self, now: Instant, facts: &Facts, reason: Reason, out: &mut Vec<Action>) {
         let Some(Flow::Opening(opening)) = self.flows.get(&facts.key) else {
             return;
         };
         if !opening.offers.is_empty() || opening.facts.sequence != facts.sequence {
             return;
         }
-        let copy = match facts.kind {
-            Kind::Open { copy } => copy.max(opening.copy),
-            _ => opening.copy,
-        };
-        self.reject(facts.key, copy, facts.expects, reason, out);
+        let mut opening = opening.clone();
+        opening.refused.extend(opening.asked.drain(..));
+        out.push(log(facts.key, "refused", format!("reason=\"{reason}\"")));
+        self.place(now, facts.key, opening, out);
     }
 
     fn missing(
--- a/crates/flow/src/balancer/open.rs
+++ b/crates/flow/src/balancer/open.rs
@@ -37,6 +37,7 @@
         let opening = match self.flows.get(&key) {
             Some(Flow::Opening(opening)) if opening.facts.sequence == facts.sequence => {
                 let mut opening = opening.clone();
+                opening.whole &= copy <= opening.copy + 1;
                 opening.copy = opening.copy.max(copy);
                 opening
             }
@@ -50,8 +51,12 @@
                 packet,
                 facts: *facts,
                 tried: BTreeSet::new(),
+                refused: BTreeSet::new(),
+                asked: Vec::new(),
+                since: now,
                 offers: Vec::new(),
                 copy,
+                whole: copy == 0,
                 at: now,
             },
         };
@@ -88,14 +93,18 @@
         out: &mut Vec<Action>,
     ) {
         let mut order = self.candidates(now, opening.service, key);
+        order.retain(|agent| !opening.refused.contains(agent));
         order.sort_by_key(|agent| opening.tried.contains(agent));
         order.truncate(MAX_HOPS);
         let Some(first) = order.first().copied() else {
-            if self.hold(now, key) {
+            opening.asked.clear();
+            let end = self.wait_end(&opening);
+            if self.hold(now, key, end) {
+                // Those that refused may have opened again by then.
+                opening.refused.clear();
                 self.remember(key, Flow::Opening(opening));
             } else {
-                let (copy, expects) = (opening.copy, opening.facts.expects);
-                self.reject(key, copy, expects, "no target", out);
+                self.reject(key, &opening, out);
             }
             return;
         };
@@ -111,6 +120,7 @@
                 self.targets.len()
             ),
         ));
+        opening.asked.clone_from(&order);
         let hops = order.split_off(1);
         out.push(self.send_open(first, opening.service, hops, opening.packet.clone()));
         opening.tried.insert(first);
@@ -135,25 +145,15 @@
         Action::Send { to, frame, packet }
     }
 
-    /// Tells the caller that its flow cannot be placed. Only the first packet of a flow is answered:
-    /// when a copy arrives, the flow may have opened through another balancer.
-    pub(super) fn reject(
-        &mut self,
-        key: FlowKey,
-        copy: u32,
-        expects: u32,
-        reason: &str,
-        out: &mut Vec<Action>,
-    ) {
+    /// Tells the caller that its flow cannot be placed, unless it may have opened through another
+    /// balancer.
+    fn reject(&mut self, key: FlowKey, opening: &Opening, out: &mut Vec<Action>) {
         self.flows.remove(&key);
-        let decision = if copy == 0 { "rejected" } else { "dropped" };
-        out.push(log(
-            key,
-            decision,
-            format!("reason=\"{reason}\" copy={copy}"),
-        ));
-        if copy == 0 {
-            out.push(refuse(key, expects));
+        let decision = if opening.whole { "rejected" } else { "dropped" };
+        let inputs = format!("reason=\"no target\" copy={}", opening.copy);
+        out.push(log(key, decision, inputs));
+        if opening.whole {
+            out.push(refuse(key, opening.facts.expects));
         }
     }
 
@@ -197,6 +197,7 @@
         ));
         if let Some(Flow::Opening(opening)) = self.flows.get_mut(&key) {
             opening.tried.insert(first);
+            opening.asked = rest;
             opening.at = now;
         }
         self.awaited.push_back((now, key));
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -242,6 +242,22 @@
     assert!(refused(&first));
     let copy = balancer.packet(now, Bytes::new(), &opening(caller(2), 1));
     assert!(!refused(&copy));
+    // One of the copies went elsewhere.
+    let mut closed = views([1]);
+    closed.get_mut(&agent_at(1)).expect("listed").open = false;
+    balancer.set_targets(now, closed);
+    for (number, copies) in [(3, [0, 1]), (4, [0, 2])] {
+        for copy in copies {
+            let facts = opening(caller(number), copy);
+            assert_eq!(balancer.packet(now, Bytes::new(), &facts), []);
+        }
+    }
+    let late = balancer.tick(now + Duration::from_millis(400));
+    let refusals = late
+        .iter()
+        .filter(|a| matches!(a, Action::Refuse(_)))
+        .count();
+    assert_eq!(refusals, 1, "{late:?}");
 }
 
 /// Guards against rejections by a balancer that has just started and knows no agents yet.
@@ -310,3 +326,40 @@
     let actions = balancer.packet(START, Bytes::new(), &data(key, 6));
     assert!(actions.iter().any(|a| matches!(a, Action::Refuse(_))));
 }
+
+/// Guards against a rejection while another target could take the flow: what a balancer knows of
+/// agents is older than what they know.
+#[test]
+fn a_flow_that_was_refused_goes_to_a_target_that_opens_a_moment_later() {
+    let mut balancer = ready_balancer(START, 1);
+    let now = START + Duration::from_secs(5);
+    let mut targets = views([1, 2]);
+    targets.get_mut(&agent_at(2)).expect("listed").open = false;
+    balancer.set_targets(now, targets.clone());
+    let facts = opening(caller(1), 0);
+    balancer.packet(now, Bytes::new(), &facts);
+    let refused = Frame::Refused {
+        reason: Reason::Leaving,
+        versions: Versions::default(),
+    };
+    let actions = balancer.receive(now, agent_at(1), refused, Bytes::new(), Some(facts));
+    assert!(
+        !actions.iter().any(|a| matches!(a, Action::Refuse(_))),
+        "{actions:?}"
+    );
+    targets.get_mut(&agent_at(1)).expect("listed").open = false;
+    targets.get_mut(&agent_at(2)).expect("listed").open = true;
+    let actions = balancer.set_targets(now + Duration::from_millis(100), targets.clone());
+    let placed = |a: &Action| matches!(a, Action::Send { to, .. } if *to == agent_at(2));
+    assert!(actions.iter().any(placed), "{actions:?}");
+    // Without any that opens, the caller hears it long before its patience ends.
+    let late = opening(caller(2), 0);
+    targets.get_mut(&agent_at(2)).expect("listed").open = false;
+    balancer.set_targets(now, targets);
+    assert_eq!(balancer.packet(now, Bytes::new(), &late), []);
+    let actions = balancer.tick(now + Duration::from_millis(400));
+    assert!(
+        actions.iter().any(|a| matches!(a, Action::Refuse(_))),
+        "{actions:?}"
+    );
+}
