Send a flow that no candidate has room for to the least loaded one

The last candidate accepted whatever its load, and offered flows did not count as load.

Change: the opening packet carries the busy agent with the least load so far, which gets it in the end; an offered flow counts as a request to come. Agents that died without a target are no longer asked for flows.

Ruled out: keeping flows at the balancer for up to 0.4 s while all targets are loaded twice over.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -265,6 +265,12 @@
         awaited.map_or(self.expire, |at| at.min(self.expire))
     }
 
+    /// Percent of the slots in use, above 100 when requests wait.
+    fn load(&self) -> u16 {
+        let load = self.flows.in_flight() * 100 / usize::from(self.slots());
+        u16::try_from(load).unwrap_or(u16::MAX)
+    }
+
     fn slots(&self) -> u16 {
         self.gate.announced().map_or(1, |a| a.slots.max(1))
     }
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -12,6 +12,9 @@
 const MAX_FLOWS: usize = 65_536;
 /// Time for which a closed flow is kept, because its last packets are sent again.
 const CLOSED_FOR: Duration = Duration::from_secs(4);
+/// Time for which an offered flow counts as work of the target: the caller answers within a few
+/// round trips or not at all.
+const PENDING_FOR: Duration = Duration::from_millis(500);
 /// Time for which an unanswered request counts as work of the target.
 const REQUEST_FOR: Duration = Duration::from_secs(10);
 
@@ -28,6 +31,8 @@
     pub offer: Option<u32>,
     /// When it was handed over.
     pub at: Instant,
+    /// A request is expected.
+    pub pending: bool,
 }
 
 /// Flow in which the caller has answered the target.
@@ -146,10 +151,16 @@
     /// Forgets flows that were idle for longer than `idle`, and closed ones earlier.
     pub(super) fn expire(&mut self, now: Instant, idle: Duration) {
         for flow in self.flows.values_mut() {
-            if let Flow::Open(opened) = flow
-                && opened.waits.is_some_and(|at| now.since(at) > REQUEST_FOR)
-            {
-                opened.waits = None;
+            match flow {
+                Flow::Open(opened)
+                    if opened.waits.is_some_and(|at| now.since(at) > REQUEST_FOR) =>
+                {
+                    opened.waits = None;
+                }
+                Flow::Offered(offered) if now.since(offered.at) > PENDING_FOR => {
+                    offered.pending = false;
+                }
+                _ => {}
             }
         }
         self.flows.retain(|_, flow| match flow {
@@ -166,6 +177,11 @@
     }
 }
 
+/// Whether the target works on a request of the flow. An offered flow is about to bring one.
 fn waits(flow: &Flow) -> bool {
-    matches!(flow, Flow::Open(opened) if opened.waits.is_some())
+    match flow {
+        Flow::Offered(offered) => offered.pending,
+        Flow::Open(opened) => opened.waits.is_some(),
+        Flow::Tried { .. } | Flow::Ended { .. } => false,
+    }
 }
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -7,8 +7,13 @@
 
 use super::flows::{Flow, Offered, Opened};
 use super::{Agent, log, refuse, send};
+use crate::Spare;
 use crate::{Action, Facts, FlowKey, Frame, Holds, Kind, Open, Reason};
 
+/// Difference of load, in percent points, for which a flow goes back to a busy agent that it has
+/// passed.
+const SPARE_STEP: u16 = 25;
+
 impl Agent {
     /// Handles a frame of another process. `facts` are those of the packet behind it.
     pub fn receive(
@@ -65,14 +70,32 @@
                     sequence: facts.sequence,
                     offer: None,
                     at: now,
+                    pending: true,
                 };
                 self.flows.set(key, Flow::Offered(offered));
                 self.await_answer(now, key);
             }
+            Err(Reason::Busy) => self.pass_busy(key, open, packet, out),
             Err(reason) => self.pass(key, open, packet, reason, out),
         }
     }
 
+    /// Passes a flow on for want of room, with the note that this target would take it.
+    fn pass_busy(&mut self, key: FlowKey, mut open: Open, packet: Bytes, out: &mut Vec<Action>) {
+        let (agent, load) = (self.settings.me, self.load());
+        match open.spare {
+            Some(spare) if spare.load <= load => {}
+            _ => open.spare = Some(Spare { agent, load }),
+        }
+        if open.hops.is_empty()
+            && let Some(spare) = open.spare.take()
+            && spare.agent != agent
+        {
+            open.hops.push(spare.agent);
+        }
+        self.pass(key, open, packet, Reason::Busy, out);
+    }
+
     /// Whether the target has this opening packet already.
     fn is_copy(&self, facts: &Facts) -> bool {
         match self.flows.get(facts.key) {
@@ -111,8 +134,10 @@
             .services
             .get(&open.service)
             .and_then(|service| service.cold_rate);
-        let busy = self.flows.in_flight() >= usize::from(self.slots());
-        if !self.flows.has_room() || (busy && !open.hops.is_empty()) {
+        let load = self.load();
+        let last = open.hops.is_empty();
+        let spare = open.spare.filter(|spare| spare.load + SPARE_STEP <= load);
+        if !self.flows.has_room() || (load >= 100 && (!last || spare.is_some())) {
             return Err(Reason::Busy);
         }
         self.gate.admit(now, cold_rate)
--- a/crates/flow/src/balancer/open.rs
+++ b/crates/flow/src/balancer/open.rs
@@ -122,7 +122,8 @@
         ));
         opening.asked.clone_from(&order);
         let hops = order.split_off(1);
-        out.push(self.send_open(first, opening.service, hops, opening.packet.clone()));
+        let packet = opening.packet.clone();
+        out.push(self.send_open(first, opening.service, hops, packet));
         opening.tried.insert(first);
         opening.at = now;
         self.remember(key, Flow::Opening(opening));
@@ -141,6 +142,7 @@
             service,
             versions: self.versions,
             hops,
+            spare: None,
         });
         Action::Send { to, frame, packet }
     }
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use monsoon_flow::{Action, Agent, Frame, Open, Places, Readiness, Reason, ServiceTag};
+use monsoon_flow::{Action, Agent, Frame, Open, Places, Readiness, Reason, ServiceTag, Spare};
 use monsoon_model::{Duration, Instant, Version, Versions};
 use world::{
     LEASE, agent_at, agent_settings, balancer_at, beat, caller, catalogue, data, offer, opening,
@@ -24,6 +24,7 @@
             places: Version(0),
         },
         hops: Vec::new(),
+        spare: None,
     })
 }
 
@@ -229,6 +230,26 @@
     assert!(actions.iter().any(passed), "{actions:?}");
     // Nobody else is left to ask, so the target queues it.
     assert_eq!(offered(&mut agent, START, 10, open_frame(1, tag())), None);
+    // Another one on the way is less loaded.
+    let Frame::Open(mut open) = open_frame(1, tag()) else {
+        unreachable!("open_frame makes an opening frame")
+    };
+    let agent_3 = agent_at(3);
+    open.spare = Some(Spare {
+        agent: agent_3,
+        load: 100,
+    });
+    let facts = opening(caller(11), 0);
+    let packet = Bytes::from_static(b"p");
+    let actions = agent.receive(
+        START,
+        balancer_at(1),
+        Frame::Open(open),
+        packet,
+        Some(facts),
+    );
+    let passed = |a: &Action| matches!(a, Action::Send { to, .. } if *to == agent_3);
+    assert!(actions.iter().any(passed), "{actions:?}");
 }
 
 /// Guards against a wait for the deadline where no target exists, and against a reset of a flow
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -83,7 +83,10 @@
             open: false,
             ..view(member)
         };
-        targets.entry(member.data).or_insert(view);
+        // One that had no target when it died held no flow.
+        if view.presence == Presence::Here {
+            targets.entry(member.data).or_insert(view);
+        }
     }
     targets
 }
