--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -244,6 +244,10 @@
         tokio::spawn(http::serve(ready, endpoints::ready(self.outlet.clone())));
         let peer = bind_tcp("peers", settings.peer).await?;
         tokio::spawn(http::serve(peer, endpoints::peer(self.outlet.clone())));
+        if let Some(at) = settings.metrics {
+            let metrics = bind_tcp("metrics", at).await?;
+            tokio::spawn(http::serve(metrics, endpoints::peer(self.outlet.clone())));
+        }
         if let Role::Agent(agent) = &settings.role {
             let beats = bind_tcp("heartbeats", agent.heartbeats).await?;
             let answer = endpoints::heartbeats(self.outlet.clone(), self.dialect.call);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -75,6 +75,8 @@
     pub peer: SocketAddrV4,
     /// Readiness, HTTP.
     pub ready: SocketAddrV4,
+    /// Metrics at a port of their own besides the one for peers, HTTP.
+    pub metrics: Option<SocketAddrV4>,
     /// Port at which callers take packets.
     pub caller_port: u16,
     /// Membership addresses of some balancers.
