--- a/crates/daemon/src/agent/socket.rs
+++ b/crates/daemon/src/agent/socket.rs
@@ -21,9 +21,7 @@
 use super::forwarders::Forwarders;
 use crate::clock::Clock;
 use crate::counters::Counters;
-
-/// Largest datagram read, in bytes.
-const MAX_DATAGRAM: usize = 2_048;
+use crate::sockets::MAX_DATAGRAM;
 
 /// Balancers through which each datagram of an agent whose data centre is out is sent. A flow is
 /// closed by one datagram, which must not be lost with one balancer.
--- a/crates/daemon/src/balancer/listeners.rs
+++ b/crates/daemon/src/balancer/listeners.rs
@@ -10,10 +10,7 @@
 
 use super::forward::{Forward, Received};
 use crate::configuration::Configuration;
-use crate::sockets::bind_udp;
-
-/// Largest datagram read, in bytes.
-const MAX_DATAGRAM: usize = 2_048;
+use crate::sockets::{MAX_DATAGRAM, bind_udp};
 
 /// Open service sockets by service address.
 pub type ServiceSockets = Arc<Mutex<BTreeMap<SocketAddr, Arc<UdpSocket>>>>;
--- a/crates/daemon/src/balancer/replies.rs
+++ b/crates/daemon/src/balancer/replies.rs
@@ -4,9 +4,7 @@
 
 use super::forward::Forward;
 use super::listeners::ServiceSockets;
-
-/// Largest datagram read, in bytes.
-const MAX_DATAGRAM: usize = 2_048;
+use crate::sockets::MAX_DATAGRAM;
 
 /// Passes replies on until the process ends.
 pub async fn run(forward: Forward, sockets: ServiceSockets) {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -17,9 +17,7 @@
 use crate::configuration::Configuration;
 use crate::counters::Counters;
 use crate::peer::Peers;
-
-/// Largest control datagram read, in bytes.
-const MAX_DATAGRAM: usize = 2_048;
+use crate::sockets::MAX_DATAGRAM;
 
 /// What the control loop works with.
 #[derive(Clone, Debug)]
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -8,6 +8,9 @@
 
 use crate::settings::Settings;
 
+/// Largest datagram read, in bytes: a packet of 1,500 with its envelope, and room to spare.
+pub const MAX_DATAGRAM: usize = 2_048;
+
 /// A socket cannot be opened.
 #[derive(Debug, Display, Error)]
 #[display(
