Keep the flows of a living target when its first heartbeat is heard

Ruled out: a target that had restarted (born is older than the agent).

Change: only a lifetime that follows another one ends flows. Heartbeats whose address or service cannot be the target's are ignored for the same reason. Tests: the_first_heartbeat_after_a_restart_ends_no_flow failed first; a_heartbeat_of_another_target_changes_nothing.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -35,7 +35,9 @@
     pub me: SocketAddrV4,
     /// Name of its data centre.
     pub data_centre: String,
-    /// Service of the machine, until the target names its own.
+    /// Where the target takes packets.
+    pub target: SocketAddrV4,
+    /// Service of the target, until it names its own.
     pub service: ServiceTag,
     /// Limits of the target.
     pub bounds: Bounds,
@@ -147,6 +149,9 @@
 
     /// Takes a heartbeat of the target. Returns what changed, for the log.
     pub fn hear(&mut self, now: Instant, announced: Announced) -> Option<&'static str> {
+        if !self.is_of_target(&announced) {
+            return Some("not of this target");
+        }
         let readiness = announced.readiness;
         let before = self.gate.announced().map(|a| a.readiness);
         let first = self.gate.lifetime() == 0;
@@ -159,14 +164,23 @@
                 } else {
                     // A lifetime that follows another one began while this process ran.
                     self.unsure = false;
+                    self.flows.end_all();
                 }
-                self.flows.end_all();
                 Some("started")
             }
             Some(false) => (before != Some(readiness)).then_some("changed"),
         }
     }
 
+    /// Whether a heartbeat can be the target's. Others may write here too; they must not end the
+    /// flows of the target.
+    fn is_of_target(&self, announced: &Announced) -> bool {
+        let catalogue = self.catalogue.as_ref();
+        let named = catalogue.is_some_and(|c| c.services.contains_key(&announced.service));
+        let known = named || announced.service == self.settings.service;
+        known && announced.address == self.settings.target
+    }
+
     /// The target says that it has ended.
     pub fn leave(&mut self, id: &str) -> bool {
         let left = self.gate.leave(id);
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -4,6 +4,8 @@
 //! whatever balancers know. A heartbeat is a lease: without a recent one the address of the target
 //! may already belong to another service.
 
+use std::net::SocketAddrV4;
+
 use monsoon_model::{Duration, Instant};
 
 use crate::{Pacer, Reason, ServiceTag};
@@ -47,6 +49,8 @@
     pub sequence: u64,
     /// Service.
     pub service: ServiceTag,
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
     /// Whether it takes work.
     pub readiness: Readiness,
     /// Concurrent requests.
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -93,6 +93,10 @@
     let mut agent = ready_agent(START, 1);
     let wrong = open_frame(1, other_tag());
     assert_eq!(offered(&mut agent, START, 1, wrong), Some(Reason::Service));
+    let mut both = catalogue(2);
+    let other = both.services[&tag()].clone();
+    both.services.insert(other_tag(), other);
+    agent.set_catalogue(Arc::new(both));
     let mut moved = beat("j", 1);
     moved.born = 2;
     moved.service = other_tag();
@@ -100,6 +104,27 @@
     assert_eq!(offered_now(&mut agent, START), Some(Reason::Service));
 }
 
+/// Guards against a heartbeat of another writer that ends the flows of the target.
+#[test]
+fn a_heartbeat_of_another_target_changes_nothing() {
+    let mut agent = ready_agent(START, 1);
+    offered_now(&mut agent, START);
+    answer(&mut agent, START, 1);
+    let mut strange = beat("x", 1);
+    strange.born = 9;
+    strange.service = other_tag();
+    assert_eq!(agent.hear(START, strange), Some("not of this target"));
+    let mut elsewhere = beat("x", 1);
+    elsewhere.born = 9;
+    elsewhere.address.set_port(9);
+    assert_eq!(agent.hear(START, elsewhere), Some("not of this target"));
+    let packet = Bytes::from_static(b"r");
+    let request = data(caller(1), 7_001);
+    let actions = agent.receive(START, balancer_at(1), Frame::Data, packet, Some(request));
+    let delivered = |a: &Action| matches!(a, Action::Deliver(_));
+    assert!(actions.iter().any(delivered), "{actions:?}");
+}
+
 /// Guards against flows at a data centre that operators took out, and against the first flows
 /// after its return overrunning targets that turned cold meanwhile.
 #[test]
@@ -384,3 +409,25 @@
         "{actions:?}"
     );
 }
+
+/// Guards against the first heartbeat after a restart of the agent, which ended the flows that the
+/// agent had already learned from its living target.
+#[test]
+fn the_first_heartbeat_after_a_restart_ends_no_flow() {
+    let mut agent = Agent::new(START, agent_settings(1, false));
+    agent.set_catalogue(Arc::new(catalogue(1)));
+    agent.set_checked();
+    let key = caller(1);
+    let request = |agent: &mut Agent| {
+        let packet = Bytes::from_static(b"r");
+        let facts = data(key, 501);
+        agent.receive(START, balancer_at(1), Frame::Data, packet, Some(facts))
+    };
+    request(&mut agent);
+    let answer = data(key, 111);
+    agent.outbound(START, Bytes::from_static(b"a"), &answer);
+    agent.hear(START, beat("i", 11));
+    let actions = request(&mut agent);
+    let delivered = |a: &Action| matches!(a, Action::Deliver(_));
+    assert!(actions.iter().any(delivered), "{actions:?}");
+}
--- a/crates/flow/tests/world/mod.rs
+++ b/crates/flow/tests/world/mod.rs
@@ -43,6 +43,10 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), 7_000)
 }
 
+pub fn target_at() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 8_000)
+}
+
 pub fn balancer_at(number: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 2, 0, number), 7_000)
 }
@@ -76,6 +80,7 @@
     AgentSettings {
         me: agent_at(number),
         data_centre: "a".to_owned(),
+        target: target_at(),
         service: tag(),
         bounds: Bounds {
             lease: LEASE,
@@ -93,6 +98,7 @@
         born: 1,
         sequence,
         service: tag(),
+        address: target_at(),
         readiness: Readiness::Ready,
         slots: 4,
         cold: Duration::ZERO,
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -64,8 +64,9 @@
     /// Takes a heartbeat of the target.
     pub(crate) fn hear(&mut self, process: &mut Process, now: Instant, announced: Announced) {
         let line = format!(
-            "id={} born={} seq={} service={} readiness={:?} cold_ms={} slots={}",
+            "id={} address={} born={} seq={} service={} readiness={:?} cold_ms={} slots={}",
             announced.id,
+            announced.address,
             announced.born,
             announced.sequence,
             announced.service,
@@ -133,6 +134,7 @@
     monsoon_flow::AgentSettings {
         me: settings.frames,
         data_centre: settings.centre.name.clone(),
+        target: agent.target,
         service: agent.service,
         bounds: monsoon_flow::Bounds {
             lease: bounds.lease,
