Take a closed port of the target as proof that it has ended

Change: an agent whose target was not heard, or left an opening packet unanswered, connects to the target's port; only a refused connection counts, until the next heartbeat. Lookups that tried agents are repeated after 0.3 s.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -25,6 +25,8 @@
 /// Age up to which a target has no flows from before this process: an agent takes longer to be
 /// started again.
 const NEW_WITHIN: Duration = Duration::from_millis(300);
+/// Time after the start of the agent in which a target that starts with it is heard.
+const FIRST_BEAT_WITHIN: Duration = Duration::from_millis(150);
 /// Heartbeats that a target of that age has sent at most, those that met no agent included.
 const NEW_BEATS: u64 = 6;
 
@@ -172,6 +174,25 @@
         }
     }
 
+    /// Whether the target should be tried: it was not heard since the start, its heartbeats stopped,
+    /// or it left an opening packet unanswered.
+    pub fn suspects_target(&self, now: Instant) -> bool {
+        if self.gate.is_gone() {
+            return false;
+        }
+        match self.gate.closed(now) {
+            Some(Reason::Unheard) => now.since(self.started) >= FIRST_BEAT_WITHIN,
+            Some(Reason::Mute) => true,
+            _ => false,
+        }
+    }
+
+    /// Nothing listens at the target's address: its lifetime is over, and all flows with it.
+    pub fn target_absent(&mut self) {
+        self.gate.set_absent();
+        self.flows.end_all();
+    }
+
     /// Whether a heartbeat can be the target's. Others may write here too; they must not end the
     /// flows of the target.
     fn is_of_target(&self, announced: &Announced) -> bool {
@@ -208,9 +229,9 @@
     pub fn presence(&self, now: Instant) -> Presence {
         let silent = now.since(self.started) >= self.settings.bounds.lease;
         match self.gate.lifetime() {
+            _ if self.gate.is_gone() => Presence::Ended,
             0 if silent => Presence::Ended,
             0 => Presence::Unheard,
-            _ if self.gate.is_gone() => Presence::Ended,
             _ => Presence::Here,
         }
     }
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -1,7 +1,7 @@
 //! Packets of flows that are open.
 
 use bytes::Bytes;
-use monsoon_model::Instant;
+use monsoon_model::{Duration, Instant};
 
 use super::{Balancer, Flow, Opening, Presence, log, refuse};
 use crate::lookup::{Lookup, Verdict};
@@ -11,6 +11,9 @@
 /// Largest distance of what a caller expects from the offer that it accepts in its first packets.
 const OFFER_REACH: u32 = 65_536;
 
+/// Time after which agents that could not tell are asked again: they may know by then.
+const TRIED_FOR: Duration = Duration::from_millis(300);
+
 impl Balancer {
     pub(super) fn data(
         &mut self,
@@ -48,6 +51,10 @@
                 None => self.look_up(now, packet, facts, None, out),
             },
             Some(Flow::Asking(lookup)) => lookup.keep(packet),
+            // None of those tried has the flow, or some did not answer.
+            Some(Flow::Trying(lookup)) if now.since(lookup.at) >= TRIED_FOR => {
+                self.look_up(now, packet, facts, None, out);
+            }
             Some(Flow::Trying(lookup)) => {
                 let agents = lookup.unsure.iter();
                 out.extend(agents.map(|&agent| forward(agent, packet.clone())));
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -72,7 +72,10 @@
     heard: Option<Heard>,
     /// Number of lifetimes seen, the present one included.
     lifetime: u32,
+    /// The target said that it has ended.
     gone: bool,
+    /// Nothing listened at the target's address when it was last tried.
+    absent: bool,
     cold_until: Instant,
     /// Taken for cold until a heartbeat that arrives after this point says otherwise.
     cold_after: Option<Instant>,
@@ -89,6 +92,7 @@
             heard: None,
             lifetime: 0,
             gone: false,
+            absent: false,
             cold_until: Instant::ZERO,
             cold_after: None,
             mute_until: Instant::ZERO,
@@ -119,6 +123,7 @@
             self.full_until = Instant::ZERO;
             self.gone = false;
         }
+        self.absent = false;
         if announced.cold > Duration::ZERO {
             self.cold_until = self.cold_until.max(now + announced.cold);
         }
@@ -136,6 +141,11 @@
         present
     }
 
+    /// Nothing listens at the target's address, so the target has ended or not started.
+    pub fn set_absent(&mut self) {
+        self.absent = true;
+    }
+
     /// The target may be cold until its next heartbeat, because its data centre was out.
     pub fn doubt_warmth(&mut self, now: Instant) {
         self.cold_after = Some(now);
@@ -178,9 +188,9 @@
         self.heard.as_ref().map(|heard| now.since(heard.at))
     }
 
-    /// Whether the target says that it has ended.
+    /// Whether the target has ended, or has not started.
     pub fn is_gone(&self) -> bool {
-        self.gone
+        self.gone || self.absent
     }
 
     /// Whether the target may be cold.
@@ -193,7 +203,7 @@
         let Some(heard) = &self.heard else {
             return Some(Reason::Unheard);
         };
-        if self.gone || heard.announced.readiness == Readiness::Draining {
+        if self.is_gone() || heard.announced.readiness == Readiness::Draining {
             return Some(Reason::Leaving);
         }
         if now.since(heard.at) >= self.bounds.lease {
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use monsoon_flow::{Action, Agent, Frame, Open, Places, Readiness, Reason, ServiceTag, Spare};
+use monsoon_flow::{
+    Action, Agent, Frame, Holds, Open, Places, Presence, Readiness, Reason, ServiceTag, Spare,
+};
 use monsoon_model::{Duration, Instant, Version, Versions};
 use world::{
     LEASE, agent_at, agent_settings, balancer_at, beat, caller, catalogue, data, offer, opening,
@@ -431,3 +433,58 @@
     let delivered = |a: &Action| matches!(a, Action::Deliver(_));
     assert!(actions.iter().any(delivered), "{actions:?}");
 }
+
+/// Guards against callers that wait on flows of a target that crashed, and against a lasting
+/// verdict: the next heartbeat lifts it.
+#[test]
+fn flows_of_a_target_whose_port_is_closed_are_reset() {
+    let mut agent = ready_agent(START, 1);
+    offered_now(&mut agent, START);
+    answer(&mut agent, START, 1);
+    assert!(!agent.suspects_target(START));
+    assert!(agent.suspects_target(START + LEASE));
+    agent.target_absent();
+    let packet = Bytes::from_static(b"r");
+    let request = data(caller(1), 7_001);
+    let actions = agent.receive(START, balancer_at(1), Frame::Data, packet, Some(request));
+    assert!(
+        actions.iter().any(|a| matches!(a, Action::Refuse(_))),
+        "{actions:?}"
+    );
+    assert_eq!(agent.presence(START), Presence::Ended);
+    let mut again = beat("j", 1);
+    again.born = 2;
+    agent.hear(START, again);
+    assert_eq!(agent.presence(START), Presence::Here);
+    assert_eq!(offered(&mut agent, START, 2, open_frame(1, tag())), None);
+}
+
+/// Guards against a flow that stays with agents that could not tell while they learn better.
+#[test]
+fn agents_that_could_not_tell_are_asked_again() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_targets(START, views([1]));
+    let now = START + Duration::from_secs(5);
+    let key = caller(1);
+    let request = data(key, 6);
+    balancer.packet(now, Bytes::new(), &request);
+    let answer = |holds| Frame::Answer { key, holds };
+    balancer.receive(now, agent_at(1), answer(Holds::Unsure), Bytes::new(), None);
+    let later = now + Duration::from_millis(400);
+    let actions = balancer.packet(later, Bytes::new(), &request);
+    let asks = |a: &Action| {
+        matches!(
+            a,
+            Action::Send {
+                frame: Frame::Ask { .. },
+                ..
+            }
+        )
+    };
+    assert!(actions.iter().any(asks), "{actions:?}");
+    let actions = balancer.receive(later, agent_at(1), answer(Holds::No), Bytes::new(), None);
+    assert!(
+        actions.iter().any(|a| matches!(a, Action::Refuse(_))),
+        "{actions:?}"
+    );
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -1,11 +1,13 @@
 //! Process of the role agent.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use monsoon_flow::{Agent, Announced};
-use monsoon_membership::{AgentNode, Event, LocalState, Message, Role};
+use monsoon_membership::{AgentNode, Event, LocalState, Message as Control, Role};
 use monsoon_model::{Duration, Instant};
 
+use crate::inbox::Message;
 use crate::members::{local, member};
 use crate::process::Process;
 use crate::{AgentSettings, Settings};
@@ -13,6 +15,11 @@
 /// Interval at which the state for announcements is derived.
 const STATE_EVERY: Duration = Duration::from_millis(100);
 
+/// Least time between two tries of the target's address.
+const TRY_EVERY: Duration = Duration::from_millis(500);
+/// Time for a try. The target runs on the same instance.
+const TRY_FOR: std::time::Duration = std::time::Duration::from_millis(300);
+
 /// State of an agent.
 #[derive(Debug)]
 pub(crate) struct AgentPart {
@@ -21,6 +28,8 @@
     agent: AgentSettings,
     local: Option<LocalState>,
     state: Instant,
+    /// Earliest next try of the target's address.
+    again: Instant,
 }
 
 impl AgentPart {
@@ -33,6 +42,7 @@
             agent: agent.clone(),
             local: None,
             state: now,
+            again: now,
         }
     }
 
@@ -55,6 +65,7 @@
         }
         if now >= self.state {
             self.announce(process, now);
+            self.try_target(process, now);
         }
         if now >= self.node.next_tick() {
             self.event(process, now, Event::Tick);
@@ -80,6 +91,34 @@
         self.announce(process, now);
     }
 
+    /// Connects to a target that seems to be gone. Only a refused connection is conclusive.
+    fn try_target(&mut self, process: &Process, now: Instant) {
+        if now < self.again || !self.flows.suspects_target(now) {
+            return;
+        }
+        self.again = now + TRY_EVERY;
+        let (target, outlet) = (self.agent.target, process.outlet.clone());
+        tokio::spawn(async move {
+            let connect = tokio::net::TcpStream::connect(SocketAddr::V4(target));
+            if let Ok(Err(error)) = tokio::time::timeout(TRY_FOR, connect).await
+                && error.kind() == ErrorKind::ConnectionRefused
+            {
+                // The owner of the state has ended when the queue is closed.
+                let _ = outlet.send(Message::Absent).await;
+            }
+        });
+    }
+
+    /// Nothing listens at the target's address.
+    pub(crate) fn absent(&mut self, process: &mut Process, now: Instant) {
+        // A heartbeat may have come in the meantime.
+        if self.flows.suspects_target(now) {
+            log::warn!("target: absent address={}", self.agent.target);
+            self.flows.target_absent();
+            self.announce(process, now);
+        }
+    }
+
     /// The target says that it has ended.
     pub(crate) fn leave(&mut self, process: &mut Process, now: Instant, id: &str) {
         let present = self.flows.leave(id);
@@ -92,7 +131,7 @@
         process: &mut Process,
         now: Instant,
         from: SocketAddr,
-        message: Message,
+        message: Control,
     ) {
         self.event(process, now, Event::Message { from, message });
     }
--- a/crates/relay/src/inbox.rs
+++ b/crates/relay/src/inbox.rs
@@ -45,6 +45,8 @@
     Beat(Announced, oneshot::Sender<()>),
     /// The target has ended.
     Left(String, oneshot::Sender<()>),
+    /// Nothing listens at the target's address.
+    Absent,
     /// Asks for the configuration in force, as far as it is newer than these versions.
     Configuration(Versions, oneshot::Sender<Bytes>),
     /// Asks for the metrics.
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -101,7 +101,7 @@
     pub checked: bool,
     pub stopping: bool,
     sockets: Sockets,
-    outlet: Outlet,
+    pub outlet: Outlet,
     suspensions: Suspensions,
     generation: watch::Sender<u64>,
     /// An agent hears of changes from balancers.
@@ -571,6 +571,11 @@
                 }
                 let _ = done.send(());
             }
+            Message::Absent => {
+                if let Part::Agent(part) = part {
+                    part.absent(self, now);
+                }
+            }
             Message::Configuration(known, reply) => {
                 let catalogue = self.catalogue.as_deref();
                 let newer = catalogue.filter(|c| c.version > known.document);
