--- /dev/null
+++ b/crates/relay/src/process/configuration.rs
@@ -0,0 +1,147 @@
+//! Configuration: taking it over, and asking peers for what is newer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use monsoon_flow::{Catalogue, Places};
+use monsoon_model::{Instant, Version, Versions};
+
+use super::{FETCH_EVERY, LAG, Part, Process};
+use crate::inbox::Message;
+use crate::{Settings, peers};
+
+impl Process {
+    pub(super) fn versions(&self) -> Versions {
+        Versions {
+            document: self.catalogue.as_ref().map_or(Version(0), |c| c.version),
+            places: self.places.version,
+        }
+    }
+
+    /// A peer has a newer configuration. The own watch usually brings it; a peer is asked when
+    /// the store does not answer or the watch is late.
+    pub(super) fn newer(&mut self, now: Instant, peer: SocketAddr, versions: Versions) {
+        let own = self.versions();
+        if *self.told.borrow() {
+            if now.since(self.fetched) >= FETCH_EVERY && versions.is_ahead_of(own) {
+                self.fetched = now;
+                self.fetch(peer);
+            }
+            return;
+        }
+        let document = versions.document > own.document;
+        let since = *self.fresh.behind.get_or_insert(now);
+        let late = document && now.since(since) >= LAG;
+        let failing = self.fresh.failing.contains(&true);
+        if !document {
+            self.fresh.behind = None;
+        }
+        if !(late || failing && versions.is_ahead_of(own)) {
+            return;
+        }
+        self.fetch(peer);
+    }
+
+    /// Fetches the configuration of a peer, one at a time.
+    pub(super) fn fetch(&self, peer: SocketAddr) {
+        if self.fetching.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (outlet, fetching) = (self.outlet.clone(), Arc::clone(&self.fetching));
+        let generation = *self.generation.borrow();
+        let own = self.versions();
+        tokio::spawn(async move {
+            if peers::fetch(peer, own, &outlet).await {
+                // The owner of the state has ended when the queue is closed.
+                let _ = outlet.send(Message::PeerCurrent(generation)).await;
+            }
+            fetching.store(false, Ordering::Relaxed);
+        });
+    }
+
+    /// Without an answer of the store, any process that has a checked configuration helps.
+    pub(super) fn ask_seed(&mut self) {
+        if self.checked || self.settings.seeds.is_empty() {
+            return;
+        }
+        let pick = rand::random_range(0..self.settings.seeds.len());
+        let seed = self.settings.seeds[pick];
+        if seed != SocketAddr::V4(self.settings.control) {
+            self.fetch(SocketAddr::new(seed.ip(), self.settings.peer.port()));
+        }
+    }
+
+    pub(super) fn set_catalogue(&mut self, part: &mut Part, catalogue: Arc<Catalogue>) {
+        if self
+            .catalogue
+            .as_ref()
+            .is_some_and(|c| c.version >= catalogue.version)
+        {
+            return;
+        }
+        log::info!(
+            "config: in force config={} routes={} services={}",
+            catalogue.version,
+            catalogue.routes.len(),
+            catalogue.services.len()
+        );
+        self.catalogue = Some(Arc::clone(&catalogue));
+        self.fresh.behind = None;
+        match part {
+            Part::Balancer(part) => part.flows.set_catalogue(catalogue),
+            Part::Agent(part) => part.flows.set_catalogue(catalogue),
+        }
+    }
+
+    pub(super) fn set_places(&mut self, now: Instant, part: &mut Part, places: Places) {
+        if places.version < self.places.version {
+            return;
+        }
+        if places.out != self.places.out {
+            log::info!(
+                "places: in force places={} out={:?}",
+                places.version,
+                places.out
+            );
+        }
+        match part {
+            Part::Balancer(part) => part.flows.set_places(&places, |name| {
+                self.settings.centre_named(name).map(|centre| centre.number)
+            }),
+            Part::Agent(part) => part.flows.set_places(now, &places),
+        }
+        self.places = places;
+    }
+
+    pub(super) fn set_checked(&mut self, part: &mut Part, by: &str) {
+        if self.checked {
+            return;
+        }
+        self.checked = true;
+        log::info!(
+            "config: checked by={by} config={} places={}",
+            self.versions().document,
+            self.places.version
+        );
+        match part {
+            Part::Balancer(part) => part.flows.set_checked(),
+            Part::Agent(part) => part.flows.set_checked(),
+        }
+    }
+
+    pub(super) fn configure(&mut self, part: &mut Part, settings: Settings) {
+        log::info!("settings: reloaded seeds={}", settings.seeds.len());
+        let seeds = settings.seeds.clone();
+        match part {
+            Part::Balancer(part) => part.node.add_seeds(seeds),
+            Part::Agent(part) => {
+                part.node.add_seeds(seeds);
+                part.configure(&settings);
+            }
+        }
+        // Sockets stay as they are; addresses change only with a restart.
+        self.settings.seeds = settings.seeds;
+        self.settings.bounds = settings.bounds;
+    }
+}
--- /dev/null
+++ b/crates/relay/src/process/packets.rs
@@ -0,0 +1,154 @@
+//! Packets and frames: reading them, and doing what the state machines decided.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+use bytes::BytesMut;
+use monsoon_flow::{Action, FlowKey, decode, encode};
+use monsoon_membership::Message as Control;
+use monsoon_model::{Duration, Instant};
+use tokio::net::UdpSocket;
+
+use super::{BATCH, MAX_DATAGRAM, Part, Process};
+use crate::{Role, Sender};
+
+impl Process {
+    pub(super) fn read_edge(&mut self, part: &mut Part) {
+        for _ in 0..BATCH {
+            let Some((mut packet, _)) = receive(&self.sockets.edge) else {
+                return;
+            };
+            let sender = match part {
+                Part::Balancer(_) => Sender::Caller,
+                Part::Agent(_) => Sender::Target,
+            };
+            let Some(facts) = (self.dialect.decode)(&packet, sender) else {
+                self.figures.count("packet_malformed");
+                continue;
+            };
+            let now = self.clock.now();
+            let actions = match part {
+                Part::Balancer(part) => part.flows.packet(now, packet.freeze(), &facts),
+                Part::Agent(part) => {
+                    if facts.returned {
+                        (self.dialect.clean)(&mut packet);
+                    }
+                    part.flows.outbound(now, packet.freeze(), &facts)
+                }
+            };
+            self.perform(now, actions);
+        }
+    }
+
+    pub(super) fn read_frames(&mut self, part: &mut Part) {
+        for _ in 0..BATCH {
+            let Some((datagram, SocketAddr::V4(from))) = receive(&self.sockets.frames) else {
+                return;
+            };
+            let datagram = datagram.freeze();
+            let Ok((frame, packet)) = decode(&datagram) else {
+                self.figures.count("frame_malformed");
+                continue;
+            };
+            let facts = (self.dialect.decode)(packet, Sender::Caller);
+            let packet = datagram.slice_ref(packet);
+            let now = self.clock.now();
+            let actions = match part {
+                Part::Balancer(part) => part.flows.receive(now, from, frame, packet, facts),
+                Part::Agent(part) => part.flows.receive(now, from, frame, packet, facts),
+            };
+            self.perform(now, actions);
+        }
+    }
+
+    pub(super) fn read_control(&mut self, part: &mut Part) {
+        for _ in 0..BATCH {
+            let Some((datagram, from)) = receive(&self.sockets.control) else {
+                return;
+            };
+            let Ok(message) = postcard::from_bytes::<Control>(&datagram) else {
+                self.figures.count("control_malformed");
+                continue;
+            };
+            let now = self.clock.now();
+            self.heard = now;
+            match part {
+                Part::Balancer(part) => part.control(self, now, from, message),
+                Part::Agent(part) => part.control(self, now, from, message),
+            }
+        }
+    }
+
+    /// Does what the forwarding decided.
+    pub(crate) fn perform(&mut self, now: Instant, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, frame, packet } => {
+                    let sent = self
+                        .sockets
+                        .frames
+                        .try_send_to(&encode(&frame, &packet), to.into());
+                    self.sent(&sent, "frame_not_sent");
+                }
+                Action::Deliver(packet) => {
+                    if let Role::Agent(agent) = &self.settings.role {
+                        let sent = self.sockets.edge.try_send_to(&packet, agent.target.into());
+                        self.sent(&sent, "packet_not_delivered");
+                    }
+                }
+                Action::Return { key, packet } => {
+                    let sent = self.sockets.edge.try_send_to(&packet, self.caller(key));
+                    self.sent(&sent, "answer_not_sent");
+                }
+                Action::Refuse(refusal) => {
+                    let packet = (self.dialect.refusal)(&refusal);
+                    let sent = self
+                        .sockets
+                        .edge
+                        .try_send_to(&packet, self.caller(refusal.key));
+                    self.sent(&sent, "reset_not_sent");
+                }
+                Action::Answered { key, took } => self.answered(key, took),
+                Action::Log(line) => self.decisions.log(now, &line),
+            }
+        }
+    }
+
+    pub(super) fn caller(&self, key: FlowKey) -> SocketAddr {
+        SocketAddr::from((*key.caller.ip(), self.settings.caller_port))
+    }
+
+    /// Datagrams may be lost anyway, so one that is not sent is counted and not repeated.
+    pub(super) fn sent(&mut self, result: &std::io::Result<usize>, event: &'static str) {
+        if result.is_err() {
+            self.figures.count(event);
+        }
+    }
+
+    pub(super) fn answered(&mut self, key: FlowKey, took: Duration) {
+        let route = self
+            .catalogue
+            .as_ref()
+            .and_then(|c| c.routes.get(&key.address));
+        let (route, class) = route.map_or(("unknown", "unknown"), |route| {
+            (route.name.as_str(), route.kind.name())
+        });
+        self.figures.answered(route, class, took);
+    }
+}
+
+/// Next datagram of a socket, `None` when there is none.
+fn receive(socket: &UdpSocket) -> Option<(BytesMut, SocketAddr)> {
+    let mut buffer = BytesMut::zeroed(MAX_DATAGRAM);
+    loop {
+        match socket.try_recv_from(&mut buffer) {
+            Ok((length, from)) => {
+                buffer.truncate(length);
+                return Some((buffer, from));
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
+            // An earlier datagram met a closed port; the socket itself is fine.
+            Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/process/start.rs
@@ -0,0 +1,151 @@
+//! Start of a process: signals, sockets and the tasks beside the loop.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+use monsoon_flow::Places;
+use monsoon_model::Instant;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use super::{Freshness, Part, Process, RELOAD_EVERY, RunError, Sockets};
+use crate::agent::AgentPart;
+use crate::balancer::BalancerPart;
+use crate::clock::{Clock, Suspensions};
+use crate::decisions::Decisions;
+use crate::figures::Figures;
+use crate::inbox::{Message, Outlet};
+use crate::{Dialect, Role, Settings, discovery, endpoints, follow, http};
+
+pub(super) fn spawn_signals(outlet: &Outlet, dialect: &Dialect) -> Result<(), RunError> {
+    let listen = |kind| signal(kind).map_err(|source| RunError::Signals { source });
+    let mut terminate = listen(SignalKind::terminate())?;
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let mut hangup = listen(SignalKind::hangup())?;
+    let (outlet, reload) = (outlet.clone(), Arc::clone(&dialect.reload));
+    tokio::spawn(async move {
+        loop {
+            let message = tokio::select! {
+                _ = terminate.recv() => Some(Message::Stop),
+                _ = interrupt.recv() => Some(Message::Stop),
+                _ = hangup.recv() => reload().map(|s| Message::Settings(Box::new(s))),
+                () = tokio::time::sleep(RELOAD_EVERY) => {
+                    reload().map(|s| Message::Settings(Box::new(s)))
+                }
+            };
+            if let Some(message) = message
+                && outlet.send(message).await.is_err()
+            {
+                return;
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn bind_udp(purpose: &'static str, at: SocketAddrV4) -> Result<UdpSocket, RunError> {
+    let address = SocketAddr::V4(at);
+    let socket = UdpSocket::bind(address).await;
+    socket.map_err(|source| RunError::Bind {
+        purpose,
+        address,
+        source,
+    })
+}
+
+async fn bind_tcp(purpose: &'static str, at: SocketAddrV4) -> Result<TcpListener, RunError> {
+    let address = SocketAddr::V4(at);
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| RunError::Bind {
+        purpose,
+        address,
+        source,
+    })
+}
+
+impl Process {
+    pub(super) async fn open(
+        settings: Settings,
+        dialect: Dialect,
+        outlet: Outlet,
+    ) -> Result<Self, RunError> {
+        let edge = match &settings.role {
+            Role::Balancer { callers } => bind_udp("callers", *callers).await?,
+            Role::Agent(agent) => bind_udp("target", agent.outbound).await?,
+        };
+        let sockets = Sockets {
+            edge,
+            frames: bind_udp("frames", settings.frames).await?,
+            control: bind_udp("membership", settings.control).await?,
+        };
+        let clock = Clock::start();
+        let prefix = match settings.role {
+            Role::Balancer { .. } => "balancer",
+            Role::Agent(_) => "agent",
+        };
+        Ok(Self {
+            settings,
+            dialect,
+            clock,
+            decisions: Decisions::new(prefix),
+            figures: Figures::default(),
+            catalogue: None,
+            places: Places::default(),
+            checked: false,
+            stopping: false,
+            sockets,
+            outlet,
+            suspensions: Suspensions::new(),
+            generation: watch::Sender::new(0),
+            told: watch::Sender::new(false),
+            fetched: Instant::ZERO,
+            alone: watch::Sender::new(false),
+            heard: clock.now(),
+            fresh: Freshness::default(),
+            fetching: Arc::default(),
+        })
+    }
+
+    pub(super) fn part(&self) -> Part {
+        let now = self.clock.now();
+        match &self.settings.role {
+            Role::Balancer { .. } => {
+                Part::Balancer(Box::new(BalancerPart::new(now, &self.settings)))
+            }
+            Role::Agent(agent) => Part::Agent(Box::new(AgentPart::new(now, &self.settings, agent))),
+        }
+    }
+
+    pub(super) async fn spawn_services(&self) -> Result<(), RunError> {
+        let settings = &self.settings;
+        let ready = bind_tcp("readiness", settings.ready).await?;
+        tokio::spawn(http::serve(ready, endpoints::ready(self.outlet.clone())));
+        let peer = bind_tcp("peers", settings.peer).await?;
+        tokio::spawn(http::serve(peer, endpoints::peer(self.outlet.clone())));
+        if let Some(at) = settings.metrics {
+            let metrics = bind_tcp("metrics", at).await?;
+            tokio::spawn(http::serve(metrics, endpoints::peer(self.outlet.clone())));
+        }
+        if let Role::Agent(agent) = &settings.role {
+            let beats = bind_tcp("heartbeats", agent.heartbeats).await?;
+            let answer = endpoints::heartbeats(self.outlet.clone(), self.dialect.call);
+            tokio::spawn(http::serve(beats, answer));
+        }
+        let (source, store) = (self.dialect.source, settings.store);
+        let need = follow::Need {
+            generation: self.generation.subscribe(),
+            told: self.told.subscribe(),
+        };
+        let outlet = || self.outlet.clone();
+        tokio::spawn(follow::catalogue(source, store, need.clone(), outlet()));
+        tokio::spawn(follow::places(source, store, need, outlet()));
+        let alone = self.alone.subscribe();
+        let me = settings.control;
+        tokio::spawn(discovery::find(source, store, me, alone, outlet()));
+        if matches!(settings.role, Role::Balancer { .. }) {
+            tokio::spawn(discovery::register(source, settings.clone()));
+        }
+        Ok(())
+    }
+}
