--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -51,3 +51,22 @@
     /// Inputs of the decision, as `name=value` pairs.
     pub inputs: String,
 }
+
+/// Action that logs a decision.
+pub(crate) fn log(key: FlowKey, decision: &'static str, inputs: impl Into<String>) -> Action {
+    Action::Log(Log {
+        key,
+        decision,
+        inputs: inputs.into(),
+    })
+}
+
+/// Action that resets a flow at its caller.
+pub(crate) fn refuse(key: FlowKey, expects: u32) -> Action {
+    Action::Refuse(Refusal { key, expects })
+}
+
+/// Action that sends a frame with the packet behind it.
+pub(crate) fn send(to: SocketAddrV4, frame: Frame, packet: Bytes) -> Action {
+    Action::Send { to, frame, packet }
+}
--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -8,11 +8,10 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use monsoon_model::{Duration, Instant, Versions};
 
 use crate::gate::{Announced, Bounds, Gate};
-use crate::{Action, Catalogue, FlowKey, Log, Places, Presence, Reason, Refusal, ServiceTag};
+use crate::{Action, Catalogue, FlowKey, Places, Presence, Reason, ServiceTag};
 use flows::{Flow, Flows};
 
 /// Time within which a live target answers an opening packet. A handshake takes a target under a
@@ -328,19 +327,3 @@
         }
     }
 }
-
-fn log(key: FlowKey, decision: &'static str, inputs: String) -> Action {
-    Action::Log(Log {
-        key,
-        decision,
-        inputs,
-    })
-}
-
-fn refuse(key: FlowKey, expects: u32) -> Action {
-    Action::Refuse(Refusal { key, expects })
-}
-
-fn send(to: SocketAddrV4, frame: crate::Frame, packet: Bytes) -> Action {
-    Action::Send { to, frame, packet }
-}
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use monsoon_model::{Duration, Instant};
 
-use crate::{Facts, FlowKey, Open};
+use crate::{FlowKey, Open};
 
 /// Most flows kept. At the bound a further one is refused.
 const MAX_FLOWS: usize = 65_536;
@@ -68,16 +68,31 @@
     Ended { at: Instant },
 }
 
+impl Offered {
+    /// The flow as it is once the caller answers the offer.
+    pub(super) fn opened(&self, now: Instant) -> Opened {
+        Opened {
+            sequence: Some(self.sequence),
+            offer: self.offer,
+            sent: self.offer.unwrap_or_default(),
+            used: now,
+            waits: None,
+            caller_closed: false,
+            target_closed: false,
+        }
+    }
+}
+
 impl Opened {
-    /// Whether the caller's packet belongs to this flow: it expects something that the target has
-    /// sent. A flow that opened at another target has other sequence numbers.
-    pub(super) fn matches(&self, facts: &Facts) -> bool {
+    /// Whether a caller that expects this sequence number belongs to this flow: the target has sent
+    /// that far. A flow that opened at another target has other sequence numbers.
+    pub(super) fn matches(&self, expects: u32) -> bool {
         let Some(offer) = self.offer else {
             return true;
         };
         // The offer takes one sequence number and the close another one.
         let room = self.sent.wrapping_sub(offer).wrapping_add(2);
-        facts.expects.wrapping_sub(offer) <= room
+        expects.wrapping_sub(offer) <= room
     }
 
     /// Notes the end of a packet of the target.
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use monsoon_model::{Duration, Instant};
 
-use super::flows::{Flow, Offered, Opened};
-use super::{Agent, log, refuse, send};
+use super::Agent;
+use super::flows::{Flow, Offered};
 use crate::Spare;
+use crate::action::{log, refuse, send};
 use crate::{Action, Facts, FlowKey, Frame, Holds, Kind, Open, Reason};
 
 /// Difference of load, in percent points, for which a flow goes back to a busy agent that it has
@@ -174,28 +175,20 @@
         let key = facts.key;
         match self.flows.get(key) {
             Some(Flow::Offered(offered)) => {
-                let opened = Opened {
-                    sequence: Some(offered.sequence),
-                    offer: offered.offer,
-                    sent: offered.offer.unwrap_or_default(),
-                    used: now,
-                    waits: None,
-                    caller_closed: false,
-                    target_closed: false,
-                };
-                if offered.offer.is_none() || !opened.matches(&facts) {
+                let opened = offered.opened(now);
+                if offered.offer.is_none() || !opened.matches(facts.expects) {
                     out.push(send(from, Frame::Missing, packet));
                     return;
                 }
                 self.flows.set(key, Flow::Open(opened));
                 self.deliver(now, &facts, packet, out);
             }
-            Some(Flow::Open(opened)) if opened.matches(&facts) => {
+            Some(Flow::Open(opened)) if opened.matches(facts.expects) => {
                 self.deliver(now, &facts, packet, out);
             }
             Some(Flow::Tried { .. }) => out.push(Action::Deliver(packet)),
             Some(Flow::Ended { .. }) => {
-                out.push(log(key, "reset", "reason=\"target ended\"".to_owned()));
+                out.push(log(key, "reset", "reason=\"target ended\""));
                 out.push(refuse(key, facts.expects));
             }
             None if self.is_unsure() => {
@@ -224,27 +217,19 @@
     /// Whether the flow is open here. A flow that has ended here for certain is reset.
     fn holds(&self, key: FlowKey, expects: u32, out: &mut Vec<Action>) -> Holds {
         match self.flows.get(key) {
-            Some(Flow::Open(opened)) => {
-                let offer = opened.offer.unwrap_or(expects);
-                let room = opened.sent.wrapping_sub(offer).wrapping_add(2);
-                if expects.wrapping_sub(offer) <= room || opened.offer.is_none() {
-                    Holds::Yes
-                } else {
-                    Holds::No
-                }
-            }
+            Some(Flow::Open(opened)) if opened.matches(expects) => Holds::Yes,
             Some(Flow::Offered(offered)) => match offered.offer {
                 Some(offer) if expects.wrapping_sub(offer) <= 2 => Holds::Yes,
                 _ => Holds::No,
             },
             Some(Flow::Tried { .. }) => Holds::Unsure,
             Some(Flow::Ended { .. }) => {
-                out.push(log(key, "reset", "reason=\"target ended\"".to_owned()));
+                out.push(log(key, "reset", "reason=\"target ended\""));
                 out.push(refuse(key, expects));
                 Holds::No
             }
             None if self.is_unsure() => Holds::Unsure,
-            None => Holds::No,
+            Some(Flow::Open(_)) | None => Holds::No,
         }
     }
 }
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use monsoon_model::Instant;
 
+use super::Agent;
 use super::flows::{Flow, Opened};
-use super::{Agent, log, refuse, send};
+use crate::action::{log, refuse, send};
 use crate::{Action, Facts, FlowKey, Frame, Holds, Kind, Reason};
 
 impl Agent {
@@ -41,12 +42,8 @@
     fn returned_data(&mut self, now: Instant, facts: &Facts, out: &mut Vec<Action>) {
         let key = facts.key;
         match self.flows.get(key) {
-            Some(Flow::Open(opened)) if opened.offer.is_some() && opened.matches(facts) => {
-                out.push(log(
-                    key,
-                    "reset",
-                    "reason=\"target returned it\"".to_owned(),
-                ));
+            Some(Flow::Open(opened)) if opened.offer.is_some() && opened.matches(facts.expects) => {
+                out.push(log(key, "reset", "reason=\"target returned it\""));
                 out.push(refuse(key, facts.expects));
                 self.flows.set(key, Flow::Ended { at: now });
             }
@@ -81,16 +78,12 @@
         match self.flows.get(key) {
             Some(Flow::Open(_) | Flow::Offered(_)) => {
                 self.flows.remove(key);
-                out.push(log(key, "reset", "reason=\"target reset it\"".to_owned()));
+                out.push(log(key, "reset", "reason=\"target reset it\""));
                 out.push(Action::Return { key, packet });
             }
             // The target also resets data of a flow that ended long ago, while the same ends may
             // have opened another flow elsewhere.
-            _ => out.push(log(
-                key,
-                "dropped",
-                "reason=\"reset of an unknown flow\"".to_owned(),
-            )),
+            _ => out.push(log(key, "dropped", "reason=\"reset of an unknown flow\"")),
         }
     }
 
--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -12,7 +12,7 @@
 use monsoon_model::{DataCentreId, Duration, Instant, Versions};
 
 use crate::lookup::Lookup;
-use crate::{Action, Catalogue, Facts, FlowKey, Kind, Log, Places, Refusal, ServiceTag};
+use crate::{Action, Catalogue, Facts, FlowKey, Kind, Places, ServiceTag};
 
 /// Time after which an agent that neither took nor passed on an opening packet is doubted. Several
 /// round trips between data centres, and less than the caller's first copy.
@@ -408,15 +408,3 @@
         }
     }
 }
-
-fn log(key: FlowKey, decision: &'static str, inputs: String) -> Action {
-    Action::Log(Log {
-        key,
-        decision,
-        inputs,
-    })
-}
-
-fn refuse(key: FlowKey, expects: u32) -> Action {
-    Action::Refuse(Refusal { key, expects })
-}
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use monsoon_model::{Duration, Instant};
 
-use super::{Balancer, Flow, Opening, Presence, log, refuse};
+use super::{Balancer, Flow, Opening, Presence};
+use crate::action::{log, refuse, send};
 use crate::lookup::{Lookup, Verdict};
 use crate::{Action, Facts, FlowKey, Frame, Kind};
 use std::net::SocketAddrV4;
@@ -120,11 +121,7 @@
         out.push(log(key, "asked", format!("agents={}", asked.len())));
         let expects = lookup.expects;
         for &to in &asked {
-            out.push(Action::Send {
-                to,
-                frame: Frame::Ask { key, expects },
-                packet: Bytes::new(),
-            });
+            out.push(send(to, Frame::Ask { key, expects }, Bytes::new()));
         }
         lookup.ask(now, asked);
         if lookup.is_answered() {
@@ -168,7 +165,7 @@
                 out.push(log(
                     key,
                     if certain { "reset" } else { "dropped" },
-                    "reason=\"nobody holds it\"".to_owned(),
+                    "reason=\"nobody holds it\"",
                 ));
                 if certain {
                     out.push(refuse(key, lookup.expects));
@@ -215,9 +212,5 @@
 }
 
 fn forward(to: SocketAddrV4, packet: Bytes) -> Action {
-    Action::Send {
-        to,
-        frame: Frame::Data,
-        packet,
-    }
+    send(to, Frame::Data, packet)
 }
--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use monsoon_model::Instant;
 
-use super::{Balancer, Flow, log};
+use super::{Balancer, Flow};
+use crate::action::log;
 use crate::{Action, Facts, FlowKey, Frame, Holds, Reason};
 
 impl Balancer {
--- a/crates/flow/src/balancer/open.rs
+++ b/crates/flow/src/balancer/open.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use monsoon_model::Instant;
 
-use super::{Balancer, Flow, Opening, log, refuse};
+use super::{Balancer, Flow, Opening};
+use crate::action::{log, refuse, send};
 use crate::placing::{MAX_HOPS, order};
 use crate::{Action, Facts, FlowKey, Frame, Open, ServiceTag};
 
@@ -144,7 +145,7 @@
             hops,
             spare: None,
         });
-        Action::Send { to, frame, packet }
+        send(to, frame, packet)
     }
 
     /// Tells the caller that its flow cannot be placed, unless it may have opened through another
