Drop what the refusal of an opening packet carried for nobody

The balancer never read the versions in it, since membership carries them. A load at its bound no longer overflows the comparison with a spare agent.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -13,6 +13,7 @@
 use crate::gate::{Announced, Bounds, Gate};
 use crate::{Action, Catalogue, FlowKey, Places, Presence, Reason, ServiceTag};
 use flows::{Flow, Flows};
+use inbound::pass;
 
 /// Time within which a live target answers an opening packet. A handshake takes a target under a
 /// millisecond, also when all its slots are busy.
@@ -323,7 +324,7 @@
             let (open, packet) = (offered.open.clone(), offered.packet.clone());
             self.flows.remove(key);
             self.gate.mute(now);
-            self.pass(key, open, packet, Reason::Mute, out);
+            pass(key, open, packet, Reason::Mute, out);
         }
     }
 }
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -77,12 +77,12 @@
                 self.await_answer(now, key);
             }
             Err(Reason::Busy) => self.pass_busy(key, open, packet, out),
-            Err(reason) => self.pass(key, open, packet, reason, out),
+            Err(reason) => pass(key, open, packet, reason, out),
         }
     }
 
     /// Passes a flow on for want of room, with the note that this target would take it.
-    fn pass_busy(&mut self, key: FlowKey, mut open: Open, packet: Bytes, out: &mut Vec<Action>) {
+    fn pass_busy(&self, key: FlowKey, mut open: Open, packet: Bytes, out: &mut Vec<Action>) {
         let (agent, load) = (self.settings.me, self.load());
         match open.spare {
             Some(spare) if spare.load <= load => {}
@@ -94,7 +94,7 @@
         {
             open.hops.push(spare.agent);
         }
-        self.pass(key, open, packet, Reason::Busy, out);
+        pass(key, open, packet, Reason::Busy, out);
     }
 
     /// Whether the target has this opening packet already.
@@ -108,7 +108,6 @@
 
     /// Whether the target may get the flow.
     fn judge(&mut self, now: Instant, open: &Open, key: FlowKey) -> Result<(), Reason> {
-        let older = self.floor.is_ahead_of(open.versions);
         self.floor.document = self.floor.document.max(open.versions.document);
         self.floor.places = self.floor.places.max(open.versions.places);
         if let Some(reason) = self.closed(now) {
@@ -125,10 +124,8 @@
         }
         // Behind a newer balancer, the route cannot be checked here and an older balancer must not
         // be believed either.
-        if older
-            && open.versions.document < self.floor.document
-            && self.floor.document > catalogue.version
-        {
+        let newest = self.floor.document;
+        if newest > catalogue.version && newest > open.versions.document {
             return Err(Reason::Older);
         }
         let cold_rate = catalogue
@@ -137,33 +134,15 @@
             .and_then(|service| service.cold_rate);
         let load = self.load();
         let last = open.hops.is_empty();
-        let spare = open.spare.filter(|spare| spare.load + SPARE_STEP <= load);
+        let spare = open
+            .spare
+            .filter(|spare| spare.load.saturating_add(SPARE_STEP) <= load);
         if !self.flows.has_room() || (load >= 100 && (!last || spare.is_some())) {
             return Err(Reason::Busy);
         }
         self.gate.admit(now, cold_rate)
     }
 
-    /// Sends an opening packet to the next candidate, or back to its balancer.
-    pub(super) fn pass(
-        &mut self,
-        key: FlowKey,
-        mut open: Open,
-        packet: Bytes,
-        reason: Reason,
-        out: &mut Vec<Action>,
-    ) {
-        if open.hops.is_empty() {
-            out.push(log(key, "refused", format!("reason=\"{reason}\"")));
-            let versions = self.versions;
-            out.push(send(open.from, Frame::Refused { reason, versions }, packet));
-            return;
-        }
-        let next = open.hops.remove(0);
-        out.push(log(key, "passed", format!("reason=\"{reason}\" to={next}")));
-        out.push(send(next, Frame::Open(open), packet));
-    }
-
     fn data(
         &mut self,
         now: Instant,
@@ -233,3 +212,21 @@
         }
     }
 }
+
+/// Sends an opening packet to the next candidate, or back to its balancer.
+pub(super) fn pass(
+    key: FlowKey,
+    mut open: Open,
+    packet: Bytes,
+    reason: Reason,
+    out: &mut Vec<Action>,
+) {
+    if open.hops.is_empty() {
+        out.push(log(key, "refused", format!("reason=\"{reason}\"")));
+        out.push(send(open.from, Frame::Refused { reason }, packet));
+        return;
+    }
+    let next = open.hops.remove(0);
+    out.push(log(key, "passed", format!("reason=\"{reason}\" to={next}")));
+    out.push(send(next, Frame::Open(open), packet));
+}
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -5,6 +5,7 @@
 
 use super::Agent;
 use super::flows::{Flow, Opened};
+use super::inbound::pass;
 use crate::action::{log, refuse, send};
 use crate::{Action, Facts, FlowKey, Frame, Holds, Kind, Reason};
 
@@ -34,7 +35,7 @@
         let (open, packet) = (offered.open.clone(), offered.packet.clone());
         self.flows.remove(key);
         self.gate.full(now);
-        self.pass(key, open, packet, Reason::Returned, out);
+        pass(key, open, packet, Reason::Returned, out);
     }
 
     /// A flow that the target itself does not know is over for certain, when this agent saw it
--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -25,7 +25,7 @@
         }
         match (frame, facts) {
             (Frame::Taken { key, offer }, _) => self.taken(from, key, offer),
-            (Frame::Refused { reason, .. }, Some(facts)) => {
+            (Frame::Refused { reason }, Some(facts)) => {
                 self.refused(now, &facts, reason, &mut out);
             }
             (Frame::Missing, Some(facts)) => self.missing(now, from, packet, &facts, &mut out),
--- a/crates/flow/src/frame.rs
+++ b/crates/flow/src/frame.rs
@@ -103,8 +103,6 @@
     Refused {
         /// Reason of the last agent.
         reason: Reason,
-        /// Configuration of that agent.
-        versions: Versions,
     },
     /// The agent does not hold the flow; the packet follows.
     Missing,
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -37,7 +37,7 @@
     let actions = agent.receive(now, balancer_at(1), frame, packet, Some(facts));
     actions.into_iter().find_map(|action| match action {
         Action::Send {
-            frame: Frame::Refused { reason, .. },
+            frame: Frame::Refused { reason },
             ..
         } => Some(reason),
         _ => None,
@@ -388,7 +388,6 @@
     balancer.packet(now, Bytes::new(), &facts);
     let refused = Frame::Refused {
         reason: Reason::Leaving,
-        versions: Versions::default(),
     };
     let actions = balancer.receive(now, agent_at(1), refused, Bytes::new(), Some(facts));
     assert!(
