Wait longer for the list of agents when joining running processes

Ruled out by runs: telling the joining case by the age of the members (an agent that announces itself directly looks new).

Change: the short wait holds only when another balancer is known, the tables were compared, and no member has announced itself more than 16 times; otherwise it is 1.2 s. Tests: a_balancer_that_joins_others_waits_for_the_ whole_list (fails without it), a_balancer_that_joins_running_ones_knows_it, balancers_that_start_together_know_it.

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -29,12 +29,13 @@
 const EMPTY_FOR: Duration = Duration::from_secs(60);
 /// Most flows remembered. At the bound a further one is forwarded without being remembered.
 const MAX_FLOWS: usize = 262_144;
-/// Least time after a start in which the list of agents may be complete: agents that know no
-/// balancer announce themselves every 100 ms.
+/// Least time after a start of all processes together in which the list of agents may be complete:
+/// agents that know no balancer announce themselves every 100 ms.
 const SETTLED_FROM: Duration = Duration::from_millis(300);
 /// Time without a further agent after which the list counts as complete: two such announcements.
 const QUIET_FOR: Duration = Duration::from_millis(200);
-/// Time after which it counts as complete in any case: agents announce themselves twice a second.
+/// Time after which it counts as complete in any case: agents announce themselves twice a second,
+/// and a balancer that joins others compares its table with them every 200 ms.
 const SETTLED_AFTER: Duration = Duration::from_millis(1_200);
 /// Time for which a new flow waits for an agent to open while there are targets of its service:
 /// announcements are up to half a second old, and a caller tries for 1.4 s.
@@ -162,6 +163,8 @@
     settled: Instant,
     /// When an agent was last listed for the first time.
     grown: Instant,
+    /// Some process has run for longer than this one.
+    joined: bool,
     expire: Instant,
 }
 
@@ -184,6 +187,7 @@
             held: VecDeque::new(),
             settled: now,
             grown: now,
+            joined: true,
             expire: now + EXPIRE_EVERY,
         }
     }
@@ -223,6 +227,12 @@
         self.unsettle(now);
     }
 
+    /// Tells whether some process has run for longer than this one. Its agents announce themselves
+    /// to others and are heard of later than agents that start together with this process.
+    pub fn set_joined(&mut self, joined: bool) {
+        self.joined = joined;
+    }
+
     /// The list of agents may be incomplete, because no other process was reached.
     pub fn unsettle(&mut self, now: Instant) {
         self.settled = now;
@@ -383,6 +393,9 @@
     }
 
     fn complete_at(&self) -> Instant {
+        if self.joined {
+            return self.settled + SETTLED_AFTER;
+        }
         let quiet = (self.settled + SETTLED_FROM).max(self.grown + QUIET_FOR);
         quiet.min(self.settled + SETTLED_AFTER)
     }
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -508,3 +508,31 @@
         "{actions:?}"
     );
 }
+
+/// Guards against resets by a balancer that joins running ones and has heard of some agents only:
+/// the others announce themselves elsewhere.
+#[test]
+fn a_balancer_that_joins_others_waits_for_the_whole_list() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_joined(true);
+    balancer.set_targets(START, views([1]));
+    let now = START + Duration::from_millis(400);
+    let key = caller(1);
+    balancer.packet(now, Bytes::new(), &data(key, 6));
+    let holds = Holds::No;
+    let denial = Frame::Answer { key, holds };
+    let refused = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Refuse(_)));
+    let actions = balancer.receive(now, agent_at(1), denial, Bytes::new(), None);
+    assert!(!refused(&actions), "{actions:?}");
+    // The holder is listed a moment later, and the packet reaches it.
+    let now = START + Duration::from_millis(800);
+    let actions = balancer.set_targets(now, views([1, 2]));
+    let asks = |a: &Action| matches!(a, Action::Send { to, frame: Frame::Ask { .. }, .. } if *to == agent_at(2));
+    assert!(actions.iter().any(asks), "{actions:?}");
+    let holds = Holds::Yes;
+    let found = Frame::Answer { key, holds };
+    let actions = balancer.receive(now, agent_at(2), found, Bytes::new(), None);
+    let forwarded =
+        |a: &Action| matches!(a, Action::Send { to, frame: Frame::Data, .. } if *to == agent_at(2));
+    assert!(actions.iter().any(forwarded), "{actions:?}");
+}
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -14,7 +14,9 @@
 use monsoon_model::{AgentId, DataCentreId, Duration, Instant};
 
 use crate::beats::Beats;
-use crate::bounds::{ANSWERS_PER_SECOND, CATCH_UP_FOR, FREEZE_GAP, Rule, SPEAKERS, TICK_EVERY};
+use crate::bounds::{
+    ANSWERS_PER_SECOND, CATCH_UP_FOR, FREEZE_GAP, Rule, SPEAKERS, TICK_EVERY, YOUNG_SEQUENCE,
+};
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
 use crate::members::{Members, Row};
@@ -190,6 +192,19 @@
             .filter(|m| m.role == Role::Agent)
     }
 
+    /// Whether all known processes have started together with this one: another balancer is known,
+    /// the tables were compared, and nobody has announced itself often. A process that joins running
+    /// ones may hear of young members first.
+    pub fn starts_with_others(&self) -> bool {
+        let others = || {
+            self.members
+                .live()
+                .filter(|row| row.member.id != self.me.id)
+        };
+        let balancer = others().any(|row| row.member.role == Role::Balancer);
+        let young = |row: &Row| row.member.sequence <= YOUNG_SEQUENCE;
+        !self.catching && balancer && others().all(young)
+    }
     /// Live balancers in reach that are not leaving, own data centre first.
     pub fn balancers(&self) -> Vec<&Member> {
         let own = self.me.data_centre;
--- a/crates/membership/src/bounds.rs
+++ b/crates/membership/src/bounds.rs
@@ -11,6 +11,9 @@
 /// Announcements at that interval; later ones follow at the usual one, so that the seeds of a large
 /// deployment that starts at once are not overrun.
 pub const START_TRIES: u64 = 6;
+/// Announcements of a process in its first three seconds: those at the start, the regular ones and
+/// some for changes of its state.
+pub const YOUNG_SEQUENCE: u64 = 16;
 /// Interval of gossip rounds.
 pub const GOSSIP_EVERY: Duration = Duration::from_millis(250);
 /// Interval of contacts with each other data centre.
--- /dev/null
+++ b/crates/membership/tests/start.rs
@@ -0,0 +1,89 @@
+//! What a balancer knows about the others right after its start.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use monsoon_membership::{Action, BalancerNode, Event, Member, Message, Role, State};
+use monsoon_model::{AgentId, DataCentreId, Duration, Instant, ServiceId, Versions};
+
+fn control(number: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, number], 7_000))
+}
+
+fn member(number: u8) -> Member {
+    Member {
+        id: AgentId(u64::from(number)),
+        incarnation: 1,
+        sequence: 0,
+        role: Role::Balancer,
+        data_centre: DataCentreId(1),
+        place: DataCentreId(1),
+        service: ServiceId(0),
+        control: control(number),
+        data: format!("127.0.0.{number}:7001")
+            .parse()
+            .expect("an address"),
+        peer: control(number),
+        state: State::Ready,
+        slots: 0,
+        load: 0,
+        versions: Versions::default(),
+    }
+}
+
+fn start(now: Instant, number: u8) -> BalancerNode {
+    let seeds = (1..=3).filter(|&n| n != number).map(control).collect();
+    BalancerNode::new(now, member(number), seeds, u64::from(number))
+}
+
+/// Runs the nodes, with a link delay of a millisecond.
+fn run(nodes: &mut [(u8, BalancerNode)], from: Instant, span: Duration) -> Instant {
+    let end = from + span;
+    let mut now = from;
+    let mut wire: VecDeque<(SocketAddr, SocketAddr, Message)> = VecDeque::new();
+    while now < end {
+        for (number, node) in &mut *nodes {
+            let mut actions = node.handle(now, Event::Tick);
+            let (mine, rest): (Vec<_>, Vec<_>) =
+                wire.drain(..).partition(|(to, ..)| *to == control(*number));
+            wire.extend(rest);
+            for (_, from, message) in mine {
+                actions.extend(node.handle(now, Event::Message { from, message }));
+            }
+            for action in actions {
+                if let Action::Send { to, message } = action {
+                    wire.push_back((to, control(*number), message));
+                }
+            }
+        }
+        now += Duration::from_millis(10);
+    }
+    now
+}
+
+/// Guards against a balancer that takes a list which is still growing for complete, because all it
+/// has heard of is as young as itself.
+#[test]
+fn a_balancer_that_joins_running_ones_knows_it() {
+    let now = Instant::from_secs(100);
+    let mut nodes = vec![(1, start(now, 1)), (2, start(now, 2))];
+    let now = run(&mut nodes, now, Duration::from_secs(30));
+    assert!(nodes.iter().all(|(_, node)| !node.starts_with_others()));
+    nodes.push((3, start(now, 3)));
+    let mut now = now;
+    for _ in 0..10 {
+        now = run(&mut nodes, now, Duration::from_millis(100));
+        assert!(!nodes[2].1.starts_with_others());
+    }
+}
+
+/// Guards against a slow recovery when every process starts again.
+#[test]
+fn balancers_that_start_together_know_it() {
+    let now = Instant::from_secs(100);
+    let mut nodes = vec![(1, start(now, 1)), (2, start(now, 2)), (3, start(now, 3))];
+    let now = run(&mut nodes, now, Duration::from_millis(800));
+    assert!(nodes.iter().all(|(_, node)| node.starts_with_others()));
+    run(&mut nodes, now, Duration::from_secs(10));
+    assert!(nodes.iter().all(|(_, node)| !node.starts_with_others()));
+}
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -100,6 +100,7 @@
 
     fn refresh(&mut self, process: &mut Process, now: Instant) {
         self.refresh = now + REFRESH_EVERY;
+        self.flows.set_joined(!self.node.starts_with_others());
         let actions = self.flows.set_targets(now, targets(now, &self.node));
         process.perform(now, actions);
     }
