--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -536,3 +536,76 @@
         |a: &Action| matches!(a, Action::Send { to, frame: Frame::Data, .. } if *to == agent_at(2));
     assert!(actions.iter().any(forwarded), "{actions:?}");
 }
+
+/// Guards against packets of a former lifetime at the target that follows it.
+#[test]
+fn flows_of_a_former_lifetime_are_reset_and_not_delivered() {
+    let mut agent = ready_agent(START, 1);
+    offered_now(&mut agent, START);
+    answer(&mut agent, START, 1);
+    let mut next = beat("j", 1);
+    next.born = 2;
+    agent.hear(START, next);
+    let packet = Bytes::from_static(b"r");
+    let request = data(caller(1), 7_001);
+    let actions = agent.receive(START, balancer_at(1), Frame::Data, packet, Some(request));
+    let refused = |a: &Action| matches!(a, Action::Refuse(_));
+    assert!(actions.iter().any(refused), "{actions:?}");
+    let delivered = |a: &Action| matches!(a, Action::Deliver(_));
+    assert!(!actions.iter().any(delivered), "{actions:?}");
+}
+
+/// Guards against a new flow that waits for its caller's next copy while its agent is out of reach.
+#[test]
+fn an_opening_that_no_agent_answers_goes_to_the_next_without_a_copy() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_targets(START, views([1, 2]));
+    let first = balancer.packet(START, Bytes::new(), &opening(caller(1), 0));
+    let to = |actions: &[Action]| {
+        let mut sent = actions.iter().filter_map(|action| match action {
+            Action::Send {
+                to,
+                frame: Frame::Open(_),
+                ..
+            } => Some(*to),
+            _ => None,
+        });
+        sent.next()
+    };
+    let next = balancer.tick(START + Duration::from_millis(100));
+    assert!(to(&first).is_some() && to(&next).is_some());
+    assert_ne!(to(&first), to(&next));
+    // The unanswered agent is asked last for other flows.
+    for number in 2..12 {
+        let facts = opening(caller(number), 0);
+        let actions = balancer.packet(START + Duration::from_millis(101), Bytes::new(), &facts);
+        assert_eq!(to(&actions), to(&next));
+    }
+}
+
+/// Guards against a new flow that waits at a target which accepts packets and never answers.
+#[test]
+fn an_opening_that_the_target_does_not_answer_goes_to_the_next_agent() {
+    let mut agent = ready_agent(START, 1);
+    let Frame::Open(mut open) = open_frame(1, tag()) else {
+        unreachable!("open_frame makes an opening frame")
+    };
+    open.hops = vec![agent_at(2)];
+    let facts = opening(caller(1), 0);
+    let packet = Bytes::from_static(b"p");
+    agent.receive(
+        START,
+        balancer_at(1),
+        Frame::Open(open),
+        packet,
+        Some(facts),
+    );
+    let now = START + Duration::from_millis(60);
+    let actions = agent.tick(now);
+    let passed = |a: &Action| matches!(a, Action::Send { to, .. } if *to == agent_at(2));
+    assert!(actions.iter().any(passed), "{actions:?}");
+    assert_eq!(
+        offered(&mut agent, now, 2, open_frame(1, tag())),
+        Some(Reason::Mute)
+    );
+}
