Ask agents that have denied a flow not again while the list of agents grows

Cause: flows that wait for the list of agents were asked about at every agent again with each agent that was listed.

Change: a lookup remembers who has denied the flow and asks only the others.

Test: a_growing_list_asks_the_new_agents_only, failed first (31 agents asked instead of one).

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -342,7 +342,7 @@
                     self.place(now, key, opening, &mut out);
                 }
                 Some(Flow::Asking(lookup)) if lookup.is_answered() => {
-                    self.ask(now, key, lookup, None, &mut out);
+                    self.ask(now, key, lookup, &mut out);
                 }
                 _ => {}
             }
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -6,7 +6,7 @@
 use super::{ASKED_FOR, Balancer, Flow, Opening, Presence};
 use crate::action::{log, refuse, send};
 use crate::lookup::{Lookup, Verdict};
-use crate::{Action, Facts, FlowKey, Frame, Kind, Question};
+use crate::{Action, Facts, FlowKey, Frame, Kind};
 use std::net::SocketAddrV4;
 
 /// Largest distance of what a caller expects from the offer that it accepts in its first packets.
@@ -100,35 +100,33 @@
     ) {
         let mut lookup = Lookup::new(now, facts.expects);
         lookup.keep(packet);
-        self.ask(now, facts.key, lookup, denied, out);
+        if let Some(agent) = denied {
+            lookup.deny(agent);
+        }
+        self.ask(now, facts.key, lookup, out);
     }
 
-    /// Asks all agents that may hold the flow.
+    /// Asks all agents that may hold the flow and have not denied it.
     pub(super) fn ask(
         &mut self,
         now: Instant,
         key: FlowKey,
         mut lookup: Lookup,
-        denied: Option<SocketAddrV4>,
         out: &mut Vec<Action>,
     ) {
-        let mut asked = self.holders(key.address);
+        let holders = self.holders(key.address);
         // Without any agent in sight, nothing is known about the flow.
-        lookup.complete = self.is_settled(now) && !asked.is_empty();
-        if let Some(agent) = denied {
-            asked.remove(&agent);
-        }
-        out.push(log(key, "asked", format!("agents={}", asked.len())));
-        let expects = lookup.expects;
-        let question = Question { key, expects };
-        self.asks.add(asked.iter().copied(), question, out);
-        lookup.ask(now, asked);
+        lookup.complete = self.is_settled(now) && !holders.is_empty();
+        lookup.ask(now, holders);
         if lookup.is_answered() {
             self.settle(now, key, lookup, Verdict::Nobody, out);
-        } else {
-            self.remember(key, Flow::Asking(lookup));
-            self.questions.push_back((now, key));
+            return;
         }
+        let agents = lookup.silent().count();
+        out.push(log(key, "asked", format!("agents={agents}")));
+        self.asks.add(lookup.silent(), lookup.question(key), out);
+        self.remember(key, Flow::Asking(lookup));
+        self.questions.push_back((now, key));
     }
 
     /// Acts on the answers to a question.
@@ -196,11 +194,7 @@
                 if let Some(verdict) = verdict.or(unsure) {
                     self.settle(now, key, lookup, verdict, out);
                 } else if now.since(lookup.since) < ASKED_FOR {
-                    let question = Question {
-                        key,
-                        expects: lookup.expects,
-                    };
-                    self.asks.add(lookup.silent(), question, out);
+                    self.asks.add(lookup.silent(), lookup.question(key), out);
                     lookup.at = now;
                     self.remember(key, Flow::Asking(lookup));
                     self.questions.push_back((now, key));
--- a/crates/flow/src/lookup.rs
+++ b/crates/flow/src/lookup.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use monsoon_model::Instant;
 
-use crate::Holds;
+use crate::{FlowKey, Holds, Question};
 
 /// Packets of one flow that wait for the answer. A caller has at most 16 in flight and sends a
 /// lost one again.
@@ -23,6 +23,8 @@
     waiting: BTreeSet<SocketAddrV4>,
     /// Agents that cannot tell.
     pub unsure: BTreeSet<SocketAddrV4>,
+    /// Agents that do not hold it, and never will.
+    denied: BTreeSet<SocketAddrV4>,
     /// Packets that wait.
     packets: Vec<Bytes>,
     /// What the caller expects next.
@@ -51,24 +53,38 @@
             at: now,
             waiting: BTreeSet::new(),
             unsure: BTreeSet::new(),
+            denied: BTreeSet::new(),
             packets: Vec::new(),
             expects,
             complete: false,
         }
     }
 
-    /// Notes which agents were asked.
-    pub(crate) fn ask(&mut self, now: Instant, asked: BTreeSet<SocketAddrV4>) {
+    /// Notes that these agents may hold the flow. Those that have denied it are not asked again.
+    pub(crate) fn ask(&mut self, now: Instant, holders: BTreeSet<SocketAddrV4>) {
         self.at = now;
-        self.waiting = asked;
+        self.waiting = &holders - &self.denied;
         self.unsure.clear();
     }
 
+    /// Notes that an agent does not hold the flow.
+    pub(crate) fn deny(&mut self, agent: SocketAddrV4) {
+        self.denied.insert(agent);
+    }
+
     /// Agents that have not answered.
     pub(crate) fn silent(&self) -> impl Iterator<Item = SocketAddrV4> {
         self.waiting.iter().copied()
     }
 
+    /// The question, for a datagram.
+    pub(crate) fn question(&self, key: FlowKey) -> Question {
+        Question {
+            key,
+            expects: self.expects,
+        }
+    }
+
     /// Keeps a packet until the answer; beyond the bound it is dropped.
     pub(crate) fn keep(&mut self, packet: Bytes) {
         if self.packets.len() < MAX_PACKETS {
@@ -91,6 +107,7 @@
             }
             Holds::No => {
                 self.unsure.remove(&from);
+                self.denied.insert(from);
             }
         }
         match (asked || holds == Holds::No, self.waiting.is_empty()) {
--- a/crates/flow/tests/recovery.rs
+++ b/crates/flow/tests/recovery.rs
@@ -94,3 +94,25 @@
     let refused = |a: &Action| matches!(a, Action::Refuse(_));
     assert!(actions.iter().any(refused), "{actions:?}");
 }
+
+/// Guards against asking every agent again with each one that is listed during a start, which
+/// multiplied the questions of a recovery by the number of changes.
+#[test]
+fn a_growing_list_asks_the_new_agents_only() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_targets(START, views(1..=30));
+    let now = START + Duration::from_millis(100);
+    let key = caller(1);
+    balancer.packet(now, Bytes::new(), &data(key, 6));
+    for number in 1..=30 {
+        let denial = Frame::Answer(vec![Answer {
+            key,
+            holds: Holds::No,
+        }]);
+        balancer.receive(now, agent_at(number), denial, Bytes::new(), None);
+    }
+    let mut asked = Asked::default();
+    let now = START + Duration::from_millis(200);
+    asked.take(&balancer.set_targets(now, views(1..=31)));
+    assert_eq!(asked.flows, BTreeMap::from([(31, vec![key])]));
+}
