Recover after a common start without equal tables

Change: one comparison of tables with another balancer is enough, equal or not; the list counts as complete after 300 ms without a further agent (200 before), which is longer than the interval of comparisons.

Tests: balancers_that_start_together_need_no_equal_tables failed first; a_balancer_that_joins_running_ones_knows_it still holds.

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -37,8 +37,9 @@
 /// Least time after a start of all processes together in which the list of agents may be complete:
 /// agents that know no balancer announce themselves every 100 ms.
 const SETTLED_FROM: Duration = Duration::from_millis(300);
-/// Time without a further agent after which the list counts as complete: two such announcements.
-const QUIET_FOR: Duration = Duration::from_millis(200);
+/// Time without a further agent after which the list counts as complete: longer than the interval
+/// at which balancers that start compare their tables, 250 ms at most.
+const QUIET_FOR: Duration = Duration::from_millis(300);
 /// Time after which it counts as complete in any case: agents announce themselves twice a second,
 /// and a balancer that joins others compares its table with them every 200 ms.
 const SETTLED_AFTER: Duration = Duration::from_millis(1_200);
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -117,7 +117,7 @@
         let holders = self.holders(key.address);
         // Without any agent in sight, nothing is known about the flow.
         lookup.complete = self.is_settled(now) && !holders.is_empty();
-        lookup.ask(now, holders);
+        lookup.ask(now, &holders);
         if lookup.is_answered() {
             self.settle(now, key, lookup, Verdict::Nobody, out);
             return;
--- a/crates/flow/src/lookup.rs
+++ b/crates/flow/src/lookup.rs
@@ -61,9 +61,9 @@
     }
 
     /// Notes that these agents may hold the flow. Those that have denied it are not asked again.
-    pub(crate) fn ask(&mut self, now: Instant, holders: BTreeSet<SocketAddrV4>) {
+    pub(crate) fn ask(&mut self, now: Instant, holders: &BTreeSet<SocketAddrV4>) {
         self.at = now;
-        self.waiting = &holders - &self.denied;
+        self.waiting = holders - &self.denied;
         self.unsure.clear();
     }
 
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -76,6 +76,8 @@
     /// Compares tables at the faster rate, until one was equal or `catch_until` has passed.
     catching: bool,
     catch_until: Instant,
+    /// Another balancer has answered a comparison of the whole tables, equal or not.
+    compared: bool,
     left: bool,
     /// Hash of the live balancers of the data centre.
     list_hash: u32,
@@ -145,6 +147,7 @@
             received: now,
             answers: ANSWERS_PER_SECOND,
             catching: true,
+            compared: false,
             catch_until: now + CATCH_UP_FOR,
             left: false,
             list_hash: 0,
@@ -193,8 +196,9 @@
     }
 
     /// Whether all known processes have started together with this one: another balancer is known,
-    /// the tables were compared, and nobody has announced itself often. A process that joins running
-    /// ones may hear of young members first.
+    /// one has compared its table with ours, and nobody has announced itself often. A process that
+    /// joins running ones may hear of young members first. The tables need not be equal: while a
+    /// deployment starts, they hardly ever are.
     pub fn starts_with_others(&self) -> bool {
         let others = || {
             self.members
@@ -203,8 +207,9 @@
         };
         let balancer = others().any(|row| row.member.role == Role::Balancer);
         let young = |row: &Row| row.member.sequence <= YOUNG_SEQUENCE;
-        !self.catching && balancer && others().all(young)
+        self.compared && balancer && others().all(young)
     }
+
     /// Live balancers in reach that are not leaving, own data centre first.
     pub fn balancers(&self) -> Vec<&Member> {
         let own = self.me.data_centre;
@@ -339,6 +344,7 @@
         self.watcher.thaw(now);
         self.beats.thaw(now);
         self.catching = true;
+        self.compared = false;
         self.catch_until = now + CATCH_UP_FOR;
         self.timers.digest = now;
         self.timers.announce = now;
--- a/crates/membership/src/balancer/answer.rs
+++ b/crates/membership/src/balancer/answer.rs
@@ -176,8 +176,9 @@
             .map(|(a, b)| a != b)
             .collect::<Vec<_>>();
         let equal = !differs.contains(&true);
-        if answer && equal && scope.is_none() {
-            self.catching = false;
+        if answer && scope.is_none() {
+            self.compared = true;
+            self.catching &= !equal;
         }
         if !answer {
             self.send(
--- a/crates/membership/tests/start.rs
+++ b/crates/membership/tests/start.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use monsoon_membership::{Action, BalancerNode, Event, Member, Message, Role, State};
-use monsoon_model::{AgentId, DataCentreId, Duration, Instant, ServiceId, Versions};
+use monsoon_membership::{Action, BalancerNode, Event, LocalState, Member, Message, Role, State};
+use monsoon_model::{AgentId, DataCentreId, Duration, Instant, ServiceId, Version, Versions};
 
 fn control(number: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, number], 7_000))
@@ -87,3 +87,32 @@
     run(&mut nodes, now, Duration::from_secs(10));
     assert!(nodes.iter().all(|(_, node)| !node.starts_with_others()));
 }
+
+/// Guards against a recovery that waits until all tables are equal: while processes start one after
+/// the other and their states change, they are not.
+#[test]
+fn balancers_that_start_together_need_no_equal_tables() {
+    let mut now = Instant::from_secs(100);
+    let mut nodes = Vec::new();
+    let mut version = 0;
+    for step in 0..30 {
+        if step < 3 {
+            nodes.push((step + 1, start(now, step + 1)));
+        }
+        for (number, node) in &mut nodes {
+            version += 1;
+            let local = LocalState {
+                state: State::Ready,
+                load: 0,
+                slots: 0,
+                versions: Versions {
+                    document: Version(version + u64::from(*number)),
+                    ..Versions::default()
+                },
+            };
+            node.handle(now, Event::Local(local));
+        }
+        now = run(&mut nodes, now, Duration::from_millis(20));
+    }
+    assert!(nodes.iter().all(|(_, node)| node.starts_with_others()));
+}
