Try a flow at its likely targets first when no agent can tell

Change: one packet of the flow, with data if there is one, goes to the four agents at which the flow was most likely placed; those that deny it are followed by waves that grow fourfold. The other packets follow when one holds it.

Test: a_flow_is_tried_at_likely_targets_first, failed first (780 targets reached for 20 flows instead of at most 60).

--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -6,6 +6,7 @@
 use super::{ASKED_FOR, Balancer, Flow, Opening, Presence};
 use crate::action::{log, refuse, send};
 use crate::lookup::{Lookup, Verdict};
+use crate::placing::likely;
 use crate::{Action, Facts, FlowKey, Frame, Kind};
 use std::net::SocketAddrV4;
 
@@ -51,14 +52,15 @@
                 }
                 None => self.look_up(now, packet, facts, None, out),
             },
-            Some(Flow::Asking(lookup)) => lookup.keep(packet),
+            Some(Flow::Asking(lookup)) => lookup.keep(packet, facts),
             // None of those tried has the flow, or some did not answer.
             Some(Flow::Trying(lookup)) if now.since(lookup.at) >= TRIED_FOR => {
                 self.look_up(now, packet, facts, None, out);
             }
             Some(Flow::Trying(lookup)) => {
-                let agents = lookup.unsure.iter();
-                out.extend(agents.map(|&agent| forward(agent, packet.clone())));
+                let agents = lookup.pending();
+                out.extend(agents.map(|agent| forward(agent, packet.clone())));
+                lookup.keep(packet, facts);
             }
             None => self.look_up(now, packet, facts, None, out),
         }
@@ -99,7 +101,7 @@
         out: &mut Vec<Action>,
     ) {
         let mut lookup = Lookup::new(now, facts.expects);
-        lookup.keep(packet);
+        lookup.keep(packet, facts);
         if let Some(agent) = denied {
             lookup.deny(agent);
         }
@@ -134,25 +136,18 @@
         &mut self,
         now: Instant,
         key: FlowKey,
-        mut lookup: Lookup,
+        lookup: Lookup,
         verdict: Verdict,
         out: &mut Vec<Action>,
     ) {
         match verdict {
             Verdict::Held(agent) => {
                 out.push(log(key, "found", format!("agent={agent}")));
-                out.extend(lookup.packets().into_iter().map(|p| forward(agent, p)));
+                let packets = lookup.packets().cloned();
+                out.extend(packets.map(|packet| forward(agent, packet)));
                 self.remember(key, Flow::Held { agent, used: now });
             }
-            Verdict::Unsure => {
-                out.push(log(key, "tried", format!("agents={}", lookup.unsure.len())));
-                for packet in lookup.packets() {
-                    let agents = lookup.unsure.iter();
-                    out.extend(agents.map(|&agent| forward(agent, packet.clone())));
-                }
-                lookup.at = now;
-                self.remember(key, Flow::Trying(lookup));
-            }
+            Verdict::Unsure => self.try_next(now, key, lookup, out),
             Verdict::Nobody if !lookup.complete && self.hold(now, key, self.complete_at()) => {
                 self.remember(key, Flow::Asking(lookup));
             }
@@ -172,6 +167,29 @@
         }
     }
 
+    /// Hands a packet of the flow to the next agents that cannot tell, most likely ones first. A
+    /// target returns what is not its own, so each of them knows then.
+    pub(super) fn try_next(
+        &mut self,
+        now: Instant,
+        key: FlowKey,
+        mut lookup: Lookup,
+        out: &mut Vec<Action>,
+    ) {
+        let agents = lookup.unsure.iter().map(|&at| (at, self.targets.get(&at)));
+        let ranked = likely(key.hash(), self.settings.data_centre, agents);
+        let wave = lookup.next_wave(ranked);
+        if !wave.is_empty() {
+            out.push(log(key, "tried", format!("agents={}", wave.len())));
+            self.questions.push_back((now, key));
+        }
+        if let Some(packet) = lookup.packets().next() {
+            out.extend(wave.into_iter().map(|to| forward(to, packet.clone())));
+        }
+        lookup.at = now;
+        self.remember(key, Flow::Trying(lookup));
+    }
+
     /// Not all agents answered: those that could not tell are tried, and otherwise the silent ones
     /// are asked again, because questions and answers may be lost.
     pub(super) fn not_answered(
@@ -200,6 +218,7 @@
                     self.questions.push_back((now, key));
                 }
             }
+            Some(Flow::Trying(lookup)) if lookup.at == at => self.try_next(now, key, lookup, out),
             Some(flow) => self.remember(key, flow),
             None => {}
         }
--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -6,7 +6,8 @@
 use monsoon_model::Instant;
 
 use super::{Balancer, Flow};
-use crate::action::log;
+use crate::action::{log, send};
+use crate::lookup::Verdict;
 use crate::{Action, Answer, Facts, FlowKey, Frame, Holds, Reason};
 
 impl Balancer {
@@ -71,7 +72,7 @@
         out: &mut Vec<Action>,
     ) {
         match self.flows.get_mut(&facts.key) {
-            Some(Flow::Asking(lookup)) => lookup.keep(packet),
+            Some(Flow::Asking(lookup)) => lookup.keep(packet, facts),
             Some(Flow::Held { agent, .. }) if *agent != from => {}
             _ => self.look_up(now, packet, facts, Some(from), out),
         }
@@ -90,23 +91,19 @@
                 let verdict = lookup.answer(from, holds);
                 self.settle(now, key, lookup, verdict, out);
             }
-            Some(Flow::Trying(mut lookup)) => match holds {
-                Holds::Yes => {
-                    self.flows.insert(
-                        key,
-                        Flow::Held {
-                            agent: from,
-                            used: now,
-                        },
-                    );
+            Some(Flow::Trying(mut lookup)) => match lookup.answer(from, holds) {
+                Verdict::Held(agent) => {
+                    // It has the first packet already.
+                    let rest = lookup.packets().skip(1).cloned();
+                    out.extend(rest.map(|packet| send(agent, Frame::Data, packet)));
+                    self.flows.insert(key, Flow::Held { agent, used: now });
                 }
-                Holds::No | Holds::Unsure => {
-                    let verdict = lookup.answer(from, holds);
-                    if verdict == crate::lookup::Verdict::Nobody {
-                        self.settle(now, key, lookup, verdict, out);
-                    } else {
-                        self.flows.insert(key, Flow::Trying(lookup));
-                    }
+                Verdict::Nobody => self.settle(now, key, lookup, Verdict::Nobody, out),
+                Verdict::Open | Verdict::Unsure if lookup.pending().next().is_none() => {
+                    self.try_next(now, key, lookup, out);
+                }
+                Verdict::Open | Verdict::Unsure => {
+                    self.flows.insert(key, Flow::Trying(lookup));
                 }
             },
             Some(flow) => {
--- a/crates/flow/src/lookup.rs
+++ b/crates/flow/src/lookup.rs
@@ -1,17 +1,24 @@
 //! Which agent holds a flow that a balancer does not know.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 
 use bytes::Bytes;
 use monsoon_model::Instant;
 
-use crate::{FlowKey, Holds, Question};
+use crate::placing::MAX_HOPS;
+use crate::{Facts, FlowKey, Holds, Question};
 
 /// Packets of one flow that wait for the answer. A caller has at most 16 in flight and sends a
 /// lost one again.
 const MAX_PACKETS: usize = 16;
 
+/// Agents that are tried first. A flow is mostly held by one of those that its opening packet was
+/// offered to.
+const FIRST_WAVE: usize = MAX_HOPS;
+/// Agents in a further wave, as a multiple of all that were tried before.
+const WAVE_GROWTH: usize = 3;
+
 /// A question to the agents of a service.
 #[derive(Clone, Debug)]
 pub(crate) struct Lookup {
@@ -25,8 +32,12 @@
     pub unsure: BTreeSet<SocketAddrV4>,
     /// Agents that do not hold it, and never will.
     denied: BTreeSet<SocketAddrV4>,
-    /// Packets that wait.
-    packets: Vec<Bytes>,
+    /// Agents that cannot tell and were handed a packet of the flow.
+    tried: BTreeSet<SocketAddrV4>,
+    /// Packets that wait, one with data first.
+    packets: VecDeque<Bytes>,
+    /// The first packet has data.
+    probes: bool,
     /// What the caller expects next.
     pub expects: u32,
     /// Every agent that may hold the flow was asked.
@@ -54,7 +65,9 @@
             waiting: BTreeSet::new(),
             unsure: BTreeSet::new(),
             denied: BTreeSet::new(),
-            packets: Vec::new(),
+            tried: BTreeSet::new(),
+            packets: VecDeque::new(),
+            probes: false,
             expects,
             complete: false,
         }
@@ -65,6 +78,7 @@
         self.at = now;
         self.waiting = holders - &self.denied;
         self.unsure.clear();
+        self.tried.clear();
     }
 
     /// Notes that an agent does not hold the flow.
@@ -85,16 +99,41 @@
         }
     }
 
-    /// Keeps a packet until the answer; beyond the bound it is dropped.
-    pub(crate) fn keep(&mut self, packet: Bytes) {
-        if self.packets.len() < MAX_PACKETS {
-            self.packets.push(packet);
+    /// Keeps a packet until the answer; beyond the bound it is dropped. One with data comes first,
+    /// because a target always reacts to it.
+    pub(crate) fn keep(&mut self, packet: Bytes, facts: &Facts) {
+        let data = facts.bytes > 0;
+        if self.packets.len() >= MAX_PACKETS {
+            return;
         }
+        if data && !self.probes {
+            self.probes = true;
+            self.packets.push_front(packet);
+        } else {
+            self.packets.push_back(packet);
+        }
+    }
+
+    /// Packets that wait.
+    pub(crate) fn packets(&self) -> impl Iterator<Item = &Bytes> {
+        self.packets.iter()
+    }
+
+    /// Agents that were tried and have not denied the flow.
+    pub(crate) fn pending(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.tried.intersection(&self.unsure).copied()
     }
 
-    /// Takes the packets that wait.
-    pub(crate) fn packets(&mut self) -> Vec<Bytes> {
-        std::mem::take(&mut self.packets)
+    /// Takes the next agents to try out of `ranked`.
+    pub(crate) fn next_wave(
+        &mut self,
+        ranked: impl IntoIterator<Item = SocketAddrV4>,
+    ) -> Vec<SocketAddrV4> {
+        let size = FIRST_WAVE.max(self.tried.len() * WAVE_GROWTH);
+        let open = |agent: &SocketAddrV4| !self.tried.contains(agent);
+        let wave: Vec<_> = ranked.into_iter().filter(open).take(size).collect();
+        self.tried.extend(&wave);
+        wave
     }
 
     /// Takes an answer.
--- a/crates/flow/src/placing.rs
+++ b/crates/flow/src/placing.rs
@@ -38,6 +38,25 @@
     ranked.into_iter().map(|(_, _, at)| at).collect()
 }
 
+/// Agents that may hold a flow, most likely ones first: in the order in which the flow was offered
+/// to them, as far as their loads did not matter then.
+pub(crate) fn likely<'a>(
+    key: u64,
+    home: DataCentreId,
+    agents: impl IntoIterator<Item = (SocketAddrV4, Option<&'a TargetView>)>,
+) -> Vec<SocketAddrV4> {
+    let mut ranked: Vec<_> = agents
+        .into_iter()
+        .map(|(at, target)| {
+            let far = target.is_none_or(|target| target.data_centre != home);
+            let weight = target.map_or(1, |target| target.weight);
+            (far, score(key, at, weight), at)
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    ranked.into_iter().map(|(_, _, at)| at).collect()
+}
+
 /// Score of weighted rendezvous hashing; the smallest wins.
 fn score(key: u64, at: SocketAddrV4, weight: u32) -> f64 {
     let draw = mix(SALT ^ key, word(at));
--- a/crates/flow/tests/recovery.rs
+++ b/crates/flow/tests/recovery.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use monsoon_flow::{Action, Answer, Balancer, FlowKey, Frame, Holds};
 use monsoon_model::{Duration, Instant};
-use world::{agent_at, caller, data, ready_balancer, views};
+use world::{Seen, World, agent_at, caller, data, ready_balancer, strangers, views};
 
 const START: Instant = Instant::from_secs(100);
 const AGENTS: u8 = 60;
@@ -116,3 +116,31 @@
     asked.take(&balancer.set_targets(now, views(1..=31)));
     assert_eq!(asked.flows, BTreeMap::from([(31, vec![key])]));
 }
+
+/// Guards against handing every packet to every target when all processes were killed while the
+/// targets lived on: no agent can tell then, and uploads filled the links of small instances.
+#[test]
+fn a_flow_is_tried_at_likely_targets_first() {
+    let mut world = World::new(5, 2, 40);
+    let keys: Vec<_> = (1..=20).map(caller).collect();
+    for &key in &keys {
+        assert!(world.open_flow(key));
+    }
+    for number in 1..=40 {
+        world.restart_agent(number);
+    }
+    for number in 1..=2 {
+        world.start_balancer(number);
+    }
+    world.run(Duration::from_secs(2));
+    let mut reached = 0;
+    for &key in &keys {
+        let (own, ..) = world.open[&key];
+        let seen = world.request(key);
+        assert!(seen.contains(&Seen::Answer), "{seen:?}");
+        assert!(!seen.contains(&Seen::Reset), "{seen:?}");
+        reached += strangers(&seen, own).len();
+    }
+    // The first candidate holds each flow, and three others are tried with it.
+    assert!(reached <= 3 * keys.len(), "{reached}");
+}
