Count repeated packets as no request; give a failing target a trickle

Data that a caller sent again after the answer counted as a further request for ten seconds, so all targets of the service seemed busy, each upload went along four agents, and the order by load said nothing.

Change: only data beyond what the caller had sent before opens a request, and a target that closed a flow works on none. New module health: resets of a target while a request waits, and requests overdue against the target's own past, form a failure rate; from a quarter on the agent passes new flows to other targets and lets one a second through. The last candidate still takes a flow.

Failed try: a close without an answer as a sign of failure.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -11,6 +11,7 @@
 use monsoon_model::{Duration, Instant, Versions};
 
 use crate::gate::{Announced, Bounds, Gate};
+use crate::health::Health;
 use crate::{Action, Catalogue, FlowKey, Places, Presence, Reason, ServiceTag};
 use flows::{Flow, Flows};
 use inbound::pass;
@@ -56,6 +57,8 @@
     pub in_flight: usize,
     /// Flows that are open or offered.
     pub flows: usize,
+    /// Percent of the last requests that failed.
+    pub failing: u8,
     /// Concurrent requests of the target.
     pub slots: u16,
 }
@@ -72,6 +75,7 @@
 pub struct Agent {
     settings: Settings,
     gate: Gate,
+    health: Health,
     flows: Flows,
     catalogue: Option<Arc<Catalogue>>,
     out: bool,
@@ -95,6 +99,7 @@
     pub fn new(now: Instant, settings: Settings) -> Self {
         Self {
             gate: Gate::new(settings.bounds),
+            health: Health::new(now),
             unsure: !settings.first_start,
             settings,
             first: None,
@@ -167,6 +172,7 @@
                     // A lifetime that follows another one began while this process ran.
                     self.unsure = false;
                     self.flows.end_all();
+                    self.health = Health::new(now);
                 }
                 Some("started")
             }
@@ -264,8 +270,9 @@
     }
 
     /// Figures for announcements and metrics.
-    pub fn stats(&self) -> AgentStats {
+    pub fn stats(&self, now: Instant) -> AgentStats {
         AgentStats {
+            failing: (self.health.rate(now) * 100.0) as u8,
             in_flight: self.flows.in_flight(),
             flows: self.flows.len(),
             slots: self.slots(),
@@ -285,8 +292,10 @@
         if now >= self.expire {
             self.expire = now + EXPIRE_EVERY;
             let idle = self.catalogue.as_ref().map(|c| c.idle);
-            self.flows
-                .expire(now, idle.unwrap_or(self.settings.flow_ttl));
+            let idle = idle.unwrap_or(self.settings.flow_ttl);
+            for _ in 0..self.flows.expire(now, idle, self.health.overdue()) {
+                self.health.failed(now);
+            }
             if now.since(self.started) > self.settings.flow_ttl {
                 self.unsure = false;
             }
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -46,8 +46,12 @@
     pub sent: u32,
     /// Last packet in either direction.
     pub used: Instant,
+    /// End of what the caller has sent, unknown until it sends something.
+    pub received: Option<u32>,
     /// Since when a request waits for its answer.
     pub waits: Option<Instant>,
+    /// That request was counted as overdue.
+    pub overdue: bool,
     /// The caller closed its direction.
     pub caller_closed: bool,
     /// The target closed its direction.
@@ -75,8 +79,10 @@
             sequence: Some(self.sequence),
             offer: self.offer,
             sent: self.offer.unwrap_or_default(),
+            received: Some(self.sequence.wrapping_add(1)),
             used: now,
             waits: None,
+            overdue: false,
             caller_closed: false,
             target_closed: false,
         }
@@ -97,10 +103,20 @@
 
     /// Notes the end of a packet of the target.
     pub(super) fn sent_to(&mut self, end: u32) {
-        if end.wrapping_sub(self.sent) < 1 << 31 {
+        if is_after(end, self.sent) {
             self.sent = end;
         }
     }
+
+    /// Notes the end of a packet of the caller. Returns whether it goes further than any before; one
+    /// that was sent again is no request of its own.
+    pub(super) fn received_to(&mut self, end: u32) -> bool {
+        let further = self.received.is_none_or(|known| is_after(end, known));
+        if further {
+            self.received = Some(end);
+        }
+        further
+    }
 }
 
 /// Flows by key.
@@ -163,9 +179,18 @@
         self.waiting = 0;
     }
 
-    /// Forgets flows that were idle for longer than `idle`, and closed ones earlier.
-    pub(super) fn expire(&mut self, now: Instant, idle: Duration) {
+    /// Forgets flows that were idle for longer than `idle`, and closed ones earlier. Returns how many
+    /// requests have newly waited for longer than `overdue`.
+    pub(super) fn expire(&mut self, now: Instant, idle: Duration, overdue: Duration) -> usize {
+        let mut late = 0;
         for flow in self.flows.values_mut() {
+            if let Flow::Open(opened) = flow
+                && !opened.overdue
+                && opened.waits.is_some_and(|at| now.since(at) > overdue)
+            {
+                opened.overdue = true;
+                late += 1;
+            }
             match flow {
                 Flow::Open(opened)
                     if opened.waits.is_some_and(|at| now.since(at) > REQUEST_FOR) =>
@@ -189,9 +214,15 @@
             Flow::Ended { at } => now.since(*at) <= idle,
         });
         self.waiting = self.flows.values().filter(|flow| waits(flow)).count();
+        late
     }
 }
 
+/// Whether a sequence number follows another one.
+fn is_after(number: u32, other: u32) -> bool {
+    number != other && number.wrapping_sub(other) < 1 << 31
+}
+
 /// Whether the target works on a request of the flow. An offered flow is about to bring one.
 fn waits(flow: &Flow) -> bool {
     match flow {
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -80,6 +80,13 @@
                 self.await_answer(now, key);
             }
             Err(Reason::Busy) => self.pass_busy(key, open, packet, out),
+            Err(Reason::Failing) => {
+                let mut open = open;
+                if open.hops.is_empty() {
+                    open.hops.extend(open.spare.take().map(|spare| spare.agent));
+                }
+                pass(key, open, packet, Reason::Failing, out);
+            }
             Err(reason) => pass(key, open, packet, reason, out),
         }
     }
@@ -143,6 +150,14 @@
         if !self.flows.has_room() || (load >= 100 && (!last || spare.is_some())) {
             return Err(Reason::Busy);
         }
+        // The last candidate takes the flow all the same, because nobody else would.
+        let others = !last
+            || open
+                .spare
+                .is_some_and(|spare| spare.agent != self.settings.me);
+        if others && self.health.avoids(now) {
+            return Err(Reason::Failing);
+        }
         self.gate.admit(now, cold_rate)
     }
 
@@ -186,7 +201,9 @@
         self.flows.update(facts.key, |flow| {
             flow.used = now;
             flow.caller_closed |= facts.closes;
-            if facts.bytes > 0 && flow.waits.is_none() {
+            let end = facts.sequence.wrapping_add(u32::from(facts.bytes));
+            let new = facts.bytes > 0 && flow.received_to(end);
+            if new && !flow.target_closed && flow.waits.is_none() {
                 flow.waits = Some(now);
             }
         });
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -21,7 +21,7 @@
             Kind::Open { .. } if facts.returned => self.returned_open(now, facts.key, &mut out),
             _ if facts.returned => self.returned_data(now, facts, &mut out),
             Kind::Offer => self.offered(now, packet, facts, &mut out),
-            Kind::Reset => self.target_reset(packet, facts, &mut out),
+            Kind::Reset => self.target_reset(now, packet, facts, &mut out),
             Kind::Open { .. } | Kind::Data => self.answered(now, packet, facts, &mut out),
         }
         out
@@ -75,11 +75,15 @@
         out.push(Action::Return { key, packet });
     }
 
-    fn target_reset(&mut self, packet: Bytes, facts: &Facts, out: &mut Vec<Action>) {
+    fn target_reset(&mut self, now: Instant, packet: Bytes, facts: &Facts, out: &mut Vec<Action>) {
         let key = facts.key;
         match self.flows.get(key) {
-            Some(Flow::Open(_) | Flow::Offered(_)) => {
+            Some(flow @ (Flow::Open(_) | Flow::Offered(_))) => {
+                let waited = matches!(flow, Flow::Open(opened) if opened.waits.is_some());
                 self.flows.remove(key);
+                if waited {
+                    self.fail(now, key, out);
+                }
                 out.push(log(key, "reset", "reason=\"target reset it\""));
                 out.push(Action::Return { key, packet });
             }
@@ -109,15 +113,27 @@
             flow.target_closed |= facts.closes;
             if facts.bytes > 0 {
                 asked = flow.waits.take();
+                flow.overdue = false;
+            }
+            if facts.closes {
+                flow.waits = None;
             }
         });
         if let Some(at) = asked {
             let took = now.since(at);
+            self.health.answered(now, took);
             out.push(Action::Answered { key, took });
         }
         out.push(Action::Return { key, packet });
     }
 
+    /// The target ended a request without an answer.
+    fn fail(&mut self, now: Instant, key: FlowKey, out: &mut Vec<Action>) {
+        self.health.failed(now);
+        let percent = self.stats(now).failing;
+        out.push(log(key, "failed", format!("failing_percent={percent}")));
+    }
+
     /// Records a flow that this process did not see open.
     fn adopt(&mut self, now: Instant, facts: &Facts, offer: Option<u32>) {
         let opened = Opened {
@@ -125,7 +141,9 @@
             offer,
             sent: facts.sequence.wrapping_add(u32::from(facts.bytes)),
             used: now,
+            received: None,
             waits: None,
+            overdue: false,
             caller_closed: false,
             target_closed: false,
         };
--- a/crates/flow/src/frame.rs
+++ b/crates/flow/src/frame.rs
@@ -72,6 +72,9 @@
     /// Target returned the packet.
     #[display("returned")]
     Returned,
+    /// Target fails requests.
+    #[display("failing")]
+    Failing,
 }
 
 /// Whether an agent holds a flow.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -15,6 +15,7 @@
 mod facts;
 mod frame;
 mod gate;
+mod health;
 mod key;
 mod lookup;
 mod pacer;
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use monsoon_flow::{
-    Action, Agent, Answer, Frame, Holds, Open, Places, Presence, Readiness, Reason, ServiceTag,
-    Spare,
+    Action, Agent, Answer, Facts, Frame, Holds, Kind, Open, Places, Presence, Readiness, Reason,
+    ServiceTag, Spare,
 };
 use monsoon_model::{Duration, Instant, Version, Versions};
 use world::{
@@ -240,7 +240,7 @@
         let packet = Bytes::from_static(b"r");
         agent.receive(START, balancer_at(1), Frame::Data, packet, Some(request));
     }
-    assert_eq!(agent.stats().in_flight, 4);
+    assert_eq!(agent.stats(START).in_flight, 4);
     let Frame::Open(mut open) = open_frame(1, tag()) else {
         unreachable!("open_frame makes an opening frame")
     };
@@ -610,3 +610,35 @@
         Some(Reason::Mute)
     );
 }
+
+/// Guards against packets of a request that are sent again after its answer and count as work of
+/// the target: upload targets seemed to be three times as busy as they could be.
+#[test]
+fn a_repeated_packet_is_no_further_request() {
+    let mut agent = ready_agent(START, 1);
+    let key = caller(1);
+    let packet = Bytes::from_static(b"p");
+    offered_now(&mut agent, START);
+    answer(&mut agent, START, 1);
+    let request = data(key, 7_001);
+    let from = balancer_at(1);
+    let send = |agent: &mut Agent, facts| {
+        agent.receive(START, from, Frame::Data, packet.clone(), Some(facts));
+        agent.stats(START).in_flight
+    };
+    assert_eq!(send(&mut agent, request), 1);
+    let response = Facts {
+        kind: Kind::Data,
+        sequence: 7_001,
+        bytes: 20,
+        ..opening(key, 0)
+    };
+    agent.outbound(START, packet.clone(), &response);
+    assert_eq!(agent.stats(START).in_flight, 0);
+    assert_eq!(send(&mut agent, request), 0);
+    let next = Facts {
+        sequence: request.sequence + u32::from(request.bytes),
+        ..request
+    };
+    assert_eq!(send(&mut agent, next), 1);
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -151,11 +151,12 @@
         process.follow(now, actions);
     }
 
-    pub(crate) fn gauges(&self) -> Vec<(&'static str, u64)> {
-        let stats = self.flows.stats();
+    pub(crate) fn gauges(&self, now: Instant) -> Vec<(&'static str, u64)> {
+        let stats = self.flows.stats(now);
         vec![
             ("flows", stats.flows as u64),
             ("in_flight", stats.in_flight as u64),
+            ("failing_percent", u64::from(stats.failing)),
             ("config_version", self.flows.versions().document.0),
             ("places_version", self.flows.versions().places.0),
         ]
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -31,7 +31,7 @@
 
 /// State that an agent announces.
 pub(crate) fn local(now: Instant, agent: &Agent) -> LocalState {
-    let figures = agent.stats();
+    let figures = agent.stats(now);
     let slots = figures.slots.max(1);
     let state = match agent.closed(now) {
         // A pause of a moment is not worth an announcement.
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -295,7 +295,7 @@
             Message::Metrics(reply) => {
                 let gauges = match part {
                     Part::Balancer(part) => part.gauges(),
-                    Part::Agent(part) => part.gauges(),
+                    Part::Agent(part) => part.gauges(now),
                 };
                 let _ = reply.send(self.figures.text(self.decisions.counts(), &gauges));
             }
