--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -162,7 +162,9 @@
         let readiness = announced.readiness;
         let before = self.gate.announced().map(|a| a.readiness);
         let first = self.gate.lifetime() == 0;
-        let (sequence, cold) = (announced.sequence, announced.cold);
+        let (sequence, cold, service) = (announced.sequence, announced.cold, announced.service);
+        let former = self.service();
+        let last = self.gate.heard_at();
         match self.gate.hear(now, announced) {
             None => Some("ignored"),
             Some(true) => {
@@ -171,7 +173,11 @@
                 } else {
                     // A lifetime that follows another one began while this process ran.
                     self.unsure = false;
-                    self.flows.end_all();
+                    if service == former {
+                        self.flows.end_before(last);
+                    } else {
+                        self.flows.end_all();
+                    }
                     self.health = Health::new(now);
                 }
                 Some("started")
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -42,6 +42,8 @@
     pub sequence: Option<u32>,
     /// First sequence number of the target, unknown after a restart of the agent.
     pub offer: Option<u32>,
+    /// When the target was offered the flow, or the flow was found there.
+    pub since: Instant,
     /// End of what the target has sent.
     pub sent: u32,
     /// Last packet in either direction.
@@ -78,6 +80,7 @@
         Opened {
             sequence: Some(self.sequence),
             offer: self.offer,
+            since: self.at,
             sent: self.offer.unwrap_or_default(),
             received: Some(self.sequence.wrapping_add(1)),
             used: now,
@@ -168,15 +171,27 @@
 
     /// Ends all flows, because the target's lifetime is over.
     pub(super) fn end_all(&mut self) {
+        self.end(|_| true);
+    }
+
+    /// Ends the flows that the target was offered until `last`, when its former lifetime was last
+    /// heard. Later ones may belong to the present lifetime; the target returns those that do not.
+    pub(super) fn end_before(&mut self, last: Instant) {
+        self.end(|offered| offered <= last);
+    }
+
+    fn end(&mut self, ends: impl Fn(Instant) -> bool) {
         for flow in self.flows.values_mut() {
-            let at = match flow {
-                Flow::Offered(offered) => offered.at,
-                Flow::Open(opened) => opened.used,
-                Flow::Tried { at, .. } | Flow::Ended { at } => *at,
+            let (offered, used) = match flow {
+                Flow::Offered(offered) => (offered.at, offered.at),
+                Flow::Open(opened) => (opened.since, opened.used),
+                Flow::Tried { at, .. } | Flow::Ended { at } => (*at, *at),
             };
-            *flow = Flow::Ended { at };
+            if ends(offered) {
+                *flow = Flow::Ended { at: used };
+            }
         }
-        self.waiting = 0;
+        self.waiting = self.flows.values().filter(|flow| waits(flow)).count();
     }
 
     /// Forgets flows that were idle for longer than `idle`, and closed ones earlier. Returns how many
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -139,6 +139,7 @@
         let opened = Opened {
             sequence: None,
             offer,
+            since: now,
             sent: facts.sequence.wrapping_add(u32::from(facts.bytes)),
             used: now,
             received: None,
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -183,6 +183,11 @@
         self.heard.as_ref().map(|heard| &heard.announced)
     }
 
+    /// When the last heartbeat came, zero before the first one and after a suspension.
+    pub fn heard_at(&self) -> Instant {
+        self.heard.as_ref().map_or(Instant::ZERO, |heard| heard.at)
+    }
+
     /// Age of the last heartbeat.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.heard.as_ref().map(|heard| now.since(heard.at))
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -642,3 +642,32 @@
     };
     assert_eq!(send(&mut agent, next), 1);
 }
+
+/// Guards against a reset of flows that a target took between its start and its first heartbeat,
+/// while its agent still believed in the former lifetime.
+#[test]
+fn flows_of_a_new_lifetime_outlive_its_first_heartbeat() {
+    let mut agent = ready_agent(START, 1);
+    offered(&mut agent, START, 1, open_frame(1, tag()));
+    answer(&mut agent, START, 1);
+    agent.hear(START + Duration::from_millis(500), beat("i", 2));
+    let taken = START + Duration::from_millis(900);
+    offered(&mut agent, taken, 2, open_frame(1, tag()));
+    answer(&mut agent, taken, 2);
+    let now = START + Duration::from_millis(1_000);
+    let mut next = beat("j", 1);
+    next.born = 2;
+    agent.hear(now, next);
+    let mut send = |number| {
+        let (from, packet) = (balancer_at(1), Bytes::from_static(b"p"));
+        let facts = data(caller(number), 7_001);
+        agent.receive(now, from, Frame::Data, packet, Some(facts))
+    };
+    let refused = |a: &Action| matches!(a, Action::Refuse(_));
+    assert!(send(1).iter().any(refused));
+    let actions = send(2);
+    assert!(
+        matches!(actions.as_slice(), [Action::Deliver(_)]),
+        "{actions:?}"
+    );
+}
