--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -176,20 +176,23 @@
 
     /// Ends the flows that the target was offered until `last`, when its former lifetime was last
     /// heard. Later ones may belong to the present lifetime; the target returns those that do not.
+    /// A flow whose offer this process did not see is older than the process.
     pub(super) fn end_before(&mut self, last: Instant) {
-        self.end(|offered| offered <= last);
+        self.end(|flow| match flow {
+            Flow::Offered(offered) => offered.at <= last,
+            Flow::Open(opened) => opened.offer.is_none() || opened.since <= last,
+            Flow::Tried { .. } | Flow::Ended { .. } => true,
+        });
     }
 
-    fn end(&mut self, ends: impl Fn(Instant) -> bool) {
-        for flow in self.flows.values_mut() {
-            let (offered, used) = match flow {
-                Flow::Offered(offered) => (offered.at, offered.at),
-                Flow::Open(opened) => (opened.since, opened.used),
-                Flow::Tried { at, .. } | Flow::Ended { at } => (*at, *at),
+    fn end(&mut self, ends: impl Fn(&Flow) -> bool) {
+        for flow in self.flows.values_mut().filter(|flow| ends(flow)) {
+            let at = match flow {
+                Flow::Offered(offered) => offered.at,
+                Flow::Open(opened) => opened.used,
+                Flow::Tried { at, .. } | Flow::Ended { at } => *at,
             };
-            if ends(offered) {
-                *flow = Flow::Ended { at: used };
-            }
+            *flow = Flow::Ended { at };
         }
         self.waiting = self.flows.values().filter(|flow| waits(flow)).count();
     }
--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -43,6 +43,9 @@
 /// Time after which it counts as complete in any case: agents announce themselves twice a second,
 /// and a balancer that joins others compares its table with them every 200 ms.
 const SETTLED_AFTER: Duration = Duration::from_millis(1_200);
+/// Time for which an agent that never heard a target has to be silent until it counts as one that
+/// held no flow: three questions.
+const SILENT_FOR: Duration = Duration::from_millis(300);
 /// Time for which a new flow waits for an agent to open while there are targets of its service:
 /// announcements are up to half a second old, and a caller tries for 1.4 s.
 const WAIT_FOR: Duration = Duration::from_millis(400);
@@ -108,6 +111,10 @@
     service: monsoon_model::ServiceId,
     /// When it was last listed.
     seen: Instant,
+    /// When it was last listed with a target.
+    here: Option<Instant>,
+    /// Since when it has been listed with this presence.
+    since: Instant,
     presence: Presence,
 }
 
@@ -260,9 +267,18 @@
         }
         for (at, target) in &mut self.targets {
             target.doubt = old.get(at).and_then(|old| old.doubt);
+            let known = self.recent.get(at);
+            let here = known.and_then(|known| known.here);
+            let since = known.filter(|known| known.presence == target.presence);
             let recent = Recent {
                 service: target.service,
                 seen: now,
+                here: if target.presence == Presence::Here {
+                    Some(now)
+                } else {
+                    here
+                },
+                since: since.map_or(now, |known| known.since),
                 presence: target.presence,
             };
             self.recent.insert(*at, recent);
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -76,8 +76,8 @@
     /// Compares tables at the faster rate, until one was equal or `catch_until` has passed.
     catching: bool,
     catch_until: Instant,
-    /// Another balancer has answered a comparison of the whole tables, equal or not.
-    compared: bool,
+    /// Live agents that another balancer listed in the last comparison of whole tables.
+    listed: Option<u32>,
     left: bool,
     /// Hash of the live balancers of the data centre.
     list_hash: u32,
@@ -147,7 +147,7 @@
             received: now,
             answers: ANSWERS_PER_SECOND,
             catching: true,
-            compared: false,
+            listed: None,
             catch_until: now + CATCH_UP_FOR,
             left: false,
             list_hash: 0,
@@ -188,17 +188,18 @@
         self.visible().filter(|m| m.role == Role::Agent)
     }
 
-    /// Agents that were declared dead within `span`. They may only have been out of reach.
-    pub fn dead_agents(&self, now: Instant, span: Duration) -> impl Iterator<Item = &Member> {
-        let dead = self.members.departed(now, span);
-        dead.map(|row| &row.member)
+    /// Agents that were declared dead or left within `span`. They may only have been out of reach, or
+    /// start again beside their targets.
+    pub fn departed_agents(&self, now: Instant, span: Duration) -> impl Iterator<Item = &Member> {
+        let gone = self.members.departed(now, span);
+        gone.map(|row| &row.member)
             .filter(|m| m.role == Role::Agent)
     }
 
-    /// Whether all known processes have started together with this one: another balancer is known,
-    /// one has compared its table with ours, and nobody has announced itself often. A process that
-    /// joins running ones may hear of young members first. The tables need not be equal: while a
-    /// deployment starts, they hardly ever are.
+    /// Whether all known processes have started together with this one: another balancer is known
+    /// and lists no more agents, and nobody has announced itself often. A process that joins running
+    /// ones may hear of young members first. The tables need not be equal: while a deployment
+    /// starts, they hardly ever are.
     pub fn starts_with_others(&self) -> bool {
         let others = || {
             self.members
@@ -207,7 +208,19 @@
         };
         let balancer = others().any(|row| row.member.role == Role::Balancer);
         let young = |row: &Row| row.member.sequence <= YOUNG_SEQUENCE;
-        self.compared && balancer && others().all(young)
+        let complete = self
+            .listed
+            .is_some_and(|agents| agents <= self.live_agents());
+        complete && balancer && others().all(young)
+    }
+
+    /// Live agents in the table.
+    fn live_agents(&self) -> u32 {
+        let agents = self
+            .members
+            .live()
+            .filter(|row| row.member.role == Role::Agent);
+        agents.count() as u32
     }
 
     /// Live balancers in reach that are not leaving, own data centre first.
@@ -344,7 +357,7 @@
         self.watcher.thaw(now);
         self.beats.thaw(now);
         self.catching = true;
-        self.compared = false;
+        self.listed = None;
         self.catch_until = now + CATCH_UP_FOR;
         self.timers.digest = now;
         self.timers.announce = now;
--- a/crates/membership/src/balancer/answer.rs
+++ b/crates/membership/src/balancer/answer.rs
@@ -164,6 +164,7 @@
         now: Instant,
         from: SocketAddr,
         (answer, scope): (bool, Option<DataCentreId>),
+        agents: u32,
         buckets: &[u32],
     ) -> bool {
         if buckets.len() != BUCKETS {
@@ -177,7 +178,7 @@
             .collect::<Vec<_>>();
         let equal = !differs.contains(&true);
         if answer && scope.is_none() {
-            self.compared = true;
+            self.listed = Some(agents);
             self.catching &= !equal;
         }
         if !answer {
@@ -186,6 +187,7 @@
                 Body::Digest {
                     answer: true,
                     scope,
+                    agents: self.live_agents(),
                     buckets: own,
                 },
             );
--- a/crates/membership/src/balancer/receive.rs
+++ b/crates/membership/src/balancer/receive.rs
@@ -38,10 +38,11 @@
             Body::Digest {
                 answer,
                 scope,
+                agents,
                 buckets,
             } => {
                 let place = self.members.get(head.id).map(|row| row.member.data_centre);
-                if self.digested(now, from, (answer, scope), &buckets) && place == scope {
+                if self.digested(now, from, (answer, scope), agents, &buckets) && place == scope {
                     self.beats.compared(scope);
                 }
             }
--- a/crates/membership/src/balancer/rounds.rs
+++ b/crates/membership/src/balancer/rounds.rs
@@ -168,6 +168,7 @@
             Body::Digest {
                 answer: false,
                 scope,
+                agents: self.live_agents(),
                 buckets,
             },
         );
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -54,11 +54,11 @@
             .is_some_and(|row| row.status == Status::Alive)
     }
 
-    /// Members declared dead within `span`.
+    /// Members that were declared dead, or left, within `span`.
     pub(crate) fn departed(&self, now: Instant, span: Duration) -> impl Iterator<Item = &Row> {
         let recent = move |row: &&Row| now.since(row.since) < span;
-        let dead = self.rows.values().filter(|row| row.status == Status::Dead);
-        dead.filter(recent)
+        let gone = self.rows.values().filter(|row| row.status != Status::Alive);
+        gone.filter(recent)
     }
 
     /// Members not known as departed.
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -125,6 +125,8 @@
         answer: bool,
         /// Data centre whose members are compared, `None` for all.
         scope: Option<DataCentreId>,
+        /// Live agents in the sender's table.
+        agents: u32,
         /// Hashes, one per bucket.
         buckets: Vec<u32>,
     },
--- a/crates/membership/tests/nodes/lists.rs
+++ b/crates/membership/tests/nodes/lists.rs
@@ -42,6 +42,7 @@
     let body = Body::Digest {
         answer: false,
         scope: None,
+        agents: 0,
         buckets: vec![0; bounds::BUCKETS],
     };
     let event = || Event::Message {
--- a/crates/membership/tests/start.rs
+++ b/crates/membership/tests/start.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use monsoon_membership::{Action, BalancerNode, Event, LocalState, Member, Message, Role, State};
+use monsoon_membership::{
+    Action, BalancerNode, Body, Event, Head, LocalState, Member, Message, Role, State,
+};
 use monsoon_model::{AgentId, DataCentreId, Duration, Instant, ServiceId, Version, Versions};
 
 fn control(number: u8) -> SocketAddr {
@@ -61,6 +63,26 @@
     now
 }
 
+/// Announces an agent to a node, or that it leaves.
+fn announce(node: &mut BalancerNode, now: Instant, number: u8, left: bool) {
+    let mut agent = member(number);
+    agent.role = Role::Agent;
+    agent.sequence = if left { 2 } else { 1 };
+    let message = Message {
+        head: Head {
+            id: agent.id,
+            peer: agent.peer,
+            versions: agent.versions,
+        },
+        body: Body::Announce {
+            member: agent,
+            left,
+        },
+    };
+    let from = control(number);
+    node.handle(now, Event::Message { from, message });
+}
+
 /// Guards against a balancer that takes a list which is still growing for complete, because all it
 /// has heard of is as young as itself.
 #[test]
@@ -116,3 +138,58 @@
     }
     assert!(nodes.iter().all(|(_, node)| node.starts_with_others()));
 }
+
+/// Guards against a balancer that starts again soon after all others and takes its list for complete
+/// although another balancer lists more agents: it reset flows of agents that it did not know.
+#[test]
+fn a_balancer_knows_that_its_list_is_shorter_than_others() {
+    let now = Instant::from_secs(100);
+    let mut nodes = vec![(1, start(now, 1)), (2, start(now, 2))];
+    let now = run(&mut nodes, now, Duration::from_millis(500));
+    for number in 11..=15 {
+        announce(&mut nodes[0].1, now, number, false);
+    }
+    let mut now = run(&mut nodes, now, Duration::from_millis(1_000));
+    // What tells the third one of the agents is lost, but not the comparisons themselves.
+    nodes.push((3, start(now, 3)));
+    for _ in 0..100 {
+        now += Duration::from_millis(10);
+        let mut wire = Vec::new();
+        for (number, node) in &mut nodes {
+            for action in node.handle(now, Event::Tick) {
+                if let Action::Send { to, message } = action {
+                    wire.push((to, control(*number), message));
+                }
+            }
+        }
+        while let Some((to, from, message)) = wire.pop() {
+            let told = matches!(message.body, Body::Entries { .. } | Body::Gossip { .. });
+            let node = nodes.iter_mut().find(|(number, _)| control(*number) == to);
+            let Some((number, node)) = node.filter(|(number, _)| !(told && *number == 3)) else {
+                continue;
+            };
+            for action in node.handle(now, Event::Message { from, message }) {
+                if let Action::Send { to, message } = action {
+                    wire.push((to, control(*number), message));
+                }
+            }
+        }
+        assert!(!nodes[2].1.starts_with_others());
+    }
+}
+
+/// Guards against a balancer that starts while an agent does, and takes the flows of the living
+/// target beside it for ended because it never heard of the agent.
+#[test]
+fn a_new_balancer_hears_of_agents_that_left() {
+    let now = Instant::from_secs(100);
+    let mut nodes = vec![(1, start(now, 1))];
+    announce(&mut nodes[0].1, now, 11, false);
+    let now = run(&mut nodes, now, Duration::from_millis(500));
+    announce(&mut nodes[0].1, now, 11, true);
+    nodes.push((2, start(now, 2)));
+    let now = run(&mut nodes, now, Duration::from_millis(1_000));
+    let span = Duration::from_secs(10);
+    let known = |node: &BalancerNode| node.departed_agents(now, span).count();
+    assert!(nodes.iter().all(|(_, node)| known(node) == 1));
+}
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -53,11 +53,11 @@
     }
 }
 
-/// Time for which an agent that was declared dead may still hold flows: longer than a restart, and
-/// than a partition takes to be noticed and heal.
-const DEAD_FOR: Duration = Duration::from_secs(10);
+/// Time for which an agent that was declared dead or left may still hold flows: longer than a
+/// restart, and than a partition takes to be noticed and heal.
+const GONE_FOR: Duration = Duration::from_secs(10);
 
-/// Targets by the frame address of their agent, those of agents that died lately included.
+/// Targets by the frame address of their agent, those of agents that went lately included.
 ///
 /// For up to two seconds after a crash, the former process of an address is still listed beside the
 /// new one. Such an address takes flows only when both entries say so.
@@ -78,12 +78,12 @@
             })
             .or_insert(view);
     }
-    for member in node.dead_agents(now, DEAD_FOR) {
+    for member in node.departed_agents(now, GONE_FOR) {
         let view = TargetView {
             open: false,
             ..view(member)
         };
-        // One that had no target when it died held no flow.
+        // One that had no target when it went held no flow.
         if view.presence == Presence::Here {
             targets.entry(member.data).or_insert(view);
         }
