--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -4,6 +4,7 @@
 mod data;
 mod frames;
 mod open;
+mod targets;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
@@ -15,37 +16,19 @@
 use crate::lookup::Lookup;
 use crate::{Action, Catalogue, Facts, FlowKey, Kind, Places, ServiceTag};
 use asks::Asks;
+use targets::Recent;
+pub use targets::{Presence, TargetView};
 
 /// Time after which an agent that neither took nor passed on an opening packet is doubted. Several
 /// round trips between data centres, and less than the caller's first copy.
 const TAKEN_WITHIN: Duration = Duration::from_millis(90);
-/// Time for which a doubted agent is asked last, unless it is heard from.
-const DOUBT_FOR: Duration = Duration::from_secs(3);
 /// Time after which agents that did not answer a question are asked again.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(100);
 /// Time after which they are given up: by then the caller has sent its packet again, which asks
 /// anew.
 const ASKED_FOR: Duration = Duration::from_millis(600);
-/// Time for which agents that left the list are still asked for flows, such as those of a data
-/// centre that is out of reach: longer than a restart.
-const RECENT: Duration = Duration::from_secs(10);
-/// Time for which an agent that left without a target is remembered, because flows of that target
-/// may still be idle at their callers.
-const EMPTY_FOR: Duration = Duration::from_secs(60);
 /// Most flows remembered. At the bound a further one is forwarded without being remembered.
 const MAX_FLOWS: usize = 262_144;
-/// Least time after a start of all processes together in which the list of agents may be complete:
-/// agents that know no balancer announce themselves every 100 ms.
-const SETTLED_FROM: Duration = Duration::from_millis(300);
-/// Time without a further agent after which the list counts as complete: longer than the interval
-/// at which balancers that start compare their tables, 250 ms at most.
-const QUIET_FOR: Duration = Duration::from_millis(300);
-/// Time after which it counts as complete in any case: agents announce themselves twice a second,
-/// and a balancer that joins others compares its table with them every 200 ms.
-const SETTLED_AFTER: Duration = Duration::from_millis(1_200);
-/// Time for which an agent that never heard a target has to be silent until it counts as one that
-/// held no flow: three questions.
-const SILENT_FOR: Duration = Duration::from_millis(300);
 /// Time for which a new flow waits for an agent to open while there are targets of its service:
 /// announcements are up to half a second old, and a caller tries for 1.4 s.
 const WAIT_FOR: Duration = Duration::from_millis(400);
@@ -67,57 +50,6 @@
     pub flow_ttl: Duration,
 }
 
-/// Whether the target of an agent is there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Presence {
-    /// The agent has not heard it yet.
-    Unheard,
-    /// It is there.
-    Here,
-    /// It has ended, and all its flows with it.
-    Ended,
-}
-
-/// A target as its agent announces it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TargetView {
-    /// Number of the service.
-    pub service: monsoon_model::ServiceId,
-    /// Data centre.
-    pub data_centre: DataCentreId,
-    /// Whether a target is there.
-    pub presence: Presence,
-    /// Whether it takes new flows.
-    pub open: bool,
-    /// Whether it is cold.
-    pub cold: bool,
-    /// Share of the flows, relative to others.
-    pub weight: u32,
-    /// Percent of the slots in use.
-    pub load: u16,
-    /// Until when the agent is asked last.
-    pub doubt: Option<Instant>,
-}
-
-impl TargetView {
-    pub(crate) fn doubted(&self, now: Instant) -> bool {
-        self.doubt.is_some_and(|until| now < until)
-    }
-}
-
-/// An agent that is or was listed.
-#[derive(Clone, Copy, Debug)]
-struct Recent {
-    service: monsoon_model::ServiceId,
-    /// When it was last listed.
-    seen: Instant,
-    /// When it was last listed with a target.
-    here: Option<Instant>,
-    /// Since when it has been listed with this presence.
-    since: Instant,
-    presence: Presence,
-}
-
 /// What a balancer remembers of a flow.
 #[derive(Clone, Debug)]
 enum Flow {
@@ -164,7 +96,6 @@
     catalogue: Option<Arc<Catalogue>>,
     /// Services that each route has led to since the start, because open flows stay there.
     former: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
-    places: Places,
     out: BTreeSet<DataCentreId>,
     versions: Versions,
     checked: bool,
@@ -193,7 +124,6 @@
             recent: BTreeMap::new(),
             catalogue: None,
             former: BTreeMap::new(),
-            places: Places::default(),
             out: BTreeSet::new(),
             versions: Versions::default(),
             checked: false,
@@ -228,7 +158,6 @@
         if places.version >= self.versions.places {
             self.versions.places = places.version;
             self.out = places.out.iter().filter_map(|name| number(name)).collect();
-            self.places = places.clone();
         }
     }
 
@@ -254,48 +183,6 @@
         self.settled = now;
     }
 
-    /// Replaces the list of agents, and places flows that waited for it.
-    pub fn set_targets(
-        &mut self,
-        now: Instant,
-        targets: BTreeMap<SocketAddrV4, TargetView>,
-    ) -> Vec<Action> {
-        let old = std::mem::replace(&mut self.targets, targets);
-        let unknown = |at| !old.contains_key(at);
-        if self.targets.keys().any(unknown) {
-            self.grown = now;
-        }
-        for (at, target) in &mut self.targets {
-            target.doubt = old.get(at).and_then(|old| old.doubt);
-            let known = self.recent.get(at);
-            let here = known.and_then(|known| known.here);
-            let since = known.filter(|known| known.presence == target.presence);
-            let recent = Recent {
-                service: target.service,
-                seen: now,
-                here: if target.presence == Presence::Here {
-                    Some(now)
-                } else {
-                    here
-                },
-                since: since.map_or(now, |known| known.since),
-                presence: target.presence,
-            };
-            self.recent.insert(*at, recent);
-        }
-        self.recent.retain(|_, agent| {
-            let memory = match agent.presence {
-                Presence::Unheard => Duration::ZERO,
-                Presence::Here => RECENT,
-                Presence::Ended => EMPTY_FOR,
-            };
-            now.since(agent.seen) <= memory
-        });
-        let mut out = self.release(now);
-        self.asks.send_due(now, &mut out);
-        out
-    }
-
     /// Versions in force.
     pub fn versions(&self) -> Versions {
         self.versions
@@ -416,38 +303,4 @@
             self.flows.insert(key, flow);
         }
     }
-
-    /// Whether the list of agents covers every agent that could hold a flow.
-    fn is_settled(&self, now: Instant) -> bool {
-        now >= self.complete_at()
-    }
-
-    fn complete_at(&self) -> Instant {
-        if self.joined {
-            return self.settled + SETTLED_AFTER;
-        }
-        let quiet = (self.settled + SETTLED_FROM).max(self.grown + QUIET_FOR);
-        quiet.min(self.settled + SETTLED_AFTER)
-    }
-
-    /// Agents that may hold a flow of the route: those of every service that it has led to.
-    fn holders(&self, address: SocketAddrV4) -> BTreeSet<SocketAddrV4> {
-        let services: BTreeSet<_> = self
-            .former
-            .get(&address)
-            .into_iter()
-            .flatten()
-            .map(|service| service.number())
-            .collect();
-        let serves =
-            |agent: &Recent| agent.presence != Presence::Ended && services.contains(&agent.service);
-        let recent = self.recent.iter().filter(|(_, agent)| serves(agent));
-        recent.map(|(&at, _)| at).collect()
-    }
-
-    fn doubt(&mut self, now: Instant, agent: SocketAddrV4) {
-        if let Some(target) = self.targets.get_mut(&agent) {
-            target.doubt = Some(now + DOUBT_FOR);
-        }
-    }
 }
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use monsoon_model::{Duration, Instant};
 
-use super::{ASKED_FOR, Balancer, Flow, Opening, Presence, RECENT, SILENT_FOR};
+use super::{ASKED_FOR, Balancer, Flow, Opening, Presence};
 use crate::action::{log, refuse, send};
 use crate::lookup::{Lookup, Verdict};
 use crate::placing::likely;
@@ -201,16 +201,9 @@
     ) {
         match self.flows.remove(&key) {
             Some(Flow::Asking(mut lookup)) if lookup.at == at => {
-                // An agent that never heard a target and does not answer has only just started, so
-                // it held no flow that its balancers can have seen, unless a former process at its
-                // address did. It is asked after it was listed so.
                 let empty = |agent| {
                     let recent = self.recent.get(&agent);
-                    recent.is_some_and(|recent| {
-                        recent.presence == Presence::Unheard
-                            && recent.here.is_none_or(|at| now.since(at) > RECENT)
-                            && now.since(recent.since.max(lookup.since)) >= SILENT_FOR
-                    })
+                    recent.is_some_and(|recent| recent.held_nothing(now, lookup.since))
                 };
                 let verdict = lookup.give_up(empty);
                 let unsure = (!lookup.unsure.is_empty()).then_some(Verdict::Unsure);
