Name the membership group and the data centre of a member by what they are

The field data_centre of a member held the number of its membership group, and place its data centre. They are group and data_centre now; nothing else changes.

--- a/crates/daemon/src/balancer/status_writer.rs
+++ b/crates/daemon/src/balancer/status_writer.rs
@@ -71,7 +71,7 @@
                 .node
                 .lock()
                 .expect("no panic while the lock is held");
-            (node.member().id, node.member().data_centre)
+            (node.member().id, node.member().group)
         };
         let lease = Mutex::new(Lease::new(self.clock.now(), id, terms));
         let holding = self.hold(&lease, group, is_writer);
@@ -150,7 +150,7 @@
             .lock()
             .expect("no panic while the lock is held");
         let members = node.agents().chain(node.balancers());
-        let own = members.filter(|member| member.place == place);
+        let own = members.filter(|member| member.data_centre == place);
         let mut processes: Vec<_> = own.map(process).collect();
         processes.sort();
         processes
--- a/crates/lab/src/fleet/balancers.rs
+++ b/crates/lab/src/fleet/balancers.rs
@@ -118,7 +118,7 @@
         let ready = |m: &&monsoon_membership::Member| {
             m.service == service
                 && m.state != monsoon_membership::State::Leaving
-                && !out.contains(&m.place)
+                && !out.contains(&m.data_centre)
         };
         let agents: Vec<_> = node.agents().filter(ready).map(|m| m.data).collect();
         let pick = self.rng.below(agents.len() as u64) as usize;
--- a/crates/membership/examples/capacity/bursts.rs
+++ b/crates/membership/examples/capacity/bursts.rs
@@ -95,8 +95,8 @@
     let member = net.slots[node].member;
     net.crash(node);
     match net.slots[node].node {
-        Node::Balancer(_) => net.add_balancer(member.data_centre.0),
-        Node::Agent(_) => net.add_agent(member.data_centre.0, member.service.0),
+        Node::Balancer(_) => net.add_balancer(member.group.0),
+        Node::Agent(_) => net.add_agent(member.group.0, member.service.0),
     };
 }
 
@@ -179,7 +179,7 @@
     let (from, mut peaks) = (net.deaths.len(), Peaks::default());
     reset(&mut net);
     for node in 0..net.slots.len() {
-        if net.slots[node].member.data_centre.0 == 3 {
+        if net.slots[node].member.group.0 == 3 {
             net.crash(node);
         }
     }
@@ -220,7 +220,7 @@
         net.run(Duration::from_millis(100));
         let lists = |place: u8, other: u8| {
             net.balancers(Some(place))
-                .all(|(_, node)| node.balancers().iter().any(|m| m.data_centre.0 == other))
+                .all(|(_, node)| node.balancers().iter().any(|m| m.group.0 == other))
         };
         hidden += usize::from(!(lists(2, 1) && lists(1, 2) && lists(3, 1) && lists(1, 3)));
     }
--- a/crates/membership/examples/capacity/cluster.rs
+++ b/crates/membership/examples/capacity/cluster.rs
@@ -48,11 +48,10 @@
 fn agents_know(net: &Network) -> bool {
     let mut near = [0_usize; 256];
     for (_, node) in net.balancers(None) {
-        near[usize::from(node.member().data_centre.0)] += 1;
+        near[usize::from(node.member().group.0)] += 1;
     }
-    net.agents().all(|(_, node)| {
-        node.balancers(net.now).len() == near[usize::from(node.member().data_centre.0)]
-    })
+    net.agents()
+        .all(|(_, node)| node.balancers(net.now).len() == near[usize::from(node.member().group.0)])
 }
 
 /// Runs for some seconds; each second a tenth of the agents changes its load.
--- a/crates/membership/src/agent/lists.rs
+++ b/crates/membership/src/agent/lists.rs
@@ -242,7 +242,7 @@
         let told = self.service.get(&self.own).map_or(now, |known| known.since);
         list.push(ServiceMember {
             id: me.id,
-            data_centre: me.data_centre,
+            data_centre: me.group,
             peer: me.peer,
             state: Some(me.state),
             age: now.since(told.max(self.started)),
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -134,7 +134,7 @@
             seeds,
             rng,
             members: Members::default(),
-            beats: Beats::new(now, me.data_centre),
+            beats: Beats::new(now, me.group),
             watcher: Watcher::default(),
             probes: Probes::default(),
             gossip: Gossip::default(),
@@ -225,10 +225,10 @@
 
     /// Live balancers in reach that are not leaving, own data centre first.
     pub fn balancers(&self) -> Vec<&Member> {
-        let own = self.me.data_centre;
+        let own = self.me.group;
         let works = |m: &&Member| m.role == Role::Balancer && m.state != crate::State::Leaving;
         let mut list = self.visible().filter(works).collect::<Vec<_>>();
-        list.sort_by_key(|m| (m.data_centre != own, m.data_centre, m.id));
+        list.sort_by_key(|m| (m.group != own, m.group, m.id));
         list
     }
 
@@ -285,7 +285,7 @@
 
     fn visible(&self) -> impl Iterator<Item = &Member> {
         let members = self.members.live().map(|row| &row.member);
-        members.filter(|m| self.beats.visible(m.data_centre))
+        members.filter(|m| self.beats.visible(m.group))
     }
 
     /// Watchers of `id` in this balancer's view, best first.
@@ -296,7 +296,7 @@
 
     /// Whether this balancer speaks to the other data centres.
     pub fn is_speaker(&self) -> bool {
-        let key = mix(SPEAKER_SALT, u64::from(self.me.data_centre.0));
+        let key = mix(SPEAKER_SALT, u64::from(self.me.group.0));
         self.rank_of_self(key) < SPEAKERS
     }
 
--- a/crates/membership/src/balancer/answer.rs
+++ b/crates/membership/src/balancer/answer.rs
@@ -49,11 +49,11 @@
     /// Some other targets of the member's service, those of its data centre if there are any.
     fn sample(&mut self, member: &Member) -> Vec<Sample> {
         let rows = self.members.service(member.service);
-        let rows = rows.filter(|row| row.works() && self.beats.visible(row.member.data_centre));
+        let rows = rows.filter(|row| row.works() && self.beats.visible(row.member.group));
         let rows = rows
             .filter(|row| row.member.id != member.id)
             .collect::<Vec<_>>();
-        let near = |row: &&&Row| row.member.data_centre == member.data_centre;
+        let near = |row: &&&Row| row.member.group == member.group;
         let mut choice = rows
             .iter()
             .filter(near)
@@ -70,7 +70,7 @@
         let mut live = Vec::new();
         let mut departed = Vec::new();
         for row in self.members.service(member.service) {
-            let place = row.member.data_centre;
+            let place = row.member.group;
             let age = match (row.status == Status::Alive, self.beats.visible(place)) {
                 (true, true) => {
                     live.push(&row.member);
@@ -150,10 +150,7 @@
     /// a cut are unknown to it, so it counts as new.
     fn age(&self, now: Instant, member: &Member) -> u32 {
         let joined = self.members.get(member.id).map_or(now, |row| row.since);
-        let returned = self
-            .beats
-            .returned(member.data_centre)
-            .unwrap_or(Instant::ZERO);
+        let returned = self.beats.returned(member.group).unwrap_or(Instant::ZERO);
         seconds(now, joined.max(returned))
     }
 
@@ -204,7 +201,7 @@
     /// Whether an entry may be passed on. What is known of live members of a hidden data centre may
     /// be old, and a process that starts there would take it for news.
     fn vouches_for(&self, entry: &Entry) -> bool {
-        entry.status != Status::Alive || self.beats.visible(entry.member.data_centre)
+        entry.status != Status::Alive || self.beats.visible(entry.member.group)
     }
 
     /// Pages of differing buckets, from a random bucket on, so that every bucket gets its turn.
@@ -246,7 +243,7 @@
     TargetInfo {
         id: m.id,
         incarnation: m.incarnation,
-        data_centre: m.data_centre,
+        data_centre: m.group,
         peer: m.peer,
         state,
         age,
--- a/crates/membership/src/balancer/learn.rs
+++ b/crates/membership/src/balancer/learn.rs
@@ -26,7 +26,7 @@
         if merge == Merge::Stale {
             return;
         }
-        let own = entry.member.data_centre == self.me.data_centre;
+        let own = entry.member.group == self.me.group;
         let died = was_alive && entry.status == Status::Dead;
         if merge == Merge::Refreshed {
             return;
@@ -106,7 +106,7 @@
     /// Agents that must ask for a list again because `entry` departed.
     fn nudge_for(&mut self, entry: &Entry) {
         let all = entry.member.role == Role::Balancer;
-        if all && entry.member.data_centre != self.me.data_centre {
+        if all && entry.member.group != self.me.group {
             return;
         }
         let wanted = |id: &&AgentId| {
@@ -144,7 +144,7 @@
 
     /// Computes the rankings of the data centre again.
     pub(super) fn regroup(&mut self, now: Instant) {
-        let own = self.me.data_centre;
+        let own = self.me.group;
         let rows = self
             .members
             .balancers(own)
@@ -161,11 +161,8 @@
     /// Starts and stops watching according to the rankings.
     pub(super) fn reassign(&mut self, now: Instant) {
         self.pending.reassign = false;
-        let own = self.me.data_centre;
-        let candidates = self
-            .members
-            .live()
-            .filter(|row| row.member.data_centre == own);
+        let own = self.me.group;
+        let candidates = self.members.live().filter(|row| row.member.group == own);
         let candidates = candidates.filter(|row| row.member.id != self.me.id);
         let mine = candidates
             .filter(|row| self.watchers(row.member.id).contains(&self.me.id))
@@ -197,9 +194,9 @@
         if !self.is_speaker() {
             return;
         }
-        let own = self.me.data_centre;
+        let own = self.me.group;
         let rows = ids.iter().filter_map(|&id| self.members.get(id));
-        let rows = rows.filter(|row| row.member.data_centre == own);
+        let rows = rows.filter(|row| row.member.group == own);
         let entries = rows.map(|row| row.entry(now)).collect::<Vec<_>>();
         let pages = pages(room(&self.beats.list()), entries);
         let pages = pages.into_iter().filter(|page| !page.is_empty());
--- a/crates/membership/src/balancer/receive.rs
+++ b/crates/membership/src/balancer/receive.rs
@@ -29,8 +29,8 @@
             } => {
                 self.beats.merge(now, place, &beats);
                 self.gossiped(now, &entries, &loads);
-                if place != self.me.data_centre {
-                    let (place, beats) = (self.me.data_centre, self.beats.list());
+                if place != self.me.group {
+                    let (place, beats) = (self.me.group, self.beats.list());
                     self.send(from, Body::Beats { place, beats });
                 }
             }
@@ -41,7 +41,7 @@
                 agents,
                 buckets,
             } => {
-                let place = self.members.get(head.id).map(|row| row.member.data_centre);
+                let place = self.members.get(head.id).map(|row| row.member.group);
                 if self.digested(now, from, (answer, scope), agents, &buckets) && place == scope {
                     self.beats.compared(scope);
                 }
@@ -78,12 +78,12 @@
         if id == self.me.id {
             return;
         }
-        if member.data_centre == DataCentreId(0) {
+        if member.group == DataCentreId(0) {
             // The sender has no document yet; the header tells it where to fetch one.
             self.send(from, Body::Notice);
             return;
         }
-        if member.data_centre != self.me.data_centre {
+        if member.group != self.me.group {
             self.introduced(now, from, &member);
             return;
         }
--- a/crates/membership/src/balancer/remote.rs
+++ b/crates/membership/src/balancer/remote.rs
@@ -60,10 +60,10 @@
 
     /// Other data centres with known balancers.
     pub(super) fn places(&self) -> Vec<DataCentreId> {
-        let own = self.me.data_centre;
+        let own = self.me.group;
         let rows = self.members.service(monsoon_model::ServiceId(0));
         let places = rows
-            .map(|row| row.member.data_centre)
+            .map(|row| row.member.group)
             .filter(|&place| place != own);
         places
             .collect::<std::collections::BTreeSet<_>>()
--- a/crates/membership/src/balancer/rounds.rs
+++ b/crates/membership/src/balancer/rounds.rs
@@ -132,7 +132,7 @@
         entries: Vec<Entry>,
         loads: Vec<LoadRecord>,
     ) {
-        let (place, beats) = (self.me.data_centre, self.beats.list());
+        let (place, beats) = (self.me.group, self.beats.list());
         self.send(
             to,
             Body::Gossip {
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -38,10 +38,10 @@
     pub sequence: u64,
     /// Balancer or agent.
     pub role: Role,
-    /// Data centre whose number is that of the membership group.
-    pub data_centre: DataCentreId,
+    /// Membership group, by the number of one of its data centres.
+    pub group: DataCentreId,
     /// Data centre where the member runs.
-    pub place: DataCentreId,
+    pub data_centre: DataCentreId,
     /// Service, zero for balancers.
     pub service: ServiceId,
     /// Address of the control socket.
@@ -70,8 +70,8 @@
     pub(crate) fn signature(&self) -> u64 {
         let kind = (self.state as u64) << 32 | u64::from(self.slots) << 8 | self.role as u64;
         let place = u64::from(self.service.0) << 16
-            | u64::from(self.data_centre.0) << 8
-            | u64::from(self.place.0);
+            | u64::from(self.group.0) << 8
+            | u64::from(self.data_centre.0);
         let mut hash = mix(self.id.0, self.incarnation);
         for word in [
             kind,
@@ -123,8 +123,8 @@
     incarnation: u64,
     sequence: u64,
     kind: u8,
+    group: DataCentreId,
     data_centre: DataCentreId,
-    place: DataCentreId,
     service: ServiceId,
     data: SocketAddrV4,
     control: Near,
@@ -141,8 +141,8 @@
             incarnation: m.incarnation,
             sequence: m.sequence,
             kind: (m.role as u8) << 2 | m.state as u8,
+            group: m.group,
             data_centre: m.data_centre,
-            place: m.place,
             service: m.service,
             data: m.data,
             control: Near::pack(m.control, m.data),
@@ -165,8 +165,8 @@
             } else {
                 Role::Agent
             },
+            group: p.group,
             data_centre: p.data_centre,
-            place: p.place,
             service: p.service,
             control: p.control.unpack(p.data),
             data: p.data,
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -73,7 +73,7 @@
             .into_iter()
             .flatten()
             .filter_map(|id| self.rows.get(id))
-            .filter(move |row| row.status == Status::Alive && row.member.data_centre == place)
+            .filter(move |row| row.status == Status::Alive && row.member.group == place)
             .map(|row| &row.member)
             .filter(|m| m.role == Role::Balancer)
     }
@@ -260,7 +260,7 @@
     }
 
     fn within(&self, scope: Option<DataCentreId>) -> bool {
-        scope.is_none_or(|place| self.member.data_centre == place)
+        scope.is_none_or(|place| self.member.group == place)
     }
 
     /// Whether the member may take work.
--- a/crates/membership/src/simulation.rs
+++ b/crates/membership/src/simulation.rs
@@ -89,8 +89,8 @@
     /// Adds a balancer and starts it.
     pub fn add_balancer(&mut self, place: u8) -> usize {
         let member = self.member(Role::Balancer, DataCentreId(place), ServiceId(0));
-        let seeds = self.seeds_for(member.data_centre, true);
-        let own = self.seeds.entry(member.data_centre).or_default();
+        let seeds = self.seeds_for(member.group, true);
+        let own = self.seeds.entry(member.group).or_default();
         if own.len() < 3 {
             own.push(member.control);
         }
@@ -101,7 +101,7 @@
     /// Adds an agent and starts it.
     pub fn add_agent(&mut self, place: u8, service: u16) -> usize {
         let member = self.member(Role::Agent, DataCentreId(place), ServiceId(service));
-        let seeds = self.seeds_for(member.data_centre, false);
+        let seeds = self.seeds_for(member.group, false);
         let node = AgentNode::with_rule(self.now, member, seeds, self.seed, self.rule);
         self.add(member, Node::Agent(Box::new(node)))
     }
@@ -116,8 +116,8 @@
             incarnation: 0,
             sequence: 0,
             role,
+            group: data_centre,
             data_centre,
-            place: data_centre,
             service,
             control: address(7_000),
             data: SocketAddrV4::new(ip, 7_001),
@@ -353,7 +353,7 @@
             .iter()
             .enumerate()
             .filter_map(move |(index, slot)| {
-                let here = place.is_none_or(|place| slot.member.data_centre.0 == place);
+                let here = place.is_none_or(|place| slot.member.group.0 == place);
                 let running = slot.condition == Condition::Running;
                 slot.balancer()
                     .filter(|_| here && running)
--- a/crates/membership/src/simulation/link.rs
+++ b/crates/membership/src/simulation/link.rs
@@ -79,7 +79,7 @@
         from: (usize, Member),
         to: (usize, &Member),
     ) -> Vec<Duration> {
-        let places = (from.1.data_centre, to.1.data_centre);
+        let places = (from.1.group, to.1.group);
         let cut = self.cuts.contains(&places) || self.node_cuts.contains(&(from.0, to.0));
         if cut || self.lost(now, from.0, to.0) {
             return Vec::new();
--- a/crates/membership/tests/nodes/common.rs
+++ b/crates/membership/tests/nodes/common.rs
@@ -42,7 +42,7 @@
                 .agents()
                 .filter(|(_, other)| other.member().service == service)
                 .count();
-            known == near(node.member().data_centre.0) && live == fellows
+            known == near(node.member().group.0) && live == fellows
         })
 }
 
--- a/crates/membership/tests/nodes/cuts.rs
+++ b/crates/membership/tests/nodes/cuts.rs
@@ -11,8 +11,8 @@
 /// Whether the balancers of `place` list members of exactly the data centres `seen`.
 fn sees(net: &Network, place: u8, seen: &[u8]) -> bool {
     net.balancers(Some(place)).all(|(_, node)| {
-        let mut places = node.agents().map(|m| m.data_centre.0).collect::<Vec<_>>();
-        places.extend(node.balancers().iter().map(|m| m.data_centre.0));
+        let mut places = node.agents().map(|m| m.group.0).collect::<Vec<_>>();
+        places.extend(node.balancers().iter().map(|m| m.group.0));
         places.sort_unstable();
         places.dedup();
         places == seen
--- a/crates/membership/tests/nodes/faults.rs
+++ b/crates/membership/tests/nodes/faults.rs
@@ -47,7 +47,7 @@
 
     fn step(&mut self) {
         let node = self.draw(self.net.slots.len());
-        let place = self.net.slots[node].member.data_centre.0;
+        let place = self.net.slots[node].member.group.0;
         let other = 1 + self.draw(3) as u8;
         let cut = self.draw(2) == 0;
         let enough = self.net.balancers(Some(place)).count() > 3;
--- a/crates/membership/tests/start.rs
+++ b/crates/membership/tests/start.rs
@@ -18,8 +18,8 @@
         incarnation: 1,
         sequence: 0,
         role: Role::Balancer,
+        group: DataCentreId(1),
         data_centre: DataCentreId(1),
-        place: DataCentreId(1),
         service: ServiceId(0),
         control: control(number),
         data: format!("127.0.0.{number}:7001")
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -28,21 +28,21 @@
     for agent in agents {
         let (Some(service), Some(place)) = (
             document.services.get(&agent.service),
-            document.data_centres.get(&agent.place),
+            document.data_centres.get(&agent.data_centre),
         ) else {
             continue;
         };
         let Some(share) = share(agent.state, service.cold_share) else {
             continue;
         };
-        if out.contains(&agent.place) {
+        if out.contains(&agent.data_centre) {
             continue;
         }
         let weight = f64::from(agent.slots.max(1)) * SLOT_WEIGHT * share;
         let candidate = Candidate {
             id: agent.id,
             agent: agent.data,
-            data_centre: agent.place,
+            data_centre: agent.data_centre,
             weight: (weight as u32).max(1),
             local: Some(place.region.as_str()) == region,
         };
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -16,8 +16,8 @@
         incarnation: 1,
         sequence: 0,
         role,
-        data_centre: settings.centre.group,
-        place: settings.centre.number,
+        group: settings.centre.group,
+        data_centre: settings.centre.number,
         service,
         control: settings.control.into(),
         data: settings.frames,
@@ -94,7 +94,7 @@
 fn view(member: &Member) -> TargetView {
     TargetView {
         service: member.service,
-        data_centre: member.place,
+        data_centre: member.data_centre,
         presence: match (member.slots, member.state) {
             (0, State::Leaving) => Presence::Ended,
             (0, _) => Presence::Unheard,
