Do not take a balancer's own table for that of another one

Cause: the seeds of the settings may name the process itself.

Change: messages of the process itself are dropped.

Test: a_balancer_learns_nothing_from_itself, failed first.

--- a/crates/membership/src/balancer/receive.rs
+++ b/crates/membership/src/balancer/receive.rs
@@ -12,6 +12,10 @@
 impl BalancerNode {
     pub(super) fn receive(&mut self, now: Instant, from: SocketAddr, message: Message) {
         let Message { head, body } = message;
+        // The seeds of the settings may name this process. Its own table proves nothing.
+        if head.id == self.me.id {
+            return;
+        }
         self.received = now;
         self.pending.out.extend(self.fresh.see(now, &head));
         match body {
--- a/crates/membership/tests/start.rs
+++ b/crates/membership/tests/start.rs
@@ -193,3 +193,41 @@
     let known = |node: &BalancerNode| node.departed_agents(now, span).count();
     assert!(nodes.iter().all(|(_, node)| known(node) == 1));
 }
+
+/// Guards against a balancer that is one of its own seeds, compares its table with itself and takes
+/// it for complete.
+#[test]
+fn a_balancer_learns_nothing_from_itself() {
+    let mut now = Instant::from_secs(100);
+    let seeds = vec![control(1)];
+    let mut node = BalancerNode::new(now, member(1), seeds, 1);
+    let other = Message {
+        head: Head {
+            id: member(2).id,
+            peer: member(2).peer,
+            versions: Versions::default(),
+        },
+        body: Body::Announce {
+            member: member(2),
+            left: false,
+        },
+    };
+    for step in 0..50 {
+        now += Duration::from_millis(10);
+        let mut actions = node.handle(now, Event::Tick);
+        while let Some(action) = actions.pop() {
+            if let Action::Send { to, message } = action
+                && to == control(1)
+            {
+                let from = control(1);
+                actions.extend(node.handle(now, Event::Message { from, message }));
+            }
+        }
+        // The other one is heard once, and answers nothing.
+        if step == 40 {
+            let (from, message) = (control(2), other.clone());
+            node.handle(now, Event::Message { from, message });
+        }
+    }
+    assert!(!node.starts_with_others());
+}
