--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -106,6 +106,9 @@
                     self.flows.insert(key, Flow::Trying(lookup));
                 }
             },
+            // The agent started again, and its target returned a packet of the flow. The caller's next
+            // packet asks all agents.
+            Some(Flow::Held { agent, .. }) if agent == from && holds == Holds::No => {}
             Some(flow) => {
                 self.flows.insert(key, flow);
             }
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -729,3 +729,30 @@
     let refused = |a: &Action| matches!(a, Action::Refuse(_));
     assert!(actions.iter().any(refused), "{actions:?}");
 }
+
+/// Guards against callers that wait for ever on a flow whose target was replaced while its agent was
+/// down: the agent hands each packet to the new target, which returns it.
+#[test]
+fn a_flow_that_its_agent_denies_later_is_looked_up_again() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_targets(START, views([1, 2]));
+    let now = START + Duration::from_secs(5);
+    let key = caller(1);
+    let request = data(key, 6);
+    balancer.packet(now, Bytes::new(), &request);
+    let answer = |holds| Frame::Answer(vec![Answer { key, holds }]);
+    balancer.receive(now, agent_at(1), answer(Holds::Yes), Bytes::new(), None);
+    balancer.receive(now, agent_at(1), answer(Holds::No), Bytes::new(), None);
+    let later = now + Duration::from_millis(200);
+    let actions = balancer.packet(later, Bytes::new(), &request);
+    let asks = |a: &Action| {
+        matches!(
+            a,
+            Action::Send {
+                frame: Frame::Ask(_),
+                ..
+            }
+        )
+    };
+    assert!(actions.iter().any(asks), "{actions:?}");
+}
