Let an invalid entry of the store cost only itself

Cause: a page of the store was parsed at once into serde_json::Value. One entry nested deeper than 128 levels, with a number out of range of f64, or with text that is no JSON made the whole page unreadable, and the read was repeated for ever: configuration, evacuations and balancers were no longer followed. An entry of another name in the configuration's kind could replace the configuration, and one with a huge revision made all later evacuations look older. A page with one object of 1 MiB exceeded the limit of a response. A heartbeat with a start far in the future locked out those of the real target, and warm_left_ms=1e300 overflowed the duration, a panic with overflow checks and a wrong time without. A task that panicked ended in silence.

Ruled out: RawValue alone, whose scanner has no recursion limit but rejects the whole page for control characters, invalid UTF-8 and tokens such as Infinity.

Change: entries are cut out of a page by their brackets and quotes and parsed one by one. Rejected ones are counted and logged at most once a second by kind. A configuration that cannot be used leaves the last one in force; an evacuation that can no longer be read is kept. Lists that do not advance are cut off. A watch that answers at once without changes, or with a revision that goes back, no longer calls the store without a pause. Tasks of the platform's processes start again after a panic; an essential task of the daemon ends the process with a reason.

--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -179,3 +179,26 @@
     }
     assert!(accepted > 100, "only {accepted} texts were accepted");
 }
+
+/// Guards against a text of another writer that ends the process: nested too deeply, or with numbers
+/// out of range.
+#[test]
+fn extreme_texts_are_rejected() {
+    let nested = |open: &str, close: &str| {
+        format!("out = {}{}", open.repeat(100_000), close.repeat(100_000))
+    };
+    let texts = [
+        nested("[", "]"),
+        nested("{ a = ", " }"),
+        format!("out{} = 1", ".a".repeat(100_000)),
+        "out = 1e400".to_owned(),
+        "out = 99999999999999999999".to_owned(),
+        "out = [18446744073709551616]".to_owned(),
+        "out = [\"".to_owned() + &"x".repeat(900_000),
+    ];
+    for text in texts {
+        let start: String = text.chars().take(40).collect();
+        assert!(Evacuations::parse(&text).is_err(), "{start}");
+        assert!(Document::parse(&text).is_err(), "{start}");
+    }
+}
--- a/crates/daemon/src/agent/start.rs
+++ b/crates/daemon/src/agent/start.rs
@@ -29,6 +29,7 @@
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::sockets::{BindError, Sockets};
+use crate::task::spawn_essential;
 use crate::tls::TlsError;
 
 /// Time after which no process sends new flows or requests to a leaving agent any more.
@@ -229,37 +230,49 @@
     ) -> (mpsc::Sender<Event>, JoinHandle<()>) {
         let node = Arc::clone(&agent.node);
         let (events, inbox) = mpsc::channel(EVENT_QUEUE);
-        let membership_task = tokio::spawn(membership::run(
-            self.context.control.clone(),
-            node,
-            Arc::clone(&socket),
-            inbox,
-        ));
-        tokio::spawn(follow_configuration(
-            Arc::clone(agent),
-            socket,
-            self.assignment.location.data_centre,
-        ));
-        tokio::spawn(membership::report_local(Arc::clone(agent), events.clone()));
+        let membership_task = spawn_essential(
+            "membership",
+            membership::run(
+                self.context.control.clone(),
+                node,
+                Arc::clone(&socket),
+                inbox,
+            ),
+        );
+        spawn_essential(
+            "configuration",
+            follow_configuration(
+                Arc::clone(agent),
+                socket,
+                self.assignment.location.data_centre,
+            ),
+        );
+        spawn_essential(
+            "local state",
+            membership::report_local(Arc::clone(agent), events.clone()),
+        );
         (events, membership_task)
     }
 
     fn spawn_services(&self, agent: &Arc<Agent>, endpoint: &Endpoint, sockets: Sockets) {
-        tokio::spawn(agent.admission_control.clone().run_timer());
-        tokio::spawn(health::poll(
-            agent.target.clone(),
-            agent.admission_control.clone(),
-        ));
-        tokio::spawn(flows::accept(Arc::clone(agent), endpoint.clone()));
+        spawn_essential("admission", agent.admission_control.clone().run_timer());
+        spawn_essential(
+            "health",
+            health::poll(agent.target.clone(), agent.admission_control.clone()),
+        );
+        spawn_essential("flows", flows::accept(Arc::clone(agent), endpoint.clone()));
         let (handlers, tls) = (
             peer_handlers::handlers(agent),
             Arc::clone(&self.context.tls),
         );
-        tokio::spawn(async move { peer::serve(sockets.peer, &tls, handlers).await });
+        spawn_essential("peers", async move {
+            peer::serve(sockets.peer, &tls, handlers).await;
+        });
         let reader = Arc::clone(agent);
-        tokio::spawn(admin::serve(sockets.admin, move |path| {
-            admin_page(&reader, path)
-        }));
+        spawn_essential(
+            "admin",
+            admin::serve(sockets.admin, move |path| admin_page(&reader, path)),
+        );
     }
 
     fn agent(&self, target: SocketAddr) -> Arc<Agent> {
--- a/crates/daemon/src/balancer/start.rs
+++ b/crates/daemon/src/balancer/start.rs
@@ -25,6 +25,7 @@
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::sockets::{BindError, Sockets};
+use crate::task::spawn_essential;
 
 /// Number of balancers of a membership group that use the store for one purpose.
 const STORE_CLIENTS: usize = 2;
@@ -76,13 +77,12 @@
         counters: Arc::clone(&context.control.counters),
     };
     let mut listeners = Listeners::new(binds, forwarder.clone());
-    tokio::spawn(replies::run(forwarder, listeners.sockets()));
+    spawn_essential("replies", replies::run(forwarder, listeners.sockets()));
     let (events, inbox) = mpsc::channel(EVENT_QUEUE);
-    let membership_task = tokio::spawn(run_membership(
-        context.control.clone(),
-        tables.clone(),
-        inbox,
-    ));
+    let membership_task = spawn_essential(
+        "membership",
+        run_membership(context.control.clone(), tables.clone(), inbox),
+    );
     spawn_services(&context, &tables, sockets);
     spawn_status_writer(&context, &tables);
     let configuration_task = follow_configuration(&context, &tables, &mut listeners, &events);
@@ -129,13 +129,16 @@
             Some(node) => is_store_client(node, WATCHER_SALT),
             None => true,
         };
-        tokio::spawn(store_watch::run(
-            client,
-            context.settings.environment.clone(),
-            object,
-            context.control.configuration.clone(),
-            is_watcher,
-        ));
+        spawn_essential(
+            "store watch",
+            store_watch::run(
+                client,
+                context.settings.environment.clone(),
+                object,
+                context.control.configuration.clone(),
+                is_watcher,
+            ),
+        );
     }
 }
 
@@ -150,7 +153,10 @@
         clock: context.control.clock,
     };
     let node = Arc::clone(&tables.node);
-    tokio::spawn(writer.run(move || is_store_client(&node, STATUS_SALT)));
+    spawn_essential(
+        "status",
+        writer.run(move || is_store_client(&node, STATUS_SALT)),
+    );
 }
 
 /// Client of the store; `None` if the settings name no usable address.
@@ -192,14 +198,19 @@
     let reader = context.control.configuration.clone();
     let handlers = Handlers::fetch_only(Arc::new(move |call| reader.newer_texts(call)));
     let tls = Arc::clone(&context.tls);
-    tokio::spawn(async move { peer::serve(sockets.peer, &tls, handlers).await });
+    spawn_essential("peers", async move {
+        peer::serve(sockets.peer, &tls, handlers).await;
+    });
     let (tables, counters) = (tables.clone(), Arc::clone(&context.control.counters));
-    tokio::spawn(admin::serve(sockets.admin, move |path| match path {
-        "/status" => Some(status(&tables)),
-        "/counters" => serde_json::to_value(counters.snapshot()).ok(),
-        "/histograms" => Some(serde_json::json!([])),
-        _ => None,
-    }));
+    spawn_essential(
+        "admin",
+        admin::serve(sockets.admin, move |path| match path {
+            "/status" => Some(status(&tables)),
+            "/counters" => serde_json::to_value(counters.snapshot()).ok(),
+            "/histograms" => Some(serde_json::json!([])),
+            _ => None,
+        }),
+    );
 }
 
 fn status(tables: &Tables) -> serde_json::Value {
--- a/crates/daemon/src/balancer/status_writer.rs
+++ b/crates/daemon/src/balancer/status_writer.rs
@@ -169,7 +169,7 @@
         let current = match self.client.get(&name).await {
             Ok(current) => current,
             Err(error) => {
-                log::debug!("status: the status of {data_centre_name} is not read: {error}");
+                log::warn!("status: the status of {data_centre_name} is not read: {error}");
                 return false;
             }
         };
@@ -196,7 +196,7 @@
         match self.client.put(&name, condition, &stored).await {
             Ok(_) => true,
             Err(error) => {
-                log::debug!("status: the status of {data_centre_name} is not written: {error}");
+                log::warn!("status: the status of {data_centre_name} is not written: {error}");
                 false
             }
         }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -142,10 +142,19 @@
             return;
         }
         let (configuration, peers) = (self.configuration.clone(), self.peers.clone());
-        let fetching = Arc::clone(fetching);
+        let guard = FetchGuard(Arc::clone(fetching));
         tokio::spawn(async move {
             configuration.fetch(&peers, peer).await;
-            fetching.store(false, Ordering::Relaxed);
+            drop(guard);
         });
     }
 }
+
+/// Marks the end of a fetch when it is dropped, also when the fetch panics.
+struct FetchGuard(Arc<AtomicBool>);
+
+impl Drop for FetchGuard {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,6 +17,7 @@
 mod settings;
 mod signals;
 mod sockets;
+mod task;
 mod tls;
 
 use std::process::ExitCode;
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -234,7 +234,7 @@
     /// Refutes that this process was declared dead, by a higher incarnation.
     fn refute(&mut self, now: Instant, incarnation: u64) {
         if incarnation >= self.me.incarnation {
-            self.me.incarnation = incarnation + 1;
+            self.me.incarnation = incarnation.saturating_add(1);
             self.announce_soon(now);
         }
     }
--- a/crates/membership/src/balancer/merge.rs
+++ b/crates/membership/src/balancer/merge.rs
@@ -78,7 +78,7 @@
         if incarnation < self.me.incarnation {
             return;
         }
-        self.me.incarnation = incarnation + 1;
+        self.me.incarnation = incarnation.saturating_add(1);
         self.republish(now);
     }
 
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -22,12 +22,12 @@
 
     /// Span of `millis` milliseconds.
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
     /// Span of `secs` seconds.
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * 1_000_000)
+        Self(secs.saturating_mul(1_000_000))
     }
 
     /// Length in microseconds.
@@ -95,12 +95,12 @@
 
     /// Point `millis` milliseconds after the start.
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
     /// Point `secs` seconds after the start.
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * 1_000_000)
+        Self(secs.saturating_mul(1_000_000))
     }
 
     /// Microseconds since the start.
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -41,6 +41,39 @@
     pub revision: u64,
     /// Entries or changes, in order.
     pub items: Vec<T>,
+    /// Entries that cannot be used, for example those of another writer.
+    pub rejected: Vec<RejectedEntry>,
+    /// Whether further entries follow that were not read, because the list has too many pages.
+    pub is_partial: bool,
+}
+
+impl<T> StoreRead<T> {
+    /// Result without entries.
+    pub fn new(revision: u64) -> Self {
+        Self {
+            revision,
+            items: Vec::new(),
+            rejected: Vec::new(),
+            is_partial: false,
+        }
+    }
+
+    /// Adds an entry, or the reason why it cannot be used.
+    pub fn push(&mut self, entry: Result<T, RejectedEntry>) {
+        match entry {
+            Ok(item) => self.items.push(item),
+            Err(rejected) => self.rejected.push(rejected),
+        }
+    }
+}
+
+/// Entry of the store that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RejectedEntry {
+    /// Name, if it can be read.
+    pub name: Option<String>,
+    /// What is wrong with the entry.
+    pub reason: String,
 }
 
 /// Whether a data centre is evacuated.
@@ -66,6 +99,15 @@
     /// The store has discarded the changes since the revision.
     #[display("the store has discarded these changes; the whole list is read again")]
     Gone,
+    /// The object exists already.
+    #[display("the object exists already; replace it instead")]
+    Conflict,
+    /// The response exceeds the limit of the client.
+    #[display("the response has more than {limit} bytes; remove large entries from the store")]
+    TooLarge {
+        /// Limit in bytes.
+        limit: usize,
+    },
     /// The response cannot be parsed.
     #[display("the response of the store is malformed ({reason}); check the platform's version")]
     Malformed {
@@ -86,7 +128,7 @@
     /// Reads which data centres are evacuated.
     pub read_evacuations: fn(SocketAddr, Option<u64>) -> StoreFuture<StoreRead<EvacuationEntry>>,
     /// Lists the membership addresses of balancers. Some may be outdated.
-    pub list_balancers: fn(SocketAddr) -> StoreFuture<Vec<SocketAddr>>,
+    pub list_balancers: fn(SocketAddr) -> StoreFuture<StoreRead<SocketAddr>>,
     /// Records the membership address of the balancer on the named instance.
     pub register_balancer: fn(SocketAddr, String, SocketAddrV4) -> StoreFuture<()>,
 }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::message::{Message, MessageSender};
+use crate::store_watch::rejected_entries;
 use crate::{Settings, StoreClient};
 
 /// Delay before a failed call is retried.
@@ -38,10 +39,14 @@
 ) {
     loop {
         match (client.list_balancers)(store).await {
-            Ok(mut balancers) => {
+            Ok(response) => {
+                let rejected = rejected_entries(&response, "balancers");
+                let mut balancers = response.items;
                 balancers.retain(|&address| address != SocketAddr::V4(own_address));
-                if messages.send(Message::Balancers(balancers)).await.is_err() {
-                    return;
+                for message in rejected.into_iter().chain([Message::Balancers(balancers)]) {
+                    if messages.send(message).await.is_err() {
+                        return;
+                    }
                 }
                 sleep(READ_INTERVAL).await;
                 if is_isolated
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -1,14 +1,19 @@
 //! HTTP endpoints of a process.
 
 use std::pin::Pin;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use monsoon_flow::Heartbeat;
 use tokio::sync::oneshot;
 
 use crate::http::{ReceivedRequest, Reply};
 use crate::message::{Message, MessageSender};
-use crate::{TargetCall, peers};
+use crate::{RejectedEntry, TargetCall, peers};
+
+/// Largest difference between the time of day here and at a target.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_hours(24);
 
 type ReplyFuture = Pin<Box<dyn Future<Output = Reply> + Send>>;
 
@@ -68,6 +73,10 @@
         let messages = messages.clone();
         Box::pin(async move {
             let applied = match parse_call(&request.method, &request.path, &request.body) {
+                TargetCall::Heartbeat(heartbeat) if starts_in_future(&heartbeat) => {
+                    let reason = format!("born={} lies in the future", heartbeat.started_ms);
+                    return reject_heartbeat(&messages, request.path, reason).await;
+                }
                 TargetCall::Heartbeat(heartbeat) => {
                     query(&messages, |reply| Message::Heartbeat(heartbeat, reply)).await
                 }
@@ -75,11 +84,7 @@
                     query(&messages, |reply| Message::TargetEnded(id, reply)).await
                 }
                 TargetCall::Malformed(reason) => {
-                    log::warn!(
-                        "heartbeat: malformed path={} reason=\"{reason}\"",
-                        request.path
-                    );
-                    return Reply::status(StatusCode::BAD_REQUEST);
+                    return reject_heartbeat(&messages, request.path, reason).await;
                 }
                 TargetCall::Unknown => return Reply::status(StatusCode::NOT_FOUND),
             };
@@ -91,6 +96,26 @@
     }
 }
 
+/// Whether a target claims a start that no difference of clocks explains. Such a heartbeat would
+/// count as newer than any later one of the real target.
+fn starts_in_future(heartbeat: &Heartbeat) -> bool {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let latest = now.unwrap_or_default() + MAX_CLOCK_DIFFERENCE;
+    u128::from(heartbeat.started_ms) > latest.as_millis()
+}
+
+async fn reject_heartbeat(messages: &MessageSender, path: String, reason: String) -> Reply {
+    let entry = RejectedEntry {
+        name: Some(path),
+        reason,
+    };
+    // Sending fails only when the process ends.
+    let _ = messages
+        .send(Message::Rejected("heartbeats", vec![entry]))
+        .await;
+    Reply::status(StatusCode::BAD_REQUEST)
+}
+
 /// Sends a message to the task that owns the state and waits for its reply; `None` when the process
 /// ends.
 async fn query<T>(
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -23,6 +23,9 @@
 /// Time to receive the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Request whose body is complete.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -53,18 +56,19 @@
 
 /// Serves requests until the process ends.
 pub(crate) async fn serve<F>(
-    listener: TcpListener,
-    handler: impl Fn(ReceivedRequest) -> F + Send + Sync + 'static,
+    listener: Arc<TcpListener>,
+    handler: Arc<impl Fn(ReceivedRequest) -> F + Send + Sync + 'static>,
 ) where
     F: Future<Output = Reply> + Send + 'static,
 {
-    let handler = Arc::new(handler);
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("http: connection not accepted: {error}");
+                // Without free descriptors, the next attempt would fail at once.
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,11 +19,14 @@
 mod metrics;
 mod peers;
 mod process;
+mod rejection_log;
 mod settings;
 mod store_watch;
+mod task;
 
 pub use adapter::{
-    Adapter, EvacuationEntry, Origin, StoreClient, StoreError, StoreFuture, StoreRead, TargetCall,
+    Adapter, EvacuationEntry, Origin, RejectedEntry, StoreClient, StoreError, StoreFuture,
+    StoreRead, TargetCall,
 };
 pub use process::{RunError, run};
 pub use settings::{AgentSettings, DataCentre, Limits, Role, Settings};
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,7 +7,7 @@
 use monsoon_model::Versions;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::Settings;
+use crate::{RejectedEntry, Settings};
 
 /// Messages that the queue holds; when it is full, senders wait.
 pub(crate) const QUEUE_LENGTH: usize = 64;
@@ -24,6 +24,16 @@
     Places,
 }
 
+impl StoreObject {
+    /// Name in log lines and metrics about rejected entries.
+    pub(crate) const fn kind(self) -> &'static str {
+        match self {
+            Self::Catalogue => "config",
+            Self::Places => "evacuations",
+        }
+    }
+}
+
 /// Message to the task that owns the state.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -37,6 +47,8 @@
     ObjectRead(StoreObject, u64),
     /// A checked configuration was fetched from a peer in this generation.
     PeerRead(u64),
+    /// Entries of this kind cannot be used.
+    Rejected(&'static str, Vec<RejectedEntry>),
     /// A read of an object failed.
     ReadFailed(StoreObject),
     /// Membership addresses of balancers, from the store.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -6,6 +6,8 @@
 use monsoon_metrics::{Histograms, Outcome};
 use monsoon_model::Duration;
 
+use crate::rejection_log::RejectionLog;
+
 /// Event counters and latencies of one process.
 #[derive(Debug, Default)]
 pub(crate) struct Metrics {
@@ -29,6 +31,7 @@
     pub(crate) fn render(
         &self,
         decisions: &BTreeMap<&'static str, u64>,
+        rejections: &RejectionLog,
         gauges: &[(&'static str, u64)],
     ) -> String {
         let mut text = String::new();
@@ -42,6 +45,9 @@
                 "monsoon_decisions_total{{decision=\"{name}\"}} {value}"
             );
         }
+        for (kind, value) in rejections.counts() {
+            let _ = writeln!(text, "monsoon_rejected_total{{kind=\"{kind}\"}} {value}");
+        }
         for (name, value) in gauges {
             let _ = writeln!(text, "monsoon_{name} {value}");
         }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -25,6 +25,7 @@
 use crate::message::{Message, MessageSender, QUEUE_LENGTH};
 use crate::metrics::Metrics;
 use crate::peers::{self, SharedConfiguration};
+use crate::rejection_log::RejectionLog;
 use crate::{Adapter, Settings};
 
 /// Largest datagram: a packet of 1,232 bytes and the largest frame header.
@@ -104,6 +105,7 @@
     pub adapter: Adapter,
     pub clock: Clock,
     pub decision_log: DecisionLog,
+    pub rejections: RejectionLog,
     pub metrics: Metrics,
     pub catalogue: Option<Arc<Catalogue>>,
     pub evacuations: Evacuations,
@@ -279,6 +281,12 @@
                     self.set_config_checked(role_state, "peer");
                 }
             }
+            Message::Rejected(kind, entries) => {
+                for entry in entries {
+                    let name = entry.name.unwrap_or_default();
+                    self.rejections.record(now, kind, name, entry.reason);
+                }
+            }
             Message::ReadFailed(object) => {
                 self.freshness.is_failing[object as usize] = true;
                 self.fetch_from_seed();
@@ -320,7 +328,8 @@
                     RoleState::Balancer(balancer) => balancer.gauges(),
                     RoleState::Agent(agent) => agent.gauges(now),
                 };
-                let _ = reply.send(self.metrics.render(self.decision_log.counts(), &gauges));
+                let (decisions, rejections) = (self.decision_log.counts(), &self.rejections);
+                let _ = reply.send(self.metrics.render(decisions, rejections, &gauges));
             }
             Message::Readiness(reply) => {
                 let is_ready = match role_state {
--- a/crates/relay/src/process/configuration.rs
+++ b/crates/relay/src/process/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use monsoon_flow::{Catalogue, Evacuations};
 use monsoon_model::{Instant, Version, Versions};
@@ -11,6 +11,15 @@
 use crate::message::Message;
 use crate::{Settings, peers};
 
+/// Marks the end of a fetch when it is dropped, also when the fetch panics.
+struct FetchGuard(Arc<AtomicBool>);
+
+impl Drop for FetchGuard {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
+
 impl Process {
     pub(super) fn versions(&self) -> Versions {
         Versions {
@@ -49,7 +58,8 @@
         if self.is_fetching.swap(true, Ordering::Relaxed) {
             return;
         }
-        let (messages, is_fetching) = (self.messages.clone(), Arc::clone(&self.is_fetching));
+        let messages = self.messages.clone();
+        let fetch_guard = FetchGuard(Arc::clone(&self.is_fetching));
         let generation = *self.generation.borrow();
         let own = self.versions();
         tokio::spawn(async move {
@@ -57,7 +67,7 @@
                 // Sending fails only when the process ends.
                 let _ = messages.send(Message::PeerRead(generation)).await;
             }
-            is_fetching.store(false, Ordering::Relaxed);
+            drop(fetch_guard);
         });
     }
 
--- a/crates/relay/src/process/packets.rs
+++ b/crates/relay/src/process/packets.rs
@@ -16,7 +16,7 @@
 impl Process {
     pub(super) fn read_packets(&mut self, role_state: &mut RoleState) {
         for _ in 0..MAX_BATCH {
-            let Some((mut packet, _)) = receive(&self.sockets.packets) else {
+            let Some((mut packet, from)) = receive(&self.sockets.packets) else {
                 return;
             };
             let origin = match role_state {
@@ -25,6 +25,9 @@
             };
             let Some(info) = (self.adapter.decode_packet)(&packet, origin) else {
                 self.metrics.count("packet_malformed");
+                let reason = "no packet of the platform";
+                self.rejections
+                    .record(self.clock.now(), "packets", from, reason);
                 continue;
             };
             let now = self.clock.now();
@@ -55,6 +58,8 @@
             let datagram = datagram.freeze();
             let Ok((frame, packet)) = decode(&datagram) else {
                 self.metrics.count("frame_malformed");
+                self.rejections
+                    .record(self.clock.now(), "frames", from, "not a frame");
                 continue;
             };
             let info = (self.adapter.decode_packet)(packet, Origin::Caller);
@@ -77,6 +82,9 @@
             };
             let Ok(message) = postcard::from_bytes::<Control>(&datagram) else {
                 self.metrics.count("control_malformed");
+                let reason = "not a membership message";
+                self.rejections
+                    .record(self.clock.now(), "control", from, reason);
                 continue;
             };
             let now = self.clock.now();
--- a/crates/relay/src/process/start.rs
+++ b/crates/relay/src/process/start.rs
@@ -14,8 +14,11 @@
 use crate::balancer::BalancerState;
 use crate::clock::{Clock, SuspensionDetector};
 use crate::decision_log::DecisionLog;
+use crate::http::{ReceivedRequest, Reply};
 use crate::message::{Message, MessageSender};
 use crate::metrics::Metrics;
+use crate::rejection_log::RejectionLog;
+use crate::task::supervise;
 use crate::{Adapter, Role, Settings, discovery, endpoints, http, store_watch};
 
 pub(super) fn spawn_signals(messages: &MessageSender, adapter: &Adapter) -> Result<(), RunError> {
@@ -64,6 +67,23 @@
     })
 }
 
+/// Serves HTTP at an address until the process ends.
+async fn spawn_server<F>(
+    purpose: &'static str,
+    at: SocketAddrV4,
+    handler: impl Fn(ReceivedRequest) -> F + Send + Sync + 'static,
+) -> Result<(), RunError>
+where
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let listener = Arc::new(bind_tcp(purpose, at).await?);
+    let handler = Arc::new(handler);
+    supervise(purpose, move || {
+        http::serve(Arc::clone(&listener), Arc::clone(&handler))
+    });
+    Ok(())
+}
+
 impl Process {
     pub(super) async fn open(
         settings: Settings,
@@ -89,6 +109,7 @@
             adapter,
             clock,
             decision_log: DecisionLog::new(prefix),
+            rejections: RejectionLog::default(),
             metrics: Metrics::default(),
             catalogue: None,
             evacuations: Evacuations::default(),
@@ -121,57 +142,44 @@
 
     pub(super) async fn spawn_tasks(&self) -> Result<(), RunError> {
         let settings = &self.settings;
-        let readiness = bind_tcp("readiness", settings.readiness).await?;
-        tokio::spawn(http::serve(
-            readiness,
-            endpoints::readiness(self.messages.clone()),
-        ));
-        let peers = bind_tcp("peers", settings.peer).await?;
-        tokio::spawn(http::serve(
-            peers,
-            endpoints::configuration_and_metrics(self.messages.clone()),
-        ));
+        let readiness = endpoints::readiness(self.messages.clone());
+        spawn_server("readiness", settings.readiness, readiness).await?;
+        let pages = || endpoints::configuration_and_metrics(self.messages.clone());
+        spawn_server("peers", settings.peer, pages()).await?;
         if let Some(at) = settings.metrics {
-            let metrics = bind_tcp("metrics", at).await?;
-            tokio::spawn(http::serve(
-                metrics,
-                endpoints::configuration_and_metrics(self.messages.clone()),
-            ));
+            spawn_server("metrics", at, pages()).await?;
         }
         if let Role::Agent(agent) = &settings.role {
-            let heartbeats = bind_tcp("heartbeats", agent.heartbeats).await?;
             let handler = endpoints::heartbeats(self.messages.clone(), self.adapter.parse_call);
-            tokio::spawn(http::serve(heartbeats, handler));
+            spawn_server("heartbeats", agent.heartbeats, handler).await?;
         }
         let (client, store) = (self.adapter.store_client, settings.store);
         let policy = store_watch::ReadPolicy {
             generation: self.generation.subscribe(),
             peers_suffice: self.peers_suffice.subscribe(),
         };
-        let sender = || self.messages.clone();
-        tokio::spawn(store_watch::watch_catalogue(
-            client,
-            store,
-            policy.clone(),
-            sender(),
-        ));
-        tokio::spawn(store_watch::watch_evacuations(
-            client,
-            store,
-            policy,
-            sender(),
-        ));
-        let is_isolated = self.is_isolated.subscribe();
+        let (catalogue_policy, messages) = (policy.clone(), self.messages.clone());
+        supervise("config", move || {
+            let (policy, messages) = (catalogue_policy.clone(), messages.clone());
+            store_watch::watch_catalogue(client, store, policy, messages)
+        });
+        let names = settings.data_centres.iter().map(|known| known.name.clone());
+        let (known, messages) = (Arc::new(names.collect()), self.messages.clone());
+        supervise("evacuations", move || {
+            let (policy, messages) = (policy.clone(), messages.clone());
+            store_watch::watch_evacuations(client, store, Arc::clone(&known), policy, messages)
+        });
+        let (is_isolated, messages) = (self.is_isolated.subscribe(), self.messages.clone());
         let own_address = settings.control;
-        tokio::spawn(discovery::find_balancers(
-            client,
-            store,
-            own_address,
-            is_isolated,
-            sender(),
-        ));
+        supervise("discovery", move || {
+            let (is_isolated, messages) = (is_isolated.clone(), messages.clone());
+            discovery::find_balancers(client, store, own_address, is_isolated, messages)
+        });
         if matches!(settings.role, Role::Balancer { .. }) {
-            tokio::spawn(discovery::register_balancer(client, settings.clone()));
+            let settings = settings.clone();
+            supervise("registration", move || {
+                discovery::register_balancer(client, settings.clone())
+            });
         }
         Ok(())
     }
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -9,10 +9,10 @@
 use monsoon_flow::{Catalogue, Evacuations};
 use monsoon_model::Version;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::message::{Message, MessageSender, StoreObject};
-use crate::{EvacuationEntry, StoreClient, StoreError, StoreFuture, StoreRead};
+use crate::{EvacuationEntry, RejectedEntry, StoreClient, StoreError, StoreFuture, StoreRead};
 
 /// First delay after a failed read; doubles up to [`MAX_RETRY_DELAY`].
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -40,6 +40,7 @@
     messages: MessageSender,
 ) {
     let read = move |revision| (client.read_catalogue)(store, revision);
+    // While the store's configuration cannot be used, the last one stays in force.
     let apply = |response: StoreRead<Catalogue>, _| {
         let newest = response.items.into_iter().max_by_key(|c| c.version);
         newest.map(|catalogue| Message::Catalogue(Arc::new(catalogue)))
@@ -47,18 +48,29 @@
     watch_object(StoreObject::Catalogue, read, apply, policy, messages).await;
 }
 
-/// Watches the list of evacuated data centres until the process ends.
+/// Watches the list of evacuated data centres until the process ends. Entries that name none of the
+/// `known` data centres are rejected.
 pub(crate) async fn watch_evacuations(
     client: StoreClient,
     store: SocketAddr,
+    known: Arc<BTreeSet<String>>,
     policy: ReadPolicy,
     messages: MessageSender,
 ) {
-    let read = move |revision| (client.read_evacuations)(store, revision);
+    let read = move |revision| -> StoreFuture<StoreRead<EvacuationEntry>> {
+        let (response, known) = (
+            (client.read_evacuations)(store, revision),
+            Arc::clone(&known),
+        );
+        Box::pin(async move { Ok(reject_unknown(response.await?, &known)) })
+    };
     let mut data_centres = BTreeSet::new();
     let apply = move |response: StoreRead<EvacuationEntry>, is_full_list: bool| {
         if is_full_list {
-            data_centres.clear();
+            // An entry that cannot be read any more, or was not read, has not been removed.
+            let rejected = response.rejected.iter();
+            let unread: BTreeSet<_> = rejected.filter_map(|entry| entry.name.as_ref()).collect();
+            data_centres.retain(|name| response.is_partial || unread.contains(name));
         }
         let mut version = Version(0);
         let has_changes = !response.items.is_empty();
@@ -90,6 +102,24 @@
     watch_object(StoreObject::Places, read, apply, policy, messages).await;
 }
 
+fn reject_unknown(
+    mut response: StoreRead<EvacuationEntry>,
+    known: &BTreeSet<String>,
+) -> StoreRead<EvacuationEntry> {
+    for entry in std::mem::take(&mut response.items) {
+        let is_known = known.contains(&entry.data_centre);
+        response.push(if is_known {
+            Ok(entry)
+        } else {
+            Err(RejectedEntry {
+                name: Some(entry.data_centre),
+                reason: "the settings have no data centre of this name".to_owned(),
+            })
+        });
+    }
+    response
+}
+
 async fn watch_object<T>(
     object: StoreObject,
     read: impl Fn(Option<u64>) -> StoreFuture<StoreRead<T>>,
@@ -101,6 +131,7 @@
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut is_failing = false;
     loop {
+        let called_at = Instant::now();
         let generation = *policy.generation.borrow_and_update();
         let peers_suffice = *policy.peers_suffice.borrow_and_update();
         if peers_suffice {
@@ -130,24 +161,26 @@
                 is_failing = false;
                 retry_delay = MIN_RETRY_DELAY;
                 let is_full_list = revision.is_none();
-                let has_changes = !response.items.is_empty();
+                let has_entries = !(response.items.is_empty() && response.rejected.is_empty());
                 revision = Some(response.revision);
+                let rejected = rejected_entries(&response, object.kind());
                 let message = apply(response, is_full_list);
-                for message in message
-                    .into_iter()
-                    .chain([Message::ObjectRead(object, generation)])
-                {
+                let read = Message::ObjectRead(object, generation);
+                for message in rejected.into_iter().chain(message).chain([read]) {
                     if messages.send(message).await.is_err() {
                         return;
                     }
                 }
-                if has_changes && !is_full_list {
+                // A store that does not hold a watch open must not be called without a pause.
+                let was_held = called_at.elapsed() >= MAX_RETRY_DELAY;
+                if !is_full_list && (has_entries || !was_held) {
                     sleep(CHANGE_DELAY).await;
                 }
             }
             Err(StoreError::Gone) => {
                 log::info!("store: history gone object={object:?} after={revision:?}");
                 revision = None;
+                sleep(MIN_RETRY_DELAY.mul_f64(rand::random_range(0.0..1.0))).await;
             }
             Err(error) => {
                 if !is_failing {
@@ -163,3 +196,15 @@
         }
     }
 }
+
+/// Message that reports the rejected entries of a response, if there are any.
+pub(crate) fn rejected_entries<T>(response: &StoreRead<T>, kind: &'static str) -> Option<Message> {
+    let mut rejected = response.rejected.clone();
+    if response.is_partial {
+        rejected.push(RejectedEntry {
+            name: None,
+            reason: "the list has too many pages; the rest was not read".to_owned(),
+        });
+    }
+    (!rejected.is_empty()).then_some(Message::Rejected(kind, rejected))
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -118,7 +118,7 @@
                 Ok(response) => return self.put_result(address, &response),
                 // Nothing was sent to this address, so the next one may be tried.
                 Err(error @ ExchangeError::Connect { .. }) => reasons.push(error.to_string()),
-                Err(error @ ExchangeError::Broken { .. }) => {
+                Err(error @ (ExchangeError::Broken { .. } | ExchangeError::TooLarge { .. })) => {
                     return Err(PutError::UnknownOutcome {
                         reason: error.to_string(),
                     });
--- a/crates/store/src/connection.rs
+++ b/crates/store/src/connection.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -20,8 +20,9 @@
 
 /// Timeout of connecting; the store is near and answers in milliseconds.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest response body in bytes: an object of 1 MB and the JSON around it.
-pub const MAX_BODY: usize = 1_100_000;
+/// Largest response body in bytes: a page of 1 MiB whose last object has another MiB, with room for
+/// the JSON around them and for escapes.
+pub const MAX_BODY: usize = 4 << 20;
 
 /// Idle time after which TCP keepalive probes start. A watch receives nothing for a long time, and
 /// only probes show that its link has failed.
@@ -53,6 +54,14 @@
         /// What happened.
         reason: String,
     },
+    /// The body of the response exceeds the limit. The request was handled.
+    #[display("{address}: the response has more than {limit} bytes")]
+    TooLarge {
+        /// Address of the server.
+        address: SocketAddr,
+        /// Largest body in bytes.
+        limit: usize,
+    },
     /// The exchange failed after the request may have been sent.
     #[display("{address}: {reason}")]
     Broken {
@@ -83,7 +92,11 @@
     }
     match timeout(limit, send(stream, request)).await {
         Ok(Ok(response)) => Ok(response),
-        Ok(Err(reason)) => Err(ExchangeError::Broken { address, reason }),
+        Ok(Err(SendError::TooLarge)) => Err(ExchangeError::TooLarge {
+            address,
+            limit: MAX_BODY,
+        }),
+        Ok(Err(SendError::Broken(reason))) => Err(ExchangeError::Broken { address, reason }),
         Err(_) => Err(ExchangeError::Broken {
             address,
             reason: "no answer in time".to_owned(),
@@ -106,21 +119,37 @@
     }
 }
 
-async fn send(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<Response, String> {
+/// Failure after the connection was established.
+enum SendError {
+    TooLarge,
+    Broken(String),
+}
+
+impl SendError {
+    fn broken(error: &impl ToString) -> Self {
+        Self::Broken(error.to_string())
+    }
+}
+
+async fn send(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<Response, SendError> {
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.map_err(|error| error.to_string())?;
+    let (mut sender, connection) = handshake.map_err(|error| SendError::broken(&error))?;
     // Dropping the set when the call is dropped ends the connection task.
     let mut tasks = JoinSet::new();
     tasks.spawn(connection);
     let response = sender
         .send_request(request)
         .await
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| SendError::broken(&error))?;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_BODY)
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?;
+    let body = Limited::new(body, MAX_BODY).collect().await;
+    let body = body.map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            SendError::TooLarge
+        } else {
+            SendError::broken(&error)
+        }
+    })?;
     Ok(Response {
         status: parts.status,
         headers: parts.headers,
--- a/crates/store/tests/calls.rs
+++ b/crates/store/tests/calls.rs
@@ -179,3 +179,42 @@
         "{replaced:?}"
     );
 }
+
+/// Guards against an object of another writer that ends the process or hides other objects.
+#[tokio::test]
+async fn an_invalid_object_is_an_error_of_its_own_name() {
+    let store = FakeStore::start();
+    store.set("env/trial/data-centres", "good");
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let with_extra =
+        |extra: &str| format!("{{\"change\":\"c\",\"author\":\"a\",\"text\":\"t\",\"x\":{extra}}}");
+    // Fields that are not used may have any content.
+    let bodies = [
+        (nested.clone(), false),
+        (with_extra(&nested), true),
+        (with_extra("1e400"), true),
+        (
+            "{\"change\":1e400,\"author\":\"a\",\"text\":\"t\"}".to_owned(),
+            false,
+        ),
+        ("{\"change\":\"c\",\"author\":\"a\"}".to_owned(), false),
+        ("{\"change\":\"c\",".to_owned(), false),
+        (String::new(), false),
+    ];
+    let client = client(&[store.address]);
+    for (body, is_valid) in bodies {
+        let start: String = body.chars().take(60).collect();
+        store.set_body(NAME, body);
+        let read = client.get(NAME).await;
+        let is_malformed = matches!(&read, Err(StoreError::Malformed { name, .. }) if name == NAME);
+        assert_eq!(
+            (read.is_ok(), is_malformed),
+            (is_valid, !is_valid),
+            "{start}"
+        );
+        let other = client.get("env/trial/data-centres").await;
+        assert!(matches!(other, Ok(Some(_))), "{start} {other:?}");
+    }
+    store.set(NAME, "good again");
+    assert!(matches!(client.get(NAME).await, Ok(Some(_))));
+}
--- a/crates/store/tests/fake_store/mod.rs
+++ b/crates/store/tests/fake_store/mod.rs
@@ -81,6 +81,15 @@
         );
     }
 
+    /// Stores a body that another writer left, with any content.
+    pub fn set_body(&self, name: &str, body: impl Into<Bytes>) {
+        let mut state = self.state.lock().expect("state is usable");
+        let version = state.objects.get(name).map_or(0, |(version, _)| *version);
+        state
+            .objects
+            .insert(name.to_owned(), (version + 1, body.into()));
+    }
+
     /// Text of an object; `None` when it doesn't exist.
     pub fn text(&self, name: &str) -> Option<String> {
         let state = self.state.lock().expect("state is usable");
