--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -208,13 +208,16 @@
     }
 
     /// Whether to probe the target's address: no heartbeat arrived since the start, heartbeats
-    /// stopped, or the target did not answer an opening packet.
+    /// stopped, or the target did not answer an opening packet. After a restart the first probe is
+    /// due at once, because a closed port proves that no flow of a former process is left.
     pub fn should_probe_target(&self, now: Instant) -> bool {
         if self.target_state.is_down() {
             return false;
         }
         match self.target_state.refusal_reason(now) {
-            Some(Reason::NoHeartbeat) => now.since(self.started_at) >= FIRST_HEARTBEAT_TIMEOUT,
+            Some(Reason::NoHeartbeat) => {
+                !self.settings.first_start || now.since(self.started_at) >= FIRST_HEARTBEAT_TIMEOUT
+            }
             Some(Reason::Unresponsive) => true,
             _ => false,
         }
@@ -222,6 +225,7 @@
 
     /// Records that nothing listens at the target's address, and ends all its flows.
     pub fn set_target_absent(&mut self) {
+        self.has_unknown = false;
         self.target_state.set_absent();
         self.flows.end_all();
     }
@@ -262,13 +266,11 @@
         first.sequence <= 1 || (first.sequence <= MAX_NEW_HEARTBEATS && is_cold)
     }
 
-    /// Whether the target is present. It counts as ended when no heartbeat arrives within one
-    /// heartbeat lease after the start of the agent.
-    pub fn presence(&self, now: Instant) -> Presence {
-        let lease_passed = now.since(self.started_at) >= self.settings.limits.heartbeat_lease;
+    /// Whether the target is present. It counts as ended only when it said so or its port was
+    /// closed: missing heartbeats may also have been lost while this process was suspended.
+    pub fn presence(&self) -> Presence {
         match self.target_state.lifetimes() {
             _ if self.target_state.is_down() => Presence::Ended,
-            0 if lease_passed => Presence::Ended,
             0 => Presence::Unknown,
             _ => Presence::Present,
         }
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -71,19 +71,19 @@
     /// the target knows the flow.
     Probed { from: SocketAddrV4, at: Instant },
     /// The target ended, or returned a packet of its own flow.
-    Ended { at: Instant },
+    Ended { at: Instant, last: OpenFlow },
 }
 
 impl Opening {
     /// The flow after the caller accepts the offer.
-    pub(super) fn to_open_flow(&self, now: Instant) -> OpenFlow {
+    pub(super) fn to_open_flow(&self) -> OpenFlow {
         OpenFlow {
             caller_start: Some(self.sequence),
             offer: self.offer,
             offered_at: self.delivered_at,
             sent_end: self.offer.unwrap_or_default(),
             received_end: Some(self.sequence.wrapping_add(1)),
-            last_used: now,
+            last_used: self.delivered_at,
             waiting_since: None,
             is_overdue: false,
             caller_closed: false,
@@ -169,7 +169,8 @@
         }
     }
 
-    /// Ends all flows, because the target has ended.
+    /// Ends all flows, because the target has ended. Flows that may never have been its own are
+    /// forgotten: the caller may have accepted the offer of another target.
     pub(super) fn end_all(&mut self) {
         self.end(|_| true);
     }
@@ -188,14 +189,26 @@
     }
 
     fn end(&mut self, ends: impl Fn(&Flow) -> bool) {
-        for flow in self.flows.values_mut().filter(|flow| ends(flow)) {
-            let at = match flow {
-                Flow::Opening(opening) => opening.delivered_at,
-                Flow::Open(open_flow) => open_flow.last_used,
-                Flow::Probed { at, .. } | Flow::Ended { at } => *at,
-            };
-            *flow = Flow::Ended { at };
-        }
+        self.flows.retain(|_, flow| {
+            if !ends(flow) {
+                return true;
+            }
+            match flow {
+                Flow::Opening(opening) if opening.offer.is_some() => {
+                    let (at, last) = (opening.delivered_at, opening.to_open_flow());
+                    *flow = Flow::Ended { at, last };
+                }
+                Flow::Open(last) => {
+                    *flow = Flow::Ended {
+                        at: last.last_used,
+                        last: *last,
+                    };
+                }
+                Flow::Ended { .. } => {}
+                Flow::Opening(_) | Flow::Probed { .. } => return false,
+            }
+            true
+        });
         self.in_flight = self
             .flows
             .values()
@@ -245,7 +258,7 @@
             }
             Flow::Open(open_flow) => now.since(open_flow.last_used) <= idle,
             Flow::Probed { at, .. } => now.since(*at) < CLOSED_TTL,
-            Flow::Ended { at } => now.since(*at) <= idle,
+            Flow::Ended { at, .. } => now.since(*at) <= idle,
         });
         self.in_flight = self
             .flows
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -181,7 +181,7 @@
         let key = info.key;
         match self.flows.get(key) {
             Some(Flow::Opening(opening)) => {
-                let open_flow = opening.to_open_flow(now);
+                let open_flow = opening.to_open_flow();
                 if opening.offer.is_none() || !open_flow.matches(info.ack) {
                     actions.push(send(from, Frame::NotOwned, packet));
                     return;
@@ -193,7 +193,7 @@
                 self.deliver(now, &info, packet, actions);
             }
             Some(Flow::Probed { .. }) => actions.push(Action::ToTarget(packet)),
-            Some(Flow::Ended { .. }) => {
+            Some(Flow::Ended { last, .. }) if last.matches(info.ack) => {
                 actions.push(log(key, "reset", "reason=\"target ended\""));
                 actions.push(reset(key, info.ack));
             }
@@ -202,7 +202,9 @@
                 self.flows.set(key, Flow::Probed { from, at: now });
                 actions.push(Action::ToTarget(packet));
             }
-            Some(Flow::Open(_)) | None => actions.push(send(from, Frame::NotOwned, packet)),
+            Some(Flow::Open(_) | Flow::Ended { .. }) | None => {
+                actions.push(send(from, Frame::NotOwned, packet));
+            }
         }
     }
 
@@ -237,9 +239,11 @@
                 _ => Ownership::NotOwned,
             },
             Some(Flow::Probed { .. }) => Ownership::Unknown,
-            Some(Flow::Ended { .. }) => {
-                actions.push(log(key, "reset", "reason=\"target ended\""));
-                actions.push(reset(key, ack));
+            Some(Flow::Ended { last, .. }) => {
+                if last.matches(ack) {
+                    actions.push(log(key, "reset", "reason=\"target ended\""));
+                    actions.push(reset(key, ack));
+                }
                 Ownership::NotOwned
             }
             None if self.may_have_unknown() => Ownership::Unknown,
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -58,7 +58,8 @@
             {
                 actions.push(log(key, "reset", "reason=\"target returned it\""));
                 actions.push(reset(key, info.ack));
-                self.flows.set(key, Flow::Ended { at: now });
+                let last = *open_flow;
+                self.flows.set(key, Flow::Ended { at: now, last });
             }
             Some(Flow::Probed { from, .. }) => {
                 actions.push(owner_reply(*from, key, Ownership::NotOwned));
--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -118,10 +118,10 @@
     waiting: VecDeque<(Instant, FlowKey)>,
     /// Since when the list of agents has been followed without interruption.
     followed_since: Instant,
-    /// When the list last gained an agent.
-    last_grown: Instant,
-    /// Whether this process joined others that have run for longer.
+    /// Whether this process joined a balancer that had followed the agents for longer.
     has_joined: bool,
+    /// Agents in the registry; `None` until it was read since the list is followed.
+    registered: Option<BTreeSet<SocketAddrV4>>,
     next_expiry: Instant,
 }
 
@@ -143,8 +143,8 @@
             batches: QueryBatches::new(now),
             waiting: VecDeque::new(),
             followed_since: now,
-            last_grown: now,
             has_joined: true,
+            registered: None,
             next_expiry: now + EXPIRY_INTERVAL,
         }
     }
@@ -193,9 +193,7 @@
         self.set_list_incomplete(now);
     }
 
-    /// Sets whether this process joined others that have run for longer. Agents that already know
-    /// other balancers announce themselves there, and reach this process later than agents that
-    /// start together with it.
+    /// Sets whether this process joined a balancer that had followed the agents for longer.
     pub fn set_joined(&mut self, has_joined: bool) {
         self.has_joined = has_joined;
     }
@@ -203,6 +201,7 @@
     /// Records that the list of agents may be incomplete, because no other process was reached.
     pub fn set_list_incomplete(&mut self, now: Instant) {
         self.followed_since = now;
+        self.registered = None;
     }
 
     /// Versions of the configuration in force.
@@ -304,7 +303,7 @@
         let serves = |target: &TargetView| {
             target.service == opening.service.service_id() && target.presence != Presence::Ended
         };
-        let complete_at = self.list_complete_at();
+        let complete_at = self.wait_for_agents_until();
         if self.targets.values().any(serves) {
             complete_at.max(opening.received_at + MAX_OPEN_WAIT)
         } else {
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -217,14 +217,8 @@
     ) {
         match self.flows.remove(&key) {
             Some(Flow::LookingUp(mut lookup)) if lookup.last_sent == at => {
-                let owns_nothing = |agent| {
-                    let recent = self.recent_agents.get(&agent);
-                    recent.is_some_and(|recent| recent.owned_nothing(now, lookup.started_at))
-                };
-                let outcome = lookup.give_up(owns_nothing);
-                let unknown = (!lookup.unknown.is_empty()).then_some(Outcome::Unknown);
-                if let Some(outcome) = outcome.or(unknown) {
-                    self.apply_outcome(now, key, lookup, outcome, actions);
+                if !lookup.unknown.is_empty() {
+                    self.apply_outcome(now, key, lookup, Outcome::Unknown, actions);
                 } else if now.since(lookup.started_at) < LOOKUP_TIMEOUT {
                     self.batches
                         .add(lookup.unanswered(), lookup.query(key), actions);
--- a/crates/flow/src/balancer/targets.rs
+++ b/crates/flow/src/balancer/targets.rs
@@ -10,24 +10,20 @@
 
 /// Time for which a suspected agent is the last candidate, unless it sends a frame.
 const SUSPECT_FOR: Duration = Duration::from_secs(3);
-/// Time without reply after which an agent that received no heartbeat counts as owning no flow; it
-/// covers three queries.
-const MIN_SILENCE: Duration = Duration::from_millis(300);
 /// Time for which agents that left the list are still asked for flows, for example those of an
 /// unreachable data centre. It is longer than a restart.
 const DEPARTED_TTL: Duration = Duration::from_secs(10);
 /// Time for which an agent whose target ended is remembered, because callers may still have idle
 /// flows of that target.
 const ENDED_TTL: Duration = Duration::from_secs(60);
-/// Minimum time until the list of agents counts as complete when all processes start together.
-/// Agents that know no balancer announce themselves every 100 ms.
-const MIN_LIST_WAIT: Duration = Duration::from_millis(300);
-/// Time without a new agent after which the list counts as complete. It is longer than the interval
-/// at which starting balancers compare their tables, 250 ms at most.
-const LIST_QUIET_TIME: Duration = Duration::from_millis(300);
-/// Time after which the list counts as complete in any case. Agents announce themselves twice a
-/// second, and a balancer that joins others compares its table with theirs every 200 ms.
-const MAX_LIST_WAIT: Duration = Duration::from_millis(1_200);
+/// Time after which the list of agents counts as complete at a balancer that has joined older ones.
+/// Agents announce themselves twice a second, and balancers that start compare their tables with
+/// others every 200 ms.
+const JOINED_LIST_WAIT: Duration = Duration::from_millis(1_200);
+/// The same for a balancer that no older one tells of agents. An agent that announced itself to
+/// balancers which are gone needs two seconds to notice, and may have been suspended meanwhile.
+const LONE_LIST_WAIT: Duration = Duration::from_millis(5_000);
+
 /// Whether the target of an agent is present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
@@ -72,26 +68,9 @@
     service: ServiceId,
     /// When the agent was last listed.
     last_listed: Instant,
-    /// When the agent was last listed with a present target.
-    last_present: Option<Instant>,
-    /// Since when the agent has been listed with this presence.
-    presence_since: Instant,
     pub(super) presence: Presence,
 }
 
-impl RecentAgent {
-    /// Whether the agent counts as owning no flow, although it has not replied to queries since
-    /// `queried_at`. An agent that received no heartbeat has just started, unless a former process
-    /// at its address had a target.
-    pub(super) fn owned_nothing(&self, now: Instant, queried_at: Instant) -> bool {
-        self.presence == Presence::Unknown
-            && self
-                .last_present
-                .is_none_or(|at| now.since(at) > DEPARTED_TTL)
-            && now.since(self.presence_since.max(queried_at)) >= MIN_SILENCE
-    }
-}
-
 impl Balancer {
     /// Replaces the list of agents, and decides again on the flows that wait for it.
     pub fn set_targets(
@@ -100,32 +79,21 @@
         targets: BTreeMap<SocketAddrV4, TargetView>,
     ) -> Vec<Action> {
         let old = std::mem::replace(&mut self.targets, targets);
-        let unknown = |at| !old.contains_key(at);
-        if self.targets.keys().any(unknown) {
-            self.last_grown = now;
-        }
         for (at, target) in &mut self.targets {
             target.suspected_until = old.get(at).and_then(|old| old.suspected_until);
-            let known = self.recent_agents.get(at);
-            let last_present = known.and_then(|known| known.last_present);
-            let since = known.filter(|known| known.presence == target.presence);
             let recent = RecentAgent {
                 service: target.service,
                 last_listed: now,
-                last_present: if target.presence == Presence::Present {
-                    Some(now)
-                } else {
-                    last_present
-                },
-                presence_since: since.map_or(now, |known| known.presence_since),
                 presence: target.presence,
             };
             self.recent_agents.insert(*at, recent);
+            if let Some(registered) = &mut self.registered {
+                registered.insert(*at);
+            }
         }
         self.recent_agents.retain(|_, agent| {
             let memory = match agent.presence {
-                Presence::Unknown => Duration::ZERO,
-                Presence::Present => DEPARTED_TTL,
+                Presence::Unknown | Presence::Present => DEPARTED_TTL,
                 Presence::Ended => ENDED_TTL,
             };
             now.since(agent.last_listed) <= memory
@@ -135,17 +103,58 @@
         actions
     }
 
+    /// Records the agents in the registry, read since this process started or resumed. The list is
+    /// complete once it has all of them.
+    pub fn set_registered(&mut self, now: Instant, agents: BTreeSet<SocketAddrV4>) -> Vec<Action> {
+        // Agents of an earlier version do not register themselves.
+        self.registered = Some(agents).filter(|agents| !agents.is_empty());
+        let mut actions = self.retry_waiting(now);
+        self.batches.send_due(now, &mut actions);
+        actions
+    }
+
+    /// Registered agents that are not listed and were not for [`DEPARTED_TTL`], so that their flows
+    /// are no longer looked up.
+    pub fn missing_agents(&self, now: Instant) -> Vec<SocketAddrV4> {
+        if now.since(self.followed_since) < DEPARTED_TTL {
+            return Vec::new();
+        }
+        let registered = self.registered.iter().flatten().copied();
+        registered
+            .filter(|agent| !self.recent_agents.contains_key(agent))
+            .collect()
+    }
+
+    /// Forgets a registered agent, whose entry was removed from the registry.
+    pub fn remove_registered(&mut self, agent: SocketAddrV4) {
+        if let Some(registered) = &mut self.registered {
+            registered.remove(&agent);
+        }
+    }
+
     /// Whether the list covers every agent that could own a flow.
     pub(super) fn is_list_complete(&self, now: Instant) -> bool {
         now >= self.list_complete_at()
     }
 
+    /// Until when a new flow waits for further agents. A rejection is true even if the list is not
+    /// complete.
+    pub(super) fn wait_for_agents_until(&self) -> Instant {
+        self.followed_since + JOINED_LIST_WAIT
+    }
+
     pub(super) fn list_complete_at(&self) -> Instant {
-        if self.has_joined {
-            return self.followed_since + MAX_LIST_WAIT;
+        let is_listed = |agent| self.recent_agents.contains_key(agent);
+        let registered = self.registered.as_ref();
+        if registered.is_some_and(|registered| registered.iter().all(is_listed)) {
+            return self.followed_since;
         }
-        let quiet = (self.followed_since + MIN_LIST_WAIT).max(self.last_grown + LIST_QUIET_TIME);
-        quiet.min(self.followed_since + MAX_LIST_WAIT)
+        let wait = if self.has_joined {
+            JOINED_LIST_WAIT
+        } else {
+            LONE_LIST_WAIT
+        };
+        self.followed_since + wait
     }
 
     /// Agents that may own a flow of the route: those of every service that it has led to.
--- a/crates/flow/src/lookup.rs
+++ b/crates/flow/src/lookup.rs
@@ -161,17 +161,6 @@
         }
     }
 
-    /// Outcome without the missing replies of agents that own nothing; `None` while any other reply
-    /// is missing.
-    pub(crate) fn give_up(&self, owns_nothing: impl Fn(SocketAddrV4) -> bool) -> Option<Outcome> {
-        let answered = self.unanswered.iter().all(|&agent| owns_nothing(agent));
-        answered.then_some(if self.unknown.is_empty() {
-            Outcome::NoOwner
-        } else {
-            Outcome::Unknown
-        })
-    }
-
     /// Whether all agents have replied.
     pub(crate) fn is_answered(&self) -> bool {
         self.unanswered.is_empty()
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use monsoon_flow::{
-    Action, Agent, Evacuations, Fallback, Frame, Open, OwnerReply, Ownership, PacketInfo,
-    PacketKind, Presence, Readiness, Reason, ServiceTag,
+    Action, Agent, Balancer, Evacuations, Fallback, FlowKey, Frame, Open, OwnerQuery, OwnerReply,
+    Ownership, PacketInfo, PacketKind, Presence, Readiness, Reason, ServiceTag,
 };
 use monsoon_model::{Duration, Instant, Version, Versions};
 use world::{
@@ -480,11 +480,11 @@
         actions.iter().any(|a| matches!(a, Action::Reset(_))),
         "{actions:?}"
     );
-    assert_eq!(agent.presence(START), Presence::Ended);
+    assert_eq!(agent.presence(), Presence::Ended);
     let mut again = heartbeat_of("j", 1);
     again.started_ms = 2;
     agent.receive_heartbeat(START, again);
-    assert_eq!(agent.presence(START), Presence::Present);
+    assert_eq!(agent.presence(), Presence::Present);
     assert_eq!(offer_flow(&mut agent, START, 2, open_frame(1, tag())), None);
 }
 
@@ -532,27 +532,173 @@
 }
 
 /// Guards against an instance that starts and is removed at once: while it did not reply, no flow
-/// of any ended target was reset until its agent was declared dead.
+/// of any ended target was reset until its agent was declared dead. The closed port of its target,
+/// which an agent probes as soon as it starts, proves that it owns no flow.
 #[test]
-fn an_unresponsive_agent_without_heartbeat_does_not_delay_a_reset() {
+fn an_unresponsive_agent_without_target_does_not_delay_a_reset() {
+    let mut agent = Agent::new(START, agent_settings(2, false));
+    assert!(agent.should_probe_target(START));
+    agent.set_target_absent();
     let mut balancer = ready_balancer(START, 1);
     let mut targets = views([1, 2]);
-    targets.get_mut(&agent_at(2)).expect("listed").presence = Presence::Unknown;
+    targets.get_mut(&agent_at(2)).expect("listed").presence = agent.presence();
     balancer.set_targets(START, targets);
     let now = START + Duration::from_secs(5);
-    let key = caller(1);
-    balancer.handle_caller_packet(now, Bytes::new(), &data(key, 6));
-    let ownership = Ownership::NotOwned;
-    let reply = Frame::OwnerReplies(vec![OwnerReply { key, ownership }]);
-    balancer.handle_frame(now, agent_at(1), reply, Bytes::new(), None);
-    let mut actions = Vec::new();
-    for step in 1..=6 {
-        actions.extend(balancer.tick(now + Duration::from_millis(100 * step)));
+    let actions = deny(&mut balancer, now, caller(1), &[1]);
+    assert!(actions.iter().any(is_reset), "{actions:?}");
+    // A target that starts later has no flow from before the start of the agent.
+    agent.receive_heartbeat(now, heartbeat_of("i", 40));
+    let info = Some(data(caller(1), 6));
+    let actions = agent.handle_frame(now, balancer_at(1), Frame::Data, Bytes::new(), info);
+    assert!(
+        matches!(
+            actions[..],
+            [Action::Send {
+                frame: Frame::NotOwned,
+                ..
+            }]
+        ),
+        "{actions:?}"
+    );
+}
+
+/// Guards against a reset while an agent that has just started is suspended: it may own the flow
+/// until it says that it does not, or has been gone for long.
+#[test]
+fn an_unresponsive_agent_without_heartbeat_prevents_a_reset() {
+    let mut balancer = ready_balancer(START, 1);
+    let mut targets = views([1, 2]);
+    targets.get_mut(&agent_at(2)).expect("listed").presence = Presence::Unknown;
+    balancer.set_targets(START, targets);
+    let start = START + Duration::from_secs(5);
+    for (after, is_listed, expected) in [(0, true, false), (3, false, false), (14, false, true)] {
+        let now = start + Duration::from_secs(after);
+        if !is_listed {
+            balancer.set_targets(now, views([1]));
+        }
+        let mut actions = deny(&mut balancer, now, caller(1), &[1]);
+        for step in 1..=9 {
+            actions.extend(balancer.tick(now + Duration::from_millis(100 * step)));
+        }
+        assert_eq!(
+            actions.iter().any(is_reset),
+            expected,
+            "{after} {actions:?}"
+        );
+    }
+}
+
+/// Guards against resets by a balancer that replaced all others: agents that announce themselves to
+/// the former ones are not in its list yet.
+#[test]
+fn a_balancer_without_an_older_one_waits_for_agents_of_former_balancers() {
+    for (millis, expected) in [(1_300, false), (4_900, false), (5_100, true)] {
+        let mut balancer = ready_balancer(START, 1);
+        balancer.set_joined(false);
+        balancer.set_targets(START, views([1]));
+        let now = START + Duration::from_millis(millis);
+        let actions = deny(&mut balancer, now, caller(1), &[1]);
+        assert_eq!(
+            actions.iter().any(is_reset),
+            expected,
+            "{millis} {actions:?}"
+        );
     }
+}
+
+/// Load pattern: all processes start at once, and callers repeat packets of flows whose targets
+/// ended. Guards against waiting for further agents when all registered ones are known.
+#[test]
+fn a_list_with_all_registered_agents_is_complete_at_once() {
+    let now = START + Duration::from_millis(100);
+    let registered = |agents: &[u8]| agents.iter().copied().map(agent_at).collect();
+    for (agents, expected) in [(&[1, 2][..], true), (&[1, 2, 3][..], false)] {
+        let mut balancer = ready_balancer(START, 1);
+        balancer.set_joined(false);
+        balancer.set_targets(START, views([1, 2]));
+        balancer.set_registered(START, registered(agents));
+        let actions = deny(&mut balancer, now, caller(1), &[1, 2]);
+        assert_eq!(
+            actions.iter().any(is_reset),
+            expected,
+            "{agents:?} {actions:?}"
+        );
+        // The registry is outdated once other processes could not be reached.
+        balancer.set_list_incomplete(now);
+        let actions = deny(&mut balancer, now, caller(2), &[1, 2]);
+        assert!(!actions.iter().any(is_reset), "{actions:?}");
+    }
+}
+
+/// Guards against entries of agents that are gone for good, which delay each recovery.
+#[test]
+fn registered_agents_that_are_gone_are_reported() {
+    let mut balancer = ready_balancer(START, 1);
+    let registered = [1, 2].map(agent_at);
+    balancer.set_registered(START, registered.into_iter().collect());
+    balancer.set_targets(START, views([1, 3]));
+    let later = START + Duration::from_secs(5);
+    balancer.set_targets(later, views([1, 3]));
+    assert_eq!(balancer.missing_agents(later), []);
+    let later = START + Duration::from_secs(11);
+    balancer.set_targets(later, views([1]));
+    assert_eq!(balancer.missing_agents(later), [2].map(agent_at));
+    balancer.remove_registered(agent_at(2));
+    let later = later + Duration::from_secs(11);
+    balancer.set_targets(later, views([1]));
+    assert_eq!(balancer.missing_agents(later), [3].map(agent_at));
+}
+
+/// Guards against a reset by an agent that handed a packet of another target's flow to its own
+/// target, which then ended without an answer.
+#[test]
+fn a_flow_that_was_only_probed_does_not_end_with_the_target() {
+    let mut agent = Agent::new(START, agent_settings(1, false));
+    agent.set_catalogue(Arc::new(catalogue(1)));
+    agent.receive_heartbeat(START, heartbeat_of("i", 40));
+    let key = caller(1);
+    let info = Some(data(key, 6));
+    let actions = agent.handle_frame(START, balancer_at(1), Frame::Data, Bytes::new(), info);
     assert!(
-        actions.iter().any(|a| matches!(a, Action::Reset(_))),
+        actions.iter().any(|a| matches!(a, Action::ToTarget(_))),
         "{actions:?}"
     );
+    agent.set_target_ended("i");
+    let actions = agent.handle_frame(START, balancer_at(1), Frame::Data, Bytes::new(), info);
+    assert!(!actions.iter().any(is_reset), "{actions:?}");
+}
+
+/// Guards against a reset by an agent whose target offered to take a flow and ended, while the
+/// caller accepted the offer of another target.
+#[test]
+fn an_offer_that_was_not_accepted_resets_nothing() {
+    let key = caller(1);
+    for (ack, expected) in [(1_001, true), (900_001, false)] {
+        let mut agent = ready_agent(START, 1);
+        let frame = open_frame(1, tag());
+        let info = Some(opening(key, 0));
+        agent.handle_frame(START, balancer_at(1), frame, Bytes::new(), info);
+        agent.handle_target_packet(START, Bytes::new(), &offer(key, 1_000));
+        agent.set_target_ended("i");
+        let queries = Frame::OwnerQueries(vec![OwnerQuery { key, ack }]);
+        let actions = agent.handle_frame(START, balancer_at(1), queries, Bytes::new(), None);
+        assert_eq!(actions.iter().any(is_reset), expected, "{ack} {actions:?}");
+    }
+}
+
+fn is_reset(action: &Action) -> bool {
+    matches!(action, Action::Reset(_))
+}
+
+/// Sends a packet of an unknown flow, and the replies of these agents that they do not own it.
+fn deny(balancer: &mut Balancer, now: Instant, key: FlowKey, agents: &[u8]) -> Vec<Action> {
+    let mut actions = balancer.handle_caller_packet(now, Bytes::new(), &data(key, 6));
+    for &agent in agents {
+        let ownership = Ownership::NotOwned;
+        let reply = Frame::OwnerReplies(vec![OwnerReply { key, ownership }]);
+        actions.extend(balancer.handle_frame(now, agent_at(agent), reply, Bytes::new(), None));
+    }
+    actions
 }
 
 /// Guards against a reset of flows whose target runs while its agent restarts: the new agent
--- a/crates/flow/tests/world/mod.rs
+++ b/crates/flow/tests/world/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test uses a part of the world")]
 
+mod lists;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
@@ -16,6 +18,8 @@
 use monsoon_model::hash::mix;
 use monsoon_model::{DataCentreId, Duration, Instant, Version};
 
+use lists::Lists;
+
 pub const HEARTBEAT_LEASE: Duration = Duration::from_millis(1_800);
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 const DELAY: Duration = Duration::from_millis(1);
@@ -225,10 +229,25 @@
     /// Logged decisions on each flow, for the message of a failed test.
     pub trace: BTreeMap<FlowKey, Vec<String>>,
     next_heartbeat: Instant,
+    /// What balancers know of agents; `None` if they know all of them at once.
+    lists: Option<Lists>,
+    /// Suspended agents, and the times at which they resume.
+    suspended: BTreeMap<u8, Instant>,
+    /// Agents that are down, and the times at which they start.
+    stopped: BTreeMap<u8, Instant>,
 }
 
 impl World {
     pub fn new(seed: u64, balancers: u8, agents: u8) -> Self {
+        Self::start(seed, balancers, agents, None)
+    }
+
+    /// World in which balancers know only the agents that they were told of.
+    pub fn with_lists(seed: u64, balancers: u8, agents: u8) -> Self {
+        Self::start(seed, balancers, agents, Some(Lists::default()))
+    }
+
+    fn start(seed: u64, balancers: u8, agents: u8, lists: Option<Lists>) -> Self {
         let now = Instant::from_secs(100);
         let mut world = Self {
             now,
@@ -244,6 +263,9 @@
             seen: BTreeMap::new(),
             trace: BTreeMap::new(),
             next_heartbeat: now,
+            lists,
+            suspended: BTreeMap::new(),
+            stopped: BTreeMap::new(),
         };
         for number in 1..=agents {
             let target = Target {
@@ -255,6 +277,9 @@
             let mut agent = Agent::new(now, agent_settings(number, true));
             world.configure(&mut agent);
             world.agents.insert(number, agent);
+            if let Some(lists) = &mut world.lists {
+                lists.start_agent(now, number);
+            }
         }
         for number in 1..=balancers {
             world.start_balancer(number);
@@ -277,6 +302,100 @@
     pub fn start_balancer(&mut self, number: u8) {
         let balancer = ready_balancer(self.now, number);
         self.balancers.insert(number, balancer);
+        if let Some(mut lists) = self.lists.take() {
+            // An agent whose balancers are gone notices it within two seconds.
+            let now = self.now;
+            let delay = || Duration::from_millis(self.random(2_200));
+            lists.start_balancer(now, number, delay);
+            self.lists = Some(lists);
+            // The store, which holds the registry, does not answer each time.
+            if self.random(4) > 0 {
+                let registered = self.targets.keys().copied().map(agent_at).collect();
+                let balancer = self.balancers.get_mut(&number).expect("just started");
+                let actions = balancer.set_registered(now, registered);
+                self.perform(balancer_at(number), actions);
+            }
+        }
+    }
+
+    pub fn stop_balancer(&mut self, number: u8) {
+        self.balancers.remove(&number);
+        if let Some(lists) = &mut self.lists {
+            lists.end_balancer(number);
+        }
+    }
+
+    /// Suspends an agent for a time, in which it loses all datagrams.
+    pub fn suspend_agent(&mut self, number: u8, pause: Duration) {
+        self.suspended.insert(number, self.now + pause);
+    }
+
+    /// Stops an agent, which starts again after a time.
+    pub fn stop_agent(&mut self, number: u8, down: Duration) {
+        self.agents.remove(&number);
+        self.stopped.insert(number, self.now + down);
+        if let Some(lists) = &mut self.lists {
+            lists.end_agent(number);
+        }
+    }
+
+    /// Starts and resumes the agents that are due.
+    fn bring_back_agents(&mut self) {
+        let now = self.now;
+        let is_due = |(_, at): &(&u8, &Instant)| **at <= now;
+        let resumed: Vec<u8> = self
+            .suspended
+            .iter()
+            .filter(is_due)
+            .map(|(&n, _)| n)
+            .collect();
+        for number in resumed {
+            self.suspended.remove(&number);
+            if let Some(agent) = self.agents.get_mut(&number) {
+                agent.resume();
+                agent.set_config_checked();
+            }
+        }
+        let started: Vec<u8> = self
+            .stopped
+            .iter()
+            .filter(is_due)
+            .map(|(&n, _)| n)
+            .collect();
+        for number in started {
+            self.stopped.remove(&number);
+            let mut agent = Agent::new(now, agent_settings(number, false));
+            self.configure(&mut agent);
+            self.agents.insert(number, agent);
+            if let Some(lists) = &mut self.lists {
+                lists.start_agent(now, number);
+            }
+        }
+    }
+
+    /// Tells balancers of agents as far as they were told.
+    fn update_lists(&mut self, mut lists: Lists) -> Lists {
+        let now = self.now;
+        let suspended = self.suspended.keys().copied().collect();
+        let mut seed = self.seed;
+        let pick = |bound: usize| {
+            seed = mix(seed, 11);
+            (seed % bound as u64) as usize
+        };
+        let agents = &self.agents;
+        let presence = |number: u8| agents[&number].presence();
+        lists.exchange(now, &suspended, presence, pick);
+        self.seed = seed;
+        let numbers: Vec<u8> = self.balancers.keys().copied().collect();
+        for number in numbers {
+            let (views, has_joined) = lists.views(now, number);
+            let balancer = self.balancers.get_mut(&number).expect("number is listed");
+            balancer.set_joined(has_joined);
+            let mut actions = balancer.set_targets(now, views);
+            actions.extend(balancer.tick(now));
+            self.perform(balancer_at(number), actions);
+        }
+        lists
     }
 
     /// Restarts the agent beside its running target.
@@ -314,6 +433,9 @@
     /// Sends a caller's packet to a random running balancer.
     pub fn send(&mut self, info: PacketInfo) {
         let live: Vec<u8> = self.balancers.keys().copied().collect();
+        if live.is_empty() {
+            return;
+        }
         let pick = self.random(live.len() as u64) as usize;
         let packet = self.packet(info);
         self.push(DELAY, Event::AtBalancer(live[pick], packet));
@@ -376,10 +498,28 @@
     }
 
     fn tick(&mut self) {
+        self.bring_back_agents();
         if self.now >= self.next_heartbeat {
             self.next_heartbeat = self.now + HEARTBEAT_INTERVAL;
             self.send_heartbeats();
         }
+        if let Some(lists) = self.lists.take() {
+            self.lists = Some(self.update_lists(lists));
+        } else {
+            self.list_all_agents();
+        }
+        let numbers: Vec<u8> = self.agents.keys().copied().collect();
+        for number in numbers {
+            if self.suspended.contains_key(&number) {
+                continue;
+            }
+            let agent = self.agents.get_mut(&number).expect("number is listed");
+            let actions = agent.tick(self.now);
+            self.perform(agent_at(number), actions);
+        }
+    }
+
+    fn list_all_agents(&mut self) {
         // The membership still lists agents that died recently, as not taking flows.
         let mut targets = views(self.targets.keys().copied());
         for number in self.targets.keys() {
@@ -394,12 +534,6 @@
             actions.extend(balancer.tick(self.now));
             self.perform(balancer_at(number), actions);
         }
-        let numbers: Vec<u8> = self.agents.keys().copied().collect();
-        for number in numbers {
-            let agent = self.agents.get_mut(&number).expect("number is listed");
-            let actions = agent.tick(self.now);
-            self.perform(agent_at(number), actions);
-        }
     }
 
     fn send_heartbeats(&mut self) {
@@ -408,6 +542,9 @@
                 continue;
             }
             target.heartbeats += 1;
+            if self.suspended.contains_key(number) {
+                continue;
+            }
             if let Some(agent) = self.agents.get_mut(number) {
                 let mut heartbeat = heartbeat_of(&target.id.to_string(), target.heartbeats);
                 heartbeat.started_ms = target.id;
@@ -432,7 +569,11 @@
                 let info = self.info(&packet);
                 let number = to.ip().octets()[3];
                 let now = self.now;
-                let actions = if to.ip().octets()[1] == 1 {
+                let is_agent = to.ip().octets()[1] == 1;
+                if is_agent && self.suspended.contains_key(&number) {
+                    return;
+                }
+                let actions = if is_agent {
                     let agent = self.agents.get_mut(&number);
                     agent.map(|agent| agent.handle_frame(now, from, frame, packet, info))
                 } else {
@@ -444,6 +585,9 @@
             Event::AtTarget(number, packet) => self.at_target(number, &packet),
             Event::FromTarget(number, packet) => {
                 let info = self.info(&packet).expect("packet is known");
+                if self.suspended.contains_key(&number) {
+                    return;
+                }
                 if let Some(agent) = self.agents.get_mut(&number) {
                     let actions = agent.handle_target_packet(self.now, packet, &info);
                     self.perform(agent_at(number), actions);
--- a/crates/membership/src/balancer.rs
+++ b/crates/membership/src/balancer.rs
@@ -15,8 +15,8 @@
 use monsoon_model::{AgentId, DataCentreId, Duration, Instant};
 
 use crate::bounds::{
-    CATCH_UP_TIMEOUT, MAX_START_SEQUENCE, RESPONSE_PAGES_PER_SECOND, Rule, SPEAKERS,
-    SUSPENSION_GAP, TICK_INTERVAL,
+    CATCH_UP_TIMEOUT, RESPONSE_PAGES_PER_SECOND, Rule, SENIORITY, SPEAKERS, SUSPENSION_GAP,
+    TICK_INTERVAL,
 };
 use crate::detector::FailureDetector;
 use crate::gossip::GossipQueue;
@@ -83,8 +83,9 @@
     /// equal or `catchup_deadline` has passed.
     catching_up: bool,
     catchup_deadline: Instant,
-    /// Number of live agents of another balancer at the last comparison of whole tables.
-    listed_agents: Option<u32>,
+    /// Since when the members have been followed without a suspension.
+    followed_since: Instant,
+    has_joined_older: bool,
     has_left: bool,
     /// Hash of the live balancers of the data centre.
     balancers_hash: u32,
@@ -156,7 +157,8 @@
             received_at: now,
             page_budget: RESPONSE_PAGES_PER_SECOND,
             catching_up: true,
-            listed_agents: None,
+            followed_since: now,
+            has_joined_older: false,
             catchup_deadline: now + CATCH_UP_TIMEOUT,
             has_left: false,
             balancers_hash: 0,
@@ -206,32 +208,15 @@
             .filter(|m| m.role == Role::Agent)
     }
 
-    /// Whether all known processes started together with this one: another balancer is known, it
-    /// listed no more agents than this one knows, and no member has a sequence above
-    /// [`MAX_START_SEQUENCE`]. The agents are compared because a process that joins running ones
-    /// may learn of recently started members first. Equal tables are not required, because tables
-    /// are rarely equal while a deployment starts.
-    pub fn started_together(&self) -> bool {
-        let others = || {
-            self.members
-                .live()
-                .filter(|row| row.member.id != self.me.id)
-        };
-        let has_balancer = others().any(|row| row.member.role == Role::Balancer);
-        let is_recent = |row: &Row| row.member.sequence <= MAX_START_SEQUENCE;
-        let complete = self
-            .listed_agents
-            .is_some_and(|agents| agents <= self.live_agents());
-        complete && has_balancer && others().all(is_recent)
+    /// Whether this balancer has compared its table with one that has followed the members for
+    /// longer by at least [`SENIORITY`], since its start or the last suspension.
+    pub fn has_joined_older(&self) -> bool {
+        self.has_joined_older
     }
 
-    /// Live agents in the table.
-    fn live_agents(&self) -> u32 {
-        let agents = self
-            .members
-            .live()
-            .filter(|row| row.member.role == Role::Agent);
-        agents.count() as u32
+    fn record_followed(&mut self, now: Instant, followed_s: u32) {
+        let span = Duration::from_secs(u64::from(followed_s));
+        self.has_joined_older |= span >= now.since(self.followed_since) + SENIORITY;
     }
 
     /// Live balancers of all reachable data centres that are not leaving, those of this data centre
@@ -376,7 +361,8 @@
         self.detector.resume(now);
         self.heartbeats.resume(now);
         self.catching_up = true;
-        self.listed_agents = None;
+        self.followed_since = now;
+        self.has_joined_older = false;
         self.catchup_deadline = now + CATCH_UP_TIMEOUT;
         self.timers.next_digest = now;
         self.timers.next_announcement = now;
--- a/crates/membership/src/balancer/data_centres.rs
+++ b/crates/membership/src/balancer/data_centres.rs
@@ -14,12 +14,12 @@
 
 impl BalancerNode {
     /// Sends a digest of the members of each returning data centre to a balancer there.
-    pub(super) fn compare_returning(&mut self) {
+    pub(super) fn compare_returning(&mut self, now: Instant) {
         for data_centre in self.heartbeats.returning() {
             let candidates = self.members.balancers(data_centre).map(|m| m.control);
             let candidates = candidates.collect::<Vec<_>>();
             if let Some(&to) = self.rng.pick(&candidates, 1).first() {
-                self.send_digest(to, Some(data_centre));
+                self.send_digest(now, to, Some(data_centre));
             }
         }
     }
@@ -99,7 +99,7 @@
         let chosen = self.rng.pick(&data_centres, 1).first().copied();
         if chosen.is_none() || self.rng.below(SEED_DIGEST_ODDS) == 0 {
             if let Some(&to) = self.rng.pick(&self.seeds, 1).first() {
-                self.send_digest(to, None);
+                self.send_digest(now, to, None);
             }
             return;
         }
@@ -115,7 +115,7 @@
             random
         };
         if let Some(to) = chosen.and_then(|data_centre| self.choose_contact(now, data_centre)) {
-            self.send_digest(to, scope);
+            self.send_digest(now, to, scope);
         }
     }
 }
--- a/crates/membership/src/balancer/periodic.rs
+++ b/crates/membership/src/balancer/periodic.rs
@@ -11,6 +11,7 @@
     REMOTE_INTERVAL, RESPONSE_PAGES_PER_SECOND, START_ANNOUNCEMENTS, START_INTERVAL,
     SUSPECT_TIMEOUT, WATCHERS,
 };
+use crate::members::elapsed_seconds;
 use crate::message::room;
 use crate::{Body, Entry, LoadRecord, Status};
 
@@ -35,7 +36,7 @@
         if now >= self.timers.next_gossip {
             self.timers.next_gossip = now + GOSSIP_INTERVAL;
             self.gossip_round(now);
-            self.compare_returning();
+            self.compare_returning(now);
         }
         if now >= self.timers.next_refill {
             self.timers.next_refill = now + Duration::from_secs(1);
@@ -159,18 +160,24 @@
             candidates.clone_from(&self.seeds);
         }
         if let Some(&to) = self.rng.pick(&candidates, 1).first() {
-            self.send_digest(to, None);
+            self.send_digest(now, to, None);
         }
     }
 
-    pub(super) fn send_digest(&mut self, to: SocketAddr, scope: Option<DataCentreId>) {
+    pub(super) fn send_digest(
+        &mut self,
+        now: Instant,
+        to: SocketAddr,
+        scope: Option<DataCentreId>,
+    ) {
         let buckets = self.members.digest(scope);
+        let followed_s = elapsed_seconds(now, self.followed_since);
         self.send(
             to,
             Body::Digest {
                 is_response: false,
                 scope,
-                agents: self.live_agents(),
+                followed_s,
                 buckets,
             },
         );
--- a/crates/membership/src/balancer/receive.rs
+++ b/crates/membership/src/balancer/receive.rs
@@ -57,11 +57,14 @@
             Body::Digest {
                 is_response,
                 scope,
-                agents,
+                followed_s,
                 buckets,
             } => {
+                if is_response && scope.is_none() {
+                    self.record_followed(now, followed_s);
+                }
                 let data_centre = self.members.get(header.id).map(|row| row.member.group);
-                if self.receive_digest(now, from, (is_response, scope), agents, &buckets)
+                if self.receive_digest(now, from, (is_response, scope), &buckets)
                     && data_centre == scope
                 {
                     self.heartbeats.record_equal(scope);
@@ -181,7 +184,7 @@
                 },
                 true,
             );
-            self.send_digest(from, None);
+            self.send_digest(now, from, None);
         }
     }
 
--- a/crates/membership/src/balancer/responses.rs
+++ b/crates/membership/src/balancer/responses.rs
@@ -178,7 +178,6 @@
         now: Instant,
         from: SocketAddr,
         (is_response, scope): (bool, Option<DataCentreId>),
-        agents: u32,
         buckets: &[u32],
     ) -> bool {
         if buckets.len() != BUCKETS {
@@ -192,7 +191,6 @@
             .collect::<Vec<_>>();
         let equal = !differs.contains(&true);
         if is_response && scope.is_none() {
-            self.listed_agents = Some(agents);
             self.catching_up &= !equal;
         }
         if !is_response {
@@ -201,7 +199,7 @@
                 Body::Digest {
                     is_response: true,
                     scope,
-                    agents: self.live_agents(),
+                    followed_s: elapsed_seconds(now, self.followed_since),
                     buckets: own,
                 },
             );
--- a/crates/membership/src/bounds.rs
+++ b/crates/membership/src/bounds.rs
@@ -11,9 +11,6 @@
 /// Number of announcements at [`START_INTERVAL`]. Later ones follow at [`ANNOUNCE_INTERVAL`], so
 /// that the seeds of a large deployment are not overloaded when all of it starts at once.
 pub const START_ANNOUNCEMENTS: u64 = 6;
-/// Highest sequence that a process reaches in its first three seconds: the announcements at the
-/// start, the regular ones and some for changes of its state.
-pub const MAX_START_SEQUENCE: u64 = 16;
 /// Interval of gossip rounds.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of messages to each other data centre.
@@ -22,6 +19,10 @@
 pub const DIGEST_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval of bucket digests of a balancer that catches up after a start or a suspension.
 pub const CATCH_UP_INTERVAL: Duration = Duration::from_millis(200);
+/// Time by which a balancer must have followed the members for longer than another one, so that the
+/// other may rely on its table. An agent whose balancers are all gone needs
+/// [`SUSPECT_TIMEOUT`] to notice, and may have been suspended meanwhile.
+pub const SENIORITY: Duration = Duration::from_secs(5);
 /// Longest time after a start or a suspension in which a balancer sends digests at
 /// [`CATCH_UP_INTERVAL`].
 pub const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -125,8 +125,8 @@
         is_response: bool,
         /// Data centre whose members are compared; `None` compares all.
         scope: Option<DataCentreId>,
-        /// Live agents in the sender's table.
-        agents: u32,
+        /// Whole seconds for which the sender has followed the members.
+        followed_s: u32,
         /// Hashes, one per bucket.
         buckets: Vec<u32>,
     },
--- a/crates/membership/tests/nodes/lists.rs
+++ b/crates/membership/tests/nodes/lists.rs
@@ -46,7 +46,7 @@
     let body = Body::Digest {
         is_response: false,
         scope: None,
-        agents: 0,
+        followed_s: 0,
         buckets: vec![0; bounds::BUCKETS],
     };
     let event = || Event::Message {
--- a/crates/membership/tests/start.rs
+++ b/crates/membership/tests/start.rs
@@ -84,37 +84,35 @@
     node.handle(now, Event::Message { from, message });
 }
 
-/// A balancer that joins running ones may at first know only members that started recently, while
-/// its table is still growing. It must not take the table for complete.
+/// A balancer that joins running ones must notice it within 800 ms, so that it recovers fast, and
+/// the running ones must not take themselves for new.
 #[test]
-fn a_balancer_that_joins_running_ones_did_not_start_with_them() {
+fn a_balancer_that_joins_running_ones_relies_on_their_tables() {
     let now = Instant::from_secs(100);
     let mut nodes = vec![(1, start(now, 1)), (2, start(now, 2))];
     let now = run(&mut nodes, now, Duration::from_secs(30));
-    assert!(nodes.iter().all(|(_, node)| !node.started_together()));
+    assert!(nodes.iter().all(|(_, node)| !node.has_joined_older()));
     nodes.push((3, start(now, 3)));
-    let mut now = now;
-    for _ in 0..10 {
-        now = run(&mut nodes, now, Duration::from_millis(100));
-        assert!(!nodes[2].1.started_together());
-    }
+    run(&mut nodes, now, Duration::from_millis(800));
+    assert!(nodes[2].1.has_joined_older());
 }
 
-/// When every process restarts, balancers must notice it within 800 ms, so that they recover fast.
+/// When every balancer is replaced, none of them may rely on the table of another, however long
+/// they run: agents that announce themselves to the former ones are in no table.
 #[test]
-fn balancers_detect_that_they_started_together() {
+fn balancers_that_start_together_rely_on_no_table() {
     let now = Instant::from_secs(100);
-    let mut nodes = vec![(1, start(now, 1)), (2, start(now, 2)), (3, start(now, 3))];
-    let now = run(&mut nodes, now, Duration::from_millis(800));
-    assert!(nodes.iter().all(|(_, node)| node.started_together()));
-    run(&mut nodes, now, Duration::from_secs(10));
-    assert!(nodes.iter().all(|(_, node)| !node.started_together()));
+    let mut nodes = vec![(1, start(now, 1)), (2, start(now, 2))];
+    let now = run(&mut nodes, now, Duration::from_millis(1_500));
+    nodes.push((3, start(now, 3)));
+    run(&mut nodes, now, Duration::from_secs(30));
+    assert!(nodes.iter().all(|(_, node)| !node.has_joined_older()));
 }
 
-/// Balancers that start together must notice it without equal tables: the tables differ while
-/// processes start one after the other and their states change.
+/// Balancers that start one after the other while their states change must not rely on the tables
+/// of each other.
 #[test]
-fn balancers_that_start_together_need_no_equal_tables() {
+fn balancers_with_unequal_tables_rely_on_no_table() {
     let mut now = Instant::from_secs(100);
     let mut nodes = Vec::new();
     let mut version = 0;
@@ -137,13 +135,13 @@
         }
         now = run(&mut nodes, now, Duration::from_millis(20));
     }
-    assert!(nodes.iter().all(|(_, node)| node.started_together()));
+    assert!(nodes.iter().all(|(_, node)| !node.has_joined_older()));
 }
 
 /// A balancer that restarts soon after all others must not take its table for complete while
 /// another balancer has more agents. Otherwise it resets flows of agents that it does not know.
 #[test]
-fn a_balancer_with_fewer_agents_than_others_did_not_start_with_them() {
+fn a_balancer_with_fewer_agents_than_others_relies_on_no_table() {
     let now = Instant::from_secs(100);
     let mut nodes = vec![(1, start(now, 1)), (2, start(now, 2))];
     let now = run(&mut nodes, now, Duration::from_millis(500));
@@ -176,7 +174,7 @@
                 }
             }
         }
-        assert!(!nodes[2].1.started_together());
+        assert!(!nodes[2].1.has_joined_older());
     }
 }
 
@@ -231,5 +229,5 @@
             node.handle(now, Event::Message { from, message });
         }
     }
-    assert!(!node.started_together());
+    assert!(!node.has_joined_older());
 }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -99,6 +99,9 @@
     /// The store has discarded the changes since the revision.
     #[display("the store has discarded these changes; the whole list is read again")]
     Gone,
+    /// The object or its kind does not exist.
+    #[display("the store has no such object; check its name")]
+    NotFound,
     /// The object exists already.
     #[display("the object exists already; replace it instead")]
     Conflict,
@@ -129,6 +132,12 @@
     pub read_evacuations: fn(SocketAddr, Option<u64>) -> StoreFuture<StoreRead<EvacuationEntry>>,
     /// Lists the membership addresses of balancers. Some may be outdated.
     pub list_balancers: fn(SocketAddr) -> StoreFuture<StoreRead<SocketAddr>>,
+    /// Lists the frame addresses in the registry of agents.
+    pub list_agents: fn(SocketAddr) -> StoreFuture<StoreRead<SocketAddrV4>>,
+    /// Adds a frame address to the registry of agents.
+    pub register_agent: fn(SocketAddr, SocketAddrV4) -> StoreFuture<()>,
+    /// Removes a frame address from the registry of agents.
+    pub remove_agent: fn(SocketAddr, SocketAddrV4) -> StoreFuture<()>,
     /// Records the membership address of the balancer on the named instance.
     pub register_balancer: fn(SocketAddr, String, SocketAddrV4) -> StoreFuture<()>,
 }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -1,11 +1,11 @@
 //! State of a process in the role balancer, which forwards packets of callers to agents. It feeds
 //! the forwarding of `monsoon-flow` with the targets that the membership knows.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 
 use monsoon_flow::{Balancer, BalancerSettings};
 use monsoon_membership::{BalancerNode, Event, LocalState, Message, Role, State};
-use monsoon_model::{Duration, Instant, ServiceId};
+use monsoon_model::{Duration, Instant, ServiceId, hash};
 
 use crate::Settings;
 use crate::members::{own_member, targets};
@@ -18,6 +18,10 @@
 const MAX_GRACE_SHARE: f64 = 0.5;
 /// Interval at which the loads of targets are copied from the membership.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the registry of agents is compared with the membership.
+const PRUNING_INTERVAL: Duration = Duration::from_secs(5);
+/// Salt of the ranking that selects the balancer which removes agents from the registry.
+const REGISTRY_SALT: u64 = hash::bytes(b"agent-registry");
 
 /// State of a process in the role balancer.
 #[derive(Debug)]
@@ -25,6 +29,7 @@
     pub flows: Balancer,
     pub node: BalancerNode,
     next_refresh: Instant,
+    next_pruning: Instant,
     announced_state: Option<LocalState>,
 }
 
@@ -43,6 +48,7 @@
             ),
             node: BalancerNode::new(now, member, seeds, rand::random()),
             next_refresh: now,
+            next_pruning: now,
             announced_state: None,
         }
     }
@@ -80,6 +86,31 @@
         if now >= self.next_refresh {
             self.refresh_targets(process, now);
         }
+        if now >= self.next_pruning {
+            self.next_pruning = now + PRUNING_INTERVAL;
+            self.prune_registry(process, now);
+        }
+    }
+
+    /// Removes agents from the registry that are gone. One balancer of the group does it.
+    fn prune_registry(&mut self, process: &Process, now: Instant) {
+        for agent in self.flows.missing_agents(now) {
+            self.flows.remove_registered(agent);
+            if self.node.own_rank(REGISTRY_SALT) == 0 {
+                process.remove_registered(agent);
+            }
+        }
+    }
+
+    /// Handles the registry of agents that was read from the store.
+    pub(crate) fn set_registered(
+        &mut self,
+        process: &mut Process,
+        now: Instant,
+        agents: Vec<SocketAddrV4>,
+    ) {
+        let actions = self.flows.set_registered(now, agents.into_iter().collect());
+        process.perform_flow_actions(now, actions);
     }
 
     pub(crate) fn receive_control(
@@ -101,7 +132,7 @@
 
     fn refresh_targets(&mut self, process: &mut Process, now: Instant) {
         self.next_refresh = now + REFRESH_INTERVAL;
-        self.flows.set_joined(!self.node.started_together());
+        self.flows.set_joined(self.node.has_joined_older());
         let actions = self.flows.set_targets(now, targets(now, &self.node));
         process.perform_flow_actions(now, actions);
     }
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -45,7 +45,7 @@
     };
     // With zero slots, the state says whether heartbeats of a target may still arrive (`Cold`) or
     // the target has ended (`Leaving`).
-    let (state, announced_slots) = match agent.presence(now) {
+    let (state, announced_slots) = match agent.presence() {
         Presence::Present => (state, slots),
         Presence::Unknown => (State::Cold, 0),
         Presence::Ended => (State::Leaving, 0),
@@ -88,8 +88,8 @@
             accepts_flows: false,
             ..target_view(member)
         };
-        // An agent that had no target when it departed owned no flow.
-        if view.presence == Presence::Present {
+        // An agent whose target had ended when it departed owned no flow.
+        if view.presence != Presence::Ended {
             targets.entry(member.data).or_insert(view);
         }
     }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -53,6 +53,8 @@
     ReadFailed(StoreObject),
     /// Membership addresses of balancers, from the store.
     Balancers(Vec<std::net::SocketAddr>),
+    /// Frame addresses in the registry of agents.
+    RegisteredAgents(Vec<std::net::SocketAddrV4>),
     /// Heartbeat of the target; the reply says that it has taken effect.
     Heartbeat(Heartbeat, oneshot::Sender<()>),
     /// The target of this identity has ended; the reply says that this has taken effect.
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -5,7 +5,7 @@
 mod packets;
 mod start;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
@@ -295,6 +295,11 @@
                 RoleState::Balancer(balancer) => balancer.node.add_seeds(balancers),
                 RoleState::Agent(agent) => agent.node.add_seeds(balancers),
             },
+            Message::RegisteredAgents(agents) => {
+                if let RoleState::Balancer(balancer) = role_state {
+                    balancer.set_registered(self, now, agents);
+                }
+            }
             Message::Heartbeat(heartbeat, reply) => {
                 if let RoleState::Agent(agent) = role_state {
                     agent.receive_heartbeat(self, now, heartbeat);
@@ -343,6 +348,19 @@
         }
     }
 
+    /// Removes an agent from the registry. After a failure the entry stays, which is harmless.
+    pub(crate) fn remove_registered(&self, agent: SocketAddrV4) {
+        let (client, store) = (self.adapter.store_client, self.settings.store);
+        tokio::spawn(async move {
+            match (client.remove_agent)(store, agent).await {
+                Ok(()) => log::info!("registry: removed agent={agent}"),
+                Err(error) => {
+                    log::warn!("registry: not removed agent={agent} error=\"{error}\"");
+                }
+            }
+        });
+    }
+
     /// Begins to stop. Returns the time at which the process ends.
     fn stop(&mut self, role_state: &mut RoleState) -> Instant {
         self.is_stopping = true;
