Send a small share of requests to idle cold targets

A target whose agent owned no flow stayed cold for as long as the others had room.

Change: one in 16 requests that the local target could run goes to an idle cold peer, if one was sampled. Test: an_idle_cold_peer_gets_a_share_of_the_requests, failed first.

--- a/crates/daemon/src/agent/driver.rs
+++ b/crates/daemon/src/agent/driver.rs
@@ -133,9 +133,13 @@
         };
         tokio::select! {
             frame = attempt.replies.recv() => self.on_frame(frame),
-            () = clock.sleep_until(deadline) => Event::Tick,
+            () = clock.sleep_until(deadline) => {
+                log::info!("request: deadline passed class={}", self.class.name);
+                Event::Tick
+            }
             () = clock.sleep_until(admitted_by) => self.cancel_slow_peer(),
             _ = self.connection.closed(), if is_caller_waiting => {
+                log::info!("request: caller gone class={}", self.class.name);
                 self.sender = None;
                 self.agent.record(&self.class.name, Outcome::Cancelled, None);
                 Event::Cancelled
--- a/crates/daemon/src/agent/local.rs
+++ b/crates/daemon/src/agent/local.rs
@@ -46,9 +46,16 @@
     replies: ResponseSink,
 ) {
     let closed = replies.clone();
+    let started_at = agent.clock.now();
     tokio::select! {
         _ = admit_and_run(&agent, class, head, body, replies) => {}
-        () = closed.closed() => agent.counters.count("request_cancelled"),
+        () = closed.closed() => {
+            agent.counters.count("request_cancelled");
+            log::info!(
+                "request: cancelled at the target after {} ms, because its sender gave it up",
+                agent.clock.now().since(started_at).as_millis()
+            );
+        }
     }
 }
 
--- a/crates/execution/src/destination.rs
+++ b/crates/execution/src/destination.rs
@@ -15,6 +15,10 @@
 /// latency of the hop and the age of the report outweigh the gain.
 const PEER_RATIO_MAX_WHEN_FULL: f64 = 0.75;
 
+/// One in this many requests that the local target could run goes to an idle cold peer. A target
+/// warms only by requests, and its own agent may own no flow that brings any.
+const WARMING_INTERVAL: u64 = 16;
+
 /// Load of a peer's target, from its last report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLoad {
@@ -45,7 +49,8 @@
 
 /// Chooses the destination of an attempt.
 ///
-/// The local target is preferred. The less loaded of two random peers is chosen instead when the
+/// The local target is preferred, except for a small share of requests that warms idle cold peers.
+/// The less loaded of two random peers is chosen instead when the
 /// local target is leaving, when it is full and clearly more loaded than the peer, or when its
 /// utilisation is at least twice that of the peer. A cold local target is full when it can take no
 /// more requests at present. All random choices are derived from `random`.
@@ -59,6 +64,10 @@
     let has_capacity =
         !is_leaving && !local.is_full() && local.utilisation() < LOCAL_UTILISATION_MAX;
     let is_cold = local.state == TargetState::Cold;
+    if has_capacity && !is_cold && mix(random, 3).is_multiple_of(WARMING_INTERVAL) {
+        let idle = two_choices(peers, is_idle_and_cold, random);
+        return idle.map_or(Destination::Local, |(index, _)| Destination::Peer(index));
+    }
     if has_capacity || (is_cold && !is_leaving && !local.is_full()) {
         return Destination::Local;
     }
@@ -104,6 +113,11 @@
         .min_by(|a, b| a.1.utilisation().total_cmp(&b.1.utilisation()))
 }
 
+/// Whether a peer's target is cold and runs nothing, so that it does not warm by itself.
+fn is_idle_and_cold(load: Load) -> bool {
+    load.state == TargetState::Cold && !load.leaving && load.busy == 0 && load.queued == 0
+}
+
 /// Whether a peer's target may get a request: a leaving one never, a cold one unless it is full.
 fn is_usable(load: Load) -> bool {
     match load.state {
--- a/crates/execution/tests/execution/destination.rs
+++ b/crates/execution/tests/execution/destination.rs
@@ -66,6 +66,34 @@
     }
 }
 
+/// Load pattern: a cold target whose agent owns no flow, beside warm ones with free slots. Guards
+/// against a target that stays cold because nobody sends it requests, and against more requests than
+/// a small share before it has answered.
+#[test]
+fn an_idle_cold_peer_gets_a_share_of_the_requests() {
+    use TargetState::{Cold, Leaving, Ready};
+    let share = |local: Load, peers: &[PeerLoad]| {
+        let sent =
+            |random: &u64| pick_destination(local, peers, false, *random) != Destination::Local;
+        (0..16_000).filter(sent).count()
+    };
+    let warmed = share(load(1, Ready), &[peer(0, Cold), peer(1, Ready)]);
+    assert!((800..=1_200).contains(&warmed), "{warmed}");
+    let sent_before = PeerLoad {
+        sent: 1,
+        ..peer(0, Cold)
+    };
+    for peers in [
+        [sent_before],
+        [peer(1, Cold)],
+        [peer(0, Leaving)],
+        [peer(0, Ready)],
+    ] {
+        assert_eq!(share(load(1, Ready), &peers), 0, "{peers:?}");
+    }
+    assert_eq!(share(load(0, Cold), &[peer(0, Cold)]), 0);
+}
+
 /// Guards against a burst of requests to one peer between two reports: the requests that this agent
 /// sent count as busy slots.
 #[test]
