Show no secret in errors of the keys file

Cause: the error of the TOML parser quotes the line, and its message the value. Change: the error names the line and what belongs there. Test: an_error_in_the_keys_file_shows_no_secret (unquoted, nested, unterminated, too long, unknown and misplaced secrets).

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -276,18 +276,32 @@
 }
 
 fn load_keys(path: &Path) -> Result<Keyring, SettingsError> {
-    let raw: RawKeys = read_toml(path)?;
-    Keyring::try_from(raw).map_err(|error| SettingsError::Keys {
+    let text = read_text(path)?;
+    let unusable = |message| SettingsError::Keys {
         path: path.to_owned(),
-        message: error.to_string(),
-    })
+        message,
+    };
+    // The error of the parser quotes the line, which may hold a secret.
+    let raw: RawKeys = toml::from_str(&text).map_err(|error| {
+        let at = error.span().map_or(0, |span| span.start.min(text.len()));
+        let line = text.as_bytes()[..at].split(|&byte| byte == b'\n').count();
+        unusable(format!(
+            "line {line} cannot be used; write phase as a number and current, previous and next as \
+             quoted hex digits"
+        ))
+    })?;
+    Keyring::try_from(raw).map_err(|error| unusable(error.to_string()))
 }
 
-fn read_toml<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
-    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+fn read_text(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
         path: path.to_owned(),
         source,
-    })?;
+    })
+}
+
+fn read_toml<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
+    let text = read_text(path)?;
     toml::from_str(&text).map_err(|source| SettingsError::Malformed {
         path: path.to_owned(),
         source,
--- a/crates/e2e/tests/errors.rs
+++ b/crates/e2e/tests/errors.rs
@@ -52,6 +52,43 @@
     );
 }
 
+/// Guards against an error that shows a secret of the keys file, and against one that does not name
+/// the line.
+#[test]
+fn an_error_in_the_keys_file_shows_no_secret() {
+    let cluster = Cluster::start();
+    let keys = cluster.temp_dir.join("certs/keys.toml");
+    let valid = std::fs::read_to_string(&keys).expect("the keys file can be read");
+    let secret = valid
+        .split('"')
+        .find(|part| part.len() == 64)
+        .expect("a secret");
+    let quoted = format!("\"{secret}\"");
+    let texts = [
+        valid.replace(&quoted, secret),
+        valid.replace(&quoted, &format!("[\"{secret}\"]")),
+        valid.replace(&quoted, &format!("\"{secret}")),
+        valid.replace(&quoted, &format!("\"{secret}0\"")),
+        format!("{valid}\nother = \"{secret}\"\n"),
+        format!("phase = \"{secret}\"\n"),
+    ];
+    for (number, text) in texts.into_iter().enumerate() {
+        let faulty = cluster
+            .temp_dir
+            .write(&format!("keys-{number}.toml"), &text);
+        let settings = cluster.agent_settings(0);
+        let settings = settings.replace(&keys.display().to_string(), &faulty.display().to_string());
+        let file = cluster
+            .temp_dir
+            .write(&format!("agent-{number}.toml"), &settings);
+        let (code, message) = refused_start(&file);
+        assert_eq!(code, Some(1), "{message}");
+        assert!(!message.contains(&secret[..8]), "{message}");
+        let names_fault = message.contains("line ") || message.contains("secret `");
+        assert!(names_fault, "{message}");
+    }
+}
+
 /// Guards against control datagrams, signed with other keys, that take effect or disturb the
 /// daemons of the environment.
 #[test]
