Keep the registry of agents in one object

Calls to the store are priced.

Change: the registry is one object. The first balancer of the group by rank writes it once a second when its list of agents has changed, on condition of the revision that it read; each balancer that starts reads it. A registry that names no agent tells nothing.

An agent that joined in the last second or two before a loss of all processes is not in the registry yet.

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -120,8 +120,12 @@
     followed_since: Instant,
     /// Whether this process joined a balancer that had followed the agents for longer.
     has_joined: bool,
-    /// Agents in the registry; `None` until it was read since the list is followed.
-    registered: Option<BTreeSet<SocketAddrV4>>,
+    /// Agents that the registry named when it was read; `None` unless it was read since the list is
+    /// followed, and named any.
+    expected: Option<BTreeSet<SocketAddrV4>>,
+    /// Agents that belong into the registry: those that it named or that were listed, until they are
+    /// gone.
+    registered: BTreeSet<SocketAddrV4>,
     next_expiry: Instant,
 }
 
@@ -144,7 +148,8 @@
             waiting: VecDeque::new(),
             followed_since: now,
             has_joined: true,
-            registered: None,
+            expected: None,
+            registered: BTreeSet::new(),
             next_expiry: now + EXPIRY_INTERVAL,
         }
     }
@@ -201,7 +206,7 @@
     /// Records that the list of agents may be incomplete, because no other process was reached.
     pub fn set_list_incomplete(&mut self, now: Instant) {
         self.followed_since = now;
-        self.registered = None;
+        self.expected = None;
     }
 
     /// Versions of the configuration in force.
--- a/crates/flow/src/balancer/targets.rs
+++ b/crates/flow/src/balancer/targets.rs
@@ -87,9 +87,7 @@
                 presence: target.presence,
             };
             self.recent_agents.insert(*at, recent);
-            if let Some(registered) = &mut self.registered {
-                registered.insert(*at);
-            }
+            self.registered.insert(*at);
         }
         self.recent_agents.retain(|_, agent| {
             let memory = match agent.presence {
@@ -103,33 +101,25 @@
         actions
     }
 
-    /// Records the agents in the registry, read since this process started or resumed. The list is
-    /// complete once it has all of them.
+    /// Records the agents that the registry names. The list is complete once it has all of them.
     pub fn set_registered(&mut self, now: Instant, agents: BTreeSet<SocketAddrV4>) -> Vec<Action> {
-        // Agents of an earlier version do not register themselves.
-        self.registered = Some(agents).filter(|agents| !agents.is_empty());
+        self.registered.extend(&agents);
+        // Before the first agent is registered, and after a loss of the store, it names none.
+        self.expected = Some(agents).filter(|agents| !agents.is_empty());
         let mut actions = self.retry_waiting(now);
         self.batches.send_due(now, &mut actions);
         actions
     }
 
-    /// Registered agents that are not listed and were not for [`DEPARTED_TTL`], so that their flows
-    /// are no longer looked up.
-    pub fn missing_agents(&self, now: Instant) -> Vec<SocketAddrV4> {
-        if now.since(self.followed_since) < DEPARTED_TTL {
-            return Vec::new();
-        }
-        let registered = self.registered.iter().flatten().copied();
-        registered
-            .filter(|agent| !self.recent_agents.contains_key(agent))
-            .collect()
-    }
-
-    /// Forgets a registered agent, whose entry was removed from the registry.
-    pub fn remove_registered(&mut self, agent: SocketAddrV4) {
-        if let Some(registered) = &mut self.registered {
-            registered.remove(&agent);
+    /// Agents that belong into the registry. Those that were not listed for [`DEPARTED_TTL`], so that
+    /// their flows are no longer looked up, are left out from now on.
+    pub fn registered(&mut self, now: Instant) -> &BTreeSet<SocketAddrV4> {
+        if now.since(self.followed_since) >= DEPARTED_TTL {
+            let recent_agents = &self.recent_agents;
+            self.registered
+                .retain(|agent| recent_agents.contains_key(agent));
         }
+        &self.registered
     }
 
     /// Whether the list covers every agent that could own a flow.
@@ -145,8 +135,8 @@
 
     pub(super) fn list_complete_at(&self) -> Instant {
         let is_listed = |agent| self.recent_agents.contains_key(agent);
-        let registered = self.registered.as_ref();
-        if registered.is_some_and(|registered| registered.iter().all(is_listed)) {
+        let expected = self.expected.as_ref();
+        if expected.is_some_and(|expected| expected.iter().all(is_listed)) {
             return self.followed_since;
         }
         let wait = if self.has_joined {
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -1,6 +1,7 @@
 //! Interface to a platform: the functions that translate its packets, heartbeats, settings and
 //! store into the types of this crate and of `monsoon-flow`.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -87,6 +88,15 @@
     pub revision: u64,
 }
 
+/// Agents that may own flows, as the store keeps them across restarts of all processes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AgentRegistry {
+    /// Revision of the last change; `None` when the registry does not exist.
+    pub revision: Option<u64>,
+    /// Frame addresses.
+    pub agents: BTreeSet<SocketAddrV4>,
+}
+
 /// A call to the store failed.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum StoreError {
@@ -102,8 +112,8 @@
     /// The object or its kind does not exist.
     #[display("the store has no such object; check its name")]
     NotFound,
-    /// The object exists already.
-    #[display("the object exists already; replace it instead")]
+    /// The object exists already, or has changed since it was read.
+    #[display("the object exists already or has changed; read it again")]
     Conflict,
     /// The response exceeds the limit of the client.
     #[display("the response has more than {limit} bytes; remove large entries from the store")]
@@ -132,12 +142,11 @@
     pub read_evacuations: fn(SocketAddr, Option<u64>) -> StoreFuture<StoreRead<EvacuationEntry>>,
     /// Lists the membership addresses of balancers. Some may be outdated.
     pub list_balancers: fn(SocketAddr) -> StoreFuture<StoreRead<SocketAddr>>,
-    /// Lists the frame addresses in the registry of agents.
-    pub list_agents: fn(SocketAddr) -> StoreFuture<StoreRead<SocketAddrV4>>,
-    /// Adds a frame address to the registry of agents.
-    pub register_agent: fn(SocketAddr, SocketAddrV4) -> StoreFuture<()>,
-    /// Removes a frame address from the registry of agents.
-    pub remove_agent: fn(SocketAddr, SocketAddrV4) -> StoreFuture<()>,
+    /// Reads the registry of agents.
+    pub read_agents: fn(SocketAddr) -> StoreFuture<AgentRegistry>,
+    /// Replaces the registry of agents, unless it has changed since the revision. Returns the new
+    /// revision.
+    pub write_agents: fn(SocketAddr, AgentRegistry) -> StoreFuture<u64>,
     /// Records the membership address of the balancer on the named instance.
     pub register_balancer: fn(SocketAddr, String, SocketAddrV4) -> StoreFuture<()>,
 }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -1,15 +1,15 @@
 //! State of a process in the role balancer, which forwards packets of callers to agents. It feeds
 //! the forwarding of `monsoon-flow` with the targets that the membership knows.
 
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 
 use monsoon_flow::{Balancer, BalancerSettings};
 use monsoon_membership::{BalancerNode, Event, LocalState, Message, Role, State};
 use monsoon_model::{Duration, Instant, ServiceId, hash};
 
-use crate::Settings;
 use crate::members::{own_member, targets};
 use crate::process::Process;
+use crate::{AgentRegistry, Settings, StoreError};
 
 /// Time for which a stopping balancer still forwards packets. The routers stop sending to it after
 /// two failed probes, half a second apart.
@@ -18,9 +18,10 @@
 const MAX_GRACE_SHARE: f64 = 0.5;
 /// Interval at which the loads of targets are copied from the membership.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval at which the registry of agents is compared with the membership.
-const PRUNING_INTERVAL: Duration = Duration::from_secs(5);
-/// Salt of the ranking that selects the balancer which removes agents from the registry.
+/// Interval at which the registry of agents is compared with the list. Agents that start together
+/// cost one write.
+const REGISTRATION_INTERVAL: Duration = Duration::from_secs(1);
+/// Salt of the ranking that selects the balancer which writes the registry of agents.
 const REGISTRY_SALT: u64 = hash::bytes(b"agent-registry");
 
 /// State of a process in the role balancer.
@@ -29,7 +30,11 @@
     pub flows: Balancer,
     pub node: BalancerNode,
     next_refresh: Instant,
-    next_pruning: Instant,
+    next_registration: Instant,
+    /// Registry of agents as this process last read or wrote it.
+    registry: Option<AgentRegistry>,
+    /// Whether a write of the registry is in progress.
+    is_writing: bool,
     announced_state: Option<LocalState>,
 }
 
@@ -48,7 +53,9 @@
             ),
             node: BalancerNode::new(now, member, seeds, rand::random()),
             next_refresh: now,
-            next_pruning: now,
+            next_registration: now + REGISTRATION_INTERVAL,
+            registry: None,
+            is_writing: false,
             announced_state: None,
         }
     }
@@ -86,31 +93,63 @@
         if now >= self.next_refresh {
             self.refresh_targets(process, now);
         }
-        if now >= self.next_pruning {
-            self.next_pruning = now + PRUNING_INTERVAL;
-            self.prune_registry(process, now);
+        if now >= self.next_registration {
+            self.next_registration = now + REGISTRATION_INTERVAL;
+            self.update_registry(process, now);
         }
     }
 
-    /// Removes agents from the registry that are gone. One balancer of the group does it.
-    fn prune_registry(&mut self, process: &Process, now: Instant) {
-        for agent in self.flows.missing_agents(now) {
-            self.flows.remove_registered(agent);
-            if self.node.own_rank(REGISTRY_SALT) == 0 {
-                process.remove_registered(agent);
-            }
+    /// Writes the registry of agents when the list has changed. One balancer of the group does it.
+    fn update_registry(&mut self, process: &Process, now: Instant) {
+        if self.is_writing || self.node.own_rank(REGISTRY_SALT) > 0 {
+            return;
+        }
+        let Some(known) = &self.registry else {
+            return;
+        };
+        let agents = self.flows.registered(now);
+        if *agents == known.agents {
+            return;
         }
+        self.is_writing = true;
+        process.write_registry(AgentRegistry {
+            revision: known.revision,
+            agents: agents.clone(),
+        });
     }
 
     /// Handles the registry of agents that was read from the store.
-    pub(crate) fn set_registered(
+    pub(crate) fn set_registry(
         &mut self,
         process: &mut Process,
         now: Instant,
-        agents: Vec<SocketAddrV4>,
+        registry: AgentRegistry,
     ) {
-        let actions = self.flows.set_registered(now, agents.into_iter().collect());
+        let actions = self.flows.set_registered(now, registry.agents.clone());
         process.perform_flow_actions(now, actions);
+        self.registry = Some(registry);
+    }
+
+    /// Handles the outcome of a write of the registry. One that failed is tried again, with what
+    /// another balancer wrote meanwhile.
+    pub(crate) fn registry_written(
+        &mut self,
+        process: &Process,
+        result: Result<AgentRegistry, StoreError>,
+    ) {
+        self.is_writing = false;
+        match result {
+            Ok(registry) => {
+                log::info!("registry: written agents={}", registry.agents.len());
+                self.registry = Some(registry);
+            }
+            Err(error) => {
+                log::warn!("registry: not written error=\"{error}\"");
+                if error == StoreError::Conflict {
+                    process.read_registry();
+                }
+            }
+        }
     }
 
     pub(crate) fn receive_control(
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -1,26 +1,24 @@
 //! Discovery through the store: of balancers, for processes whose seeds in the settings are all
 //! unreachable, and of agents, for balancers that start when no other balancer knows them.
 //!
-//! The registry of agents is written once by each new agent and read once by each balancer that
-//! starts. It tells a balancer which agents it has to hear of before it may take a flow without
+//! The registry of agents is one object, which one balancer keeps up to date and each balancer that
+//! starts reads once. It tells a balancer which agents it has to hear of before it may take a flow without
 //! owner for ended.
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::message::{Message, MessageSender};
 use crate::store_watch::rejected_entries;
-use crate::{Settings, StoreClient};
+use crate::{AgentRegistry, Settings, StoreClient};
 
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Delay before a failed read of the registry is retried. Flows without owner wait for it.
 const REGISTRY_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Isolation after which an agent registers itself again, because its entry may have been removed.
-const MAX_UNREGISTERED_ISOLATION: Duration = Duration::from_secs(5);
 /// Least time between two reads while no other process is received from.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -73,53 +71,14 @@
     }
 }
 
-/// Adds an agent to the registry, and again after each long isolation.
-pub(crate) async fn register_agent(
-    client: StoreClient,
-    store: SocketAddr,
-    agent: SocketAddrV4,
-    mut is_isolated: watch::Receiver<bool>,
-) {
-    loop {
-        while let Err(error) = (client.register_agent)(store, agent).await {
-            log::warn!("registry: registration failed; retrying error=\"{error}\"");
-            sleep(RETRY_DELAY).await;
-        }
-        log::info!("registry: registered agent={agent}");
-        loop {
-            // The process ends when its state, which sends these values, is gone.
-            if is_isolated.wait_for(|isolated| *isolated).await.is_err() {
-                return;
-            }
-            let since = Instant::now();
-            if is_isolated.wait_for(|isolated| !*isolated).await.is_err() {
-                return;
-            }
-            if since.elapsed() >= MAX_UNREGISTERED_ISOLATION {
-                break;
-            }
-        }
-    }
-}
-
-/// Reads the registry of agents once.
-pub(crate) async fn find_agents(client: StoreClient, store: SocketAddr, messages: MessageSender) {
+/// Reads the registry of agents, with retries until the store answers.
+pub(crate) async fn read_registry(client: StoreClient, store: SocketAddr, messages: MessageSender) {
     loop {
-        match (client.list_agents)(store).await {
-            // A list that was cut off does not name every agent.
-            Ok(response) if response.is_partial => {
-                log::warn!("registry: not used, because it has too many pages");
-                return;
-            }
-            Ok(response) => {
-                log::info!("registry: read agents={}", response.items.len());
-                let rejected = rejected_entries(&response, "agents");
-                let agents = Message::RegisteredAgents(response.items);
-                for message in rejected.into_iter().chain([agents]) {
-                    if messages.send(message).await.is_err() {
-                        return;
-                    }
-                }
+        match (client.read_agents)(store).await {
+            Ok(registry) => {
+                log::info!("registry: read agents={}", registry.agents.len());
+                // Sending fails only when the process ends.
+                let _ = messages.send(Message::Registry(registry)).await;
                 return;
             }
             Err(error) => {
@@ -129,3 +88,20 @@
         }
     }
 }
+
+/// Writes the registry of agents once.
+pub(crate) async fn write_registry(
+    client: StoreClient,
+    store: SocketAddr,
+    registry: AgentRegistry,
+    messages: MessageSender,
+) {
+    let agents = registry.agents.clone();
+    let written = (client.write_agents)(store, registry).await;
+    let result = written.map(|revision| AgentRegistry {
+        revision: Some(revision),
+        agents,
+    });
+    // Sending fails only when the process ends.
+    let _ = messages.send(Message::RegistryWritten(result)).await;
+}
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,7 +7,7 @@
 use monsoon_model::Versions;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{RejectedEntry, Settings};
+use crate::{AgentRegistry, RejectedEntry, Settings, StoreError};
 
 /// Messages that the queue holds; when it is full, senders wait.
 pub(crate) const QUEUE_LENGTH: usize = 64;
@@ -53,8 +53,10 @@
     ReadFailed(StoreObject),
     /// Membership addresses of balancers, from the store.
     Balancers(Vec<std::net::SocketAddr>),
-    /// Frame addresses in the registry of agents.
-    RegisteredAgents(Vec<std::net::SocketAddrV4>),
+    /// Registry of agents, as it was read from the store.
+    Registry(AgentRegistry),
+    /// Outcome of a write of the registry: its contents from now on.
+    RegistryWritten(Result<AgentRegistry, StoreError>),
     /// Heartbeat of the target; the reply says that it has taken effect.
     Heartbeat(Heartbeat, oneshot::Sender<()>),
     /// The target of this identity has ended; the reply says that this has taken effect.
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -5,7 +5,7 @@
 mod packets;
 mod start;
 
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
@@ -26,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{self, SharedConfiguration};
 use crate::rejection_log::RejectionLog;
-use crate::{Adapter, Settings};
+use crate::{Adapter, AgentRegistry, Settings, discovery};
 
 /// Largest datagram: a packet of 1,232 bytes and the largest frame header.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
@@ -295,9 +295,14 @@
                 RoleState::Balancer(balancer) => balancer.node.add_seeds(balancers),
                 RoleState::Agent(agent) => agent.node.add_seeds(balancers),
             },
-            Message::RegisteredAgents(agents) => {
+            Message::Registry(registry) => {
                 if let RoleState::Balancer(balancer) = role_state {
-                    balancer.set_registered(self, now, agents);
+                    balancer.set_registry(self, now, registry);
+                }
+            }
+            Message::RegistryWritten(result) => {
+                if let RoleState::Balancer(balancer) = role_state {
+                    balancer.registry_written(self, result);
                 }
             }
             Message::Heartbeat(heartbeat, reply) => {
@@ -348,17 +353,21 @@
         }
     }
 
-    /// Removes an agent from the registry. After a failure the entry stays, which is harmless.
-    pub(crate) fn remove_registered(&self, agent: SocketAddrV4) {
+    /// Reads the registry of agents in the background.
+    pub(crate) fn read_registry(&self) {
         let (client, store) = (self.adapter.store_client, self.settings.store);
-        tokio::spawn(async move {
-            match (client.remove_agent)(store, agent).await {
-                Ok(()) => log::info!("registry: removed agent={agent}"),
-                Err(error) => {
-                    log::warn!("registry: not removed agent={agent} error=\"{error}\"");
-                }
-            }
-        });
+        tokio::spawn(discovery::read_registry(
+            client,
+            store,
+            self.messages.clone(),
+        ));
+    }
+
+    /// Writes the registry of agents in the background.
+    pub(crate) fn write_registry(&self, registry: AgentRegistry) {
+        let (client, store) = (self.adapter.store_client, self.settings.store);
+        let messages = self.messages.clone();
+        tokio::spawn(discovery::write_registry(client, store, registry, messages));
     }
 
     /// Begins to stop. Returns the time at which the process ends.
--- a/crates/relay/src/process/start.rs
+++ b/crates/relay/src/process/start.rs
@@ -180,15 +180,7 @@
             supervise("registration", move || {
                 discovery::register_balancer(client, settings.clone())
             });
-            let messages = self.messages.clone();
-            supervise("registry", move || {
-                discovery::find_agents(client, store, messages.clone())
-            });
-        } else {
-            let (agent, is_isolated) = (settings.frames, self.is_isolated.subscribe());
-            supervise("registration", move || {
-                discovery::register_agent(client, store, agent, is_isolated.clone())
-            });
+            self.read_registry();
         }
         Ok(())
     }
