Call the store less from agents and from refused processes

Change: the first list of an agent may be some seconds old, at a tenth of the price: balancers, which decide where a flow goes, read consistently, and tell the agent of what is newer. A process whose configuration is checked and that hears others waits up to 2 s between failed reads. The registry leaves out agents whose target has ended, which own no flow and may leave for good. A watch ends with its process instead of spinning.

--- a/crates/flow/src/balancer/targets.rs
+++ b/crates/flow/src/balancer/targets.rs
@@ -87,7 +87,12 @@
                 presence: target.presence,
             };
             self.recent_agents.insert(*at, recent);
-            self.registered.insert(*at);
+            // An agent whose target has ended owns no flow, and may leave for good.
+            if target.presence == Presence::Ended {
+                self.registered.remove(at);
+            } else {
+                self.registered.insert(*at);
+            }
         }
         self.recent_agents.retain(|_, agent| {
             let memory = match agent.presence {
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -653,6 +653,11 @@
     let later = START + Duration::from_secs(22);
     balancer.set_targets(later, views([1]));
     assert_eq!(*balancer.registered(later), agents(&[1]));
+    // An agent whose target has ended owns no flow.
+    let mut targets = views([1, 2]);
+    targets.get_mut(&agent_at(1)).expect("listed").presence = Presence::Ended;
+    balancer.set_targets(later, targets);
+    assert_eq!(*balancer.registered(later), agents(&[2]));
     // An empty registry tells nothing about the agents that run.
     let mut balancer = ready_balancer(START, 1);
     balancer.set_joined(false);
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -132,14 +132,24 @@
 /// Future of a call to the store.
 pub type StoreFuture<T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send>>;
 
-/// Reads and writes of the store at an address. With a revision, a read waits for the changes after
-/// it; without one, it returns the whole list.
+/// What a read of a list returns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadFrom {
+    /// The whole list, as it is now.
+    List,
+    /// The whole list, as it is now or was some seconds ago. Costs the store less.
+    StaleList,
+    /// The changes after this revision, as soon as there is one.
+    Changes(u64),
+}
+
+/// Reads and writes of the store at an address.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreClient {
     /// Reads the configurations, the newest last.
-    pub read_catalogue: fn(SocketAddr, Option<u64>) -> StoreFuture<StoreRead<Catalogue>>,
+    pub read_catalogue: fn(SocketAddr, ReadFrom) -> StoreFuture<StoreRead<Catalogue>>,
     /// Reads which data centres are evacuated.
-    pub read_evacuations: fn(SocketAddr, Option<u64>) -> StoreFuture<StoreRead<EvacuationEntry>>,
+    pub read_evacuations: fn(SocketAddr, ReadFrom) -> StoreFuture<StoreRead<EvacuationEntry>>,
     /// Lists the membership addresses of balancers. Some may be outdated.
     pub list_balancers: fn(SocketAddr) -> StoreFuture<StoreRead<SocketAddr>>,
     /// Reads the registry of agents.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,8 +25,8 @@
 mod task;
 
 pub use adapter::{
-    Adapter, AgentRegistry, EvacuationEntry, Origin, RejectedEntry, StoreClient, StoreError,
-    StoreFuture, StoreRead, TargetCall,
+    Adapter, AgentRegistry, EvacuationEntry, Origin, ReadFrom, RejectedEntry, StoreClient,
+    StoreError, StoreFuture, StoreRead, TargetCall,
 };
 pub use process::{RunError, run};
 pub use settings::{AgentSettings, DataCentre, Limits, Role, Settings};
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -120,6 +120,8 @@
     generation: watch::Sender<u64>,
     /// Whether balancers announce changes to this agent, so that it need not watch the store.
     peers_suffice: watch::Sender<bool>,
+    /// Whether the configuration is checked and other processes announce changes.
+    is_supported: watch::Sender<bool>,
     /// Time of the agent's last fetch from a peer.
     fetched_at: Instant,
     /// Whether no membership message was received for [`ISOLATED_AFTER`].
@@ -199,10 +201,14 @@
         });
         // Each call to the store is priced, and balancers answer every announcement of an agent
         // with their versions. A balancer itself always watches the store.
-        let peers_suffice =
-            self.config_checked && !is_isolated && matches!(role_state, RoleState::Agent(_));
-        self.peers_suffice
-            .send_if_modified(|old| std::mem::replace(old, peers_suffice) != peers_suffice);
+        let is_supported = self.config_checked && !is_isolated;
+        let peers_suffice = is_supported && matches!(role_state, RoleState::Agent(_));
+        for (sender, value) in [
+            (&self.is_supported, is_supported),
+            (&self.peers_suffice, peers_suffice),
+        ] {
+            sender.send_if_modified(|old| std::mem::replace(old, value) != value);
+        }
         match role_state {
             RoleState::Balancer(balancer) => balancer.tick(self, now),
             RoleState::Agent(agent) => agent.tick(self, now),
--- a/crates/relay/src/process/start.rs
+++ b/crates/relay/src/process/start.rs
@@ -120,6 +120,7 @@
             suspension_detector: SuspensionDetector::new(),
             generation: watch::Sender::new(0),
             peers_suffice: watch::Sender::new(false),
+            is_supported: watch::Sender::new(false),
             fetched_at: Instant::ZERO,
             is_isolated: watch::Sender::new(false),
             last_control: clock.now(),
@@ -157,6 +158,8 @@
         let policy = store_watch::ReadPolicy {
             generation: self.generation.subscribe(),
             peers_suffice: self.peers_suffice.subscribe(),
+            is_supported: self.is_supported.subscribe(),
+            starts_stale: matches!(settings.role, Role::Agent(_)),
         };
         let (catalogue_policy, messages) = (policy.clone(), self.messages.clone());
         supervise("config", move || {
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -12,13 +12,18 @@
 use tokio::time::{Instant, sleep};
 
 use crate::message::{Message, MessageSender, StoreObject};
-use crate::{EvacuationEntry, RejectedEntry, StoreClient, StoreError, StoreFuture, StoreRead};
+use crate::{
+    EvacuationEntry, ReadFrom, RejectedEntry, StoreClient, StoreError, StoreFuture, StoreRead,
+};
 
 /// First delay after a failed read; doubles up to [`MAX_RETRY_DELAY`].
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest delay after a failed read. Short compared with the time in which a change has to be in
 /// force.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// The same while other processes are heard, which tell of a change. Each refused call is priced,
+/// and the store may refuse a part of the processes for long.
+const SUPPORTED_RETRY_DELAY: Duration = Duration::from_millis(2_000);
 /// Delay after a change, so that changes in quick succession cost one call together. Short compared
 /// with the time in which a change has to be in force.
 const CHANGE_DELAY: Duration = Duration::from_millis(600);
@@ -30,6 +35,12 @@
     pub generation: watch::Receiver<u64>,
     /// Set while other processes announce changes, so that the store need not be watched.
     pub peers_suffice: watch::Receiver<bool>,
+    /// Set while the configuration is checked and other processes announce changes, so that a
+    /// failed read is not urgent.
+    pub is_supported: watch::Receiver<bool>,
+    /// Whether the first list may be some seconds old, because other processes announce what is
+    /// newer, and nothing is decided by this process alone.
+    pub starts_stale: bool,
 }
 
 /// Watches the configuration until the process ends.
@@ -39,7 +50,7 @@
     policy: ReadPolicy,
     messages: MessageSender,
 ) {
-    let read = move |revision| (client.read_catalogue)(store, revision);
+    let read = move |from| (client.read_catalogue)(store, from);
     // While the store's configuration cannot be used, the last one stays in force.
     let apply = |response: StoreRead<Catalogue>, _| {
         let newest = response.items.into_iter().max_by_key(|c| c.version);
@@ -57,11 +68,8 @@
     policy: ReadPolicy,
     messages: MessageSender,
 ) {
-    let read = move |revision| -> StoreFuture<StoreRead<EvacuationEntry>> {
-        let (response, known) = (
-            (client.read_evacuations)(store, revision),
-            Arc::clone(&known),
-        );
+    let read = move |from| -> StoreFuture<StoreRead<EvacuationEntry>> {
+        let (response, known) = ((client.read_evacuations)(store, from), Arc::clone(&known));
         Box::pin(async move { Ok(reject_unknown(response.await?, &known)) })
     };
     let mut data_centres = BTreeSet::new();
@@ -122,12 +130,17 @@
 
 async fn watch_object<T>(
     object: StoreObject,
-    read: impl Fn(Option<u64>) -> StoreFuture<StoreRead<T>>,
+    read: impl Fn(ReadFrom) -> StoreFuture<StoreRead<T>>,
     mut apply: impl FnMut(StoreRead<T>, bool) -> Option<Message>,
     mut policy: ReadPolicy,
     messages: MessageSender,
 ) {
     let mut revision = None;
+    let mut list = if policy.starts_stale {
+        ReadFrom::StaleList
+    } else {
+        ReadFrom::List
+    };
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut is_failing = false;
     loop {
@@ -136,16 +149,20 @@
         let peers_suffice = *policy.peers_suffice.borrow_and_update();
         if peers_suffice {
             tokio::select! {
-                _ = policy.peers_suffice.changed() => {}
-                _ = policy.generation.changed() => {}
+                Ok(()) = policy.peers_suffice.changed() => {}
+                Ok(()) = policy.generation.changed() => {}
+                // The process ends.
+                else => return,
             }
             revision = None;
+            list = ReadFrom::List;
             continue;
         }
         let result = tokio::select! {
-            result = read(revision) => result,
-            _ = policy.generation.changed() => {
+            result = read(revision.map_or(list, ReadFrom::Changes)) => result,
+            Ok(()) = policy.generation.changed() => {
                 revision = None;
+                list = ReadFrom::List;
                 continue;
             }
             Ok(_) = policy.peers_suffice.wait_for(|peers_suffice| *peers_suffice) => continue,
@@ -161,6 +178,7 @@
                 is_failing = false;
                 retry_delay = MIN_RETRY_DELAY;
                 let is_full_list = revision.is_none();
+                list = ReadFrom::List;
                 let has_entries = !(response.items.is_empty() && response.rejected.is_empty());
                 revision = Some(response.revision);
                 let rejected = rejected_entries(&response, object.kind());
@@ -190,13 +208,28 @@
                 if messages.send(Message::ReadFailed(object)).await.is_err() {
                     return;
                 }
-                sleep(retry_delay.mul_f64(rand::random_range(0.5..1.0))).await;
-                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                tokio::select! {
+                    () = sleep(retry_delay.mul_f64(rand::random_range(0.5..1.0))) => {}
+                    // Without support, the delay is too long.
+                    Ok(_) = policy.is_supported.wait_for(|is_supported| !*is_supported),
+                        if retry_delay > MAX_RETRY_DELAY => {}
+                }
+                retry_delay = next_delay(retry_delay, *policy.is_supported.borrow());
             }
         }
     }
 }
 
+/// Delay after one more failed read.
+fn next_delay(delay: Duration, is_supported: bool) -> Duration {
+    let longest = if is_supported {
+        SUPPORTED_RETRY_DELAY
+    } else {
+        MAX_RETRY_DELAY
+    };
+    (delay * 2).min(longest)
+}
+
 /// Message that reports the rejected entries of a response, if there are any.
 pub(crate) fn rejected_entries<T>(response: &StoreRead<T>, kind: &'static str) -> Option<Message> {
     let mut rejected = response.rejected.clone();
@@ -208,3 +241,6 @@
     }
     (!rejected.is_empty()).then_some(Message::Rejected(kind, rejected))
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/store_watch/tests.rs
@@ -0,0 +1,159 @@
+//! Tests of the watch on paused time, with a store that fails, refuses entries or does not wait.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use monsoon_model::Version;
+use tokio::sync::{mpsc, watch};
+
+use super::{ReadPolicy, watch_catalogue, watch_evacuations};
+use crate::message::Message;
+use crate::{
+    AgentRegistry, EvacuationEntry, ReadFrom, RejectedEntry, StoreClient, StoreError, StoreRead,
+};
+
+const STORE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+fn unavailable<T>() -> Result<T, StoreError> {
+    Err(StoreError::Unavailable {
+        reason: "429".to_owned(),
+    })
+}
+
+/// Store that refuses every call.
+const REFUSING: StoreClient = StoreClient {
+    read_catalogue: |_, _| Box::pin(async { unavailable() }),
+    read_evacuations: |_, _| Box::pin(async { unavailable() }),
+    list_balancers: |_| Box::pin(async { unavailable() }),
+    read_agents: |_| Box::pin(async { unavailable() }),
+    write_agents: |_, _: AgentRegistry| Box::pin(async { unavailable() }),
+    register_balancer: |_, _, _| Box::pin(async { unavailable() }),
+};
+
+fn policy(is_supported: bool) -> ReadPolicy {
+    // The senders are gone, as at the end of a process; the values stay.
+    ReadPolicy {
+        generation: watch::Sender::new(0).subscribe(),
+        peers_suffice: watch::Sender::new(false).subscribe(),
+        is_supported: watch::Sender::new(is_supported).subscribe(),
+        starts_stale: false,
+    }
+}
+
+/// Runs a watch on the catalogue for a minute and discards its messages.
+async fn watch_for_a_minute(client: StoreClient, policy: ReadPolicy) {
+    let (sender, mut messages) = mpsc::channel(8);
+    tokio::spawn(async move { while messages.recv().await.is_some() {} });
+    let watch = watch_catalogue(client, STORE, policy, sender);
+    let _ = tokio::time::timeout(Duration::from_secs(60), watch).await;
+}
+
+/// Load pattern: the store refuses a third of the processes for long. Guards against each of them
+/// calling it more than once a second although others tell it of changes, and against a process on
+/// its own that notices the return of the store late.
+#[tokio::test(start_paused = true)]
+async fn a_refused_process_that_others_support_calls_rarely() {
+    static CALLS: AtomicU64 = AtomicU64::new(0);
+    let client = StoreClient {
+        read_catalogue: |_, _| {
+            CALLS.fetch_add(1, Ordering::Relaxed);
+            Box::pin(async { unavailable() })
+        },
+        ..REFUSING
+    };
+    watch_for_a_minute(client, policy(true)).await;
+    let supported = CALLS.swap(0, Ordering::Relaxed);
+    assert!((30..=60).contains(&supported), "{supported} calls");
+    watch_for_a_minute(client, policy(false)).await;
+    let alone = CALLS.swap(0, Ordering::Relaxed);
+    assert!((75..=160).contains(&alone), "{alone} calls");
+}
+
+/// Guards against a process that calls the store without a pause when it answers watches at once.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_does_not_wait_is_called_rarely() {
+    static CALLS: AtomicU64 = AtomicU64::new(0);
+    let client = StoreClient {
+        read_catalogue: |_, _| {
+            CALLS.fetch_add(1, Ordering::Relaxed);
+            Box::pin(async { Ok(StoreRead::new(7)) })
+        },
+        ..REFUSING
+    };
+    watch_for_a_minute(client, policy(true)).await;
+    let calls = CALLS.load(Ordering::Relaxed);
+    assert!((60..=120).contains(&calls), "{calls} calls");
+}
+
+/// Guards against an evacuation that ends because its entry cannot be read any more, and against
+/// one of a data centre that does not exist.
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_ends_only_when_its_entry_is_gone() {
+    static CALLS: AtomicU64 = AtomicU64::new(0);
+    let client = StoreClient {
+        read_evacuations: |_, from| {
+            let call = CALLS.fetch_add(1, Ordering::Relaxed);
+            let entry = |name: &str, is_evacuated, revision| EvacuationEntry {
+                data_centre: name.to_owned(),
+                is_evacuated,
+                revision,
+            };
+            let rejected = |name: Option<&str>| RejectedEntry {
+                name: name.map(str::to_owned),
+                reason: "number out of range".to_owned(),
+            };
+            let mut read = StoreRead::new(10 + call);
+            match call {
+                0 => {
+                    assert_eq!(from, ReadFrom::List);
+                    read.push(Ok(entry("brno", true, 1)));
+                    read.push(Ok(entry("olomouc", true, 2)));
+                    read.push(Ok(entry("nowhere", true, 3)));
+                }
+                1 => read.push(Err(rejected(Some("brno")))),
+                2 => return Box::pin(async { Err(StoreError::Gone) }),
+                3 => {
+                    read.push(Err(rejected(Some("brno"))));
+                    read.push(Err(rejected(None)));
+                }
+                4 => read.push(Ok(entry("brno", false, 14))),
+                _ => return Box::pin(std::future::pending()),
+            }
+            Box::pin(async { Ok(read) })
+        },
+        ..REFUSING
+    };
+    let known = Arc::new(BTreeSet::from(["brno", "olomouc"].map(str::to_owned)));
+    let (sender, mut messages) = mpsc::channel(8);
+    tokio::spawn(watch_evacuations(
+        client,
+        STORE,
+        known,
+        policy(true),
+        sender,
+    ));
+    let mut seen = Vec::new();
+    while let Ok(Some(message)) =
+        tokio::time::timeout(Duration::from_secs(30), messages.recv()).await
+    {
+        match message {
+            Message::Evacuations(evacuations) | Message::ListedEvacuations(evacuations, _) => {
+                let names: Vec<_> = evacuations.data_centres.into_iter().collect();
+                seen.push((evacuations.version, names.join(" ")));
+            }
+            _ => {}
+        }
+    }
+    let expected = [
+        (Version(2), "brno olomouc"),
+        (Version(0), "brno"),
+        (Version(14), ""),
+    ];
+    assert_eq!(
+        seen,
+        expected.map(|(version, names)| (version, names.to_owned()))
+    );
+}
