--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -23,7 +23,7 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// The same while other processes are heard, which tell of a change. Each refused call is priced,
 /// and the store may refuse a part of the processes for long.
-const SUPPORTED_RETRY_DELAY: Duration = Duration::from_millis(2_000);
+const SUPPORTED_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Delay after a change, so that changes in quick succession cost one call together. Short compared
 /// with the time in which a change has to be in force.
 const CHANGE_DELAY: Duration = Duration::from_millis(600);
--- a/crates/relay/src/store_watch/tests.rs
+++ b/crates/relay/src/store_watch/tests.rs
@@ -48,7 +48,7 @@
     let (sender, mut messages) = mpsc::channel(8);
     tokio::spawn(async move { while messages.recv().await.is_some() {} });
     let watch = watch_catalogue(client, STORE, policy, sender);
-    let _ = tokio::time::timeout(Duration::from_secs(60), watch).await;
+    let _ = tokio::time::timeout(Duration::from_mins(1), watch).await;
 }
 
 /// Load pattern: the store refuses a third of the processes for long. Guards against each of them
