Ask again when the list of agents becomes complete during a lookup

Change: such a lookup asks the agents that the list has gained, and ends with certainty. Test: a_list_that_becomes_complete_during_a_lookup_ends_it, failed first.

--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -124,8 +124,7 @@
         actions: &mut Vec<Action>,
     ) {
         let possible_owners = self.possible_owners(key.address);
-        // Without any listed agent, nothing is known about the flow.
-        lookup.is_complete = self.is_list_complete(now) && !possible_owners.is_empty();
+        lookup.is_complete = self.may_ask_all(now, key);
         lookup.ask(now, &possible_owners);
         if lookup.is_answered() {
             self.apply_outcome(now, key, lookup, Outcome::NoOwner, actions);
@@ -139,6 +138,12 @@
         self.sent_lookups.push_back((now, key));
     }
 
+    /// Whether every agent that may own the flow can be asked. Without any listed agent, nothing is
+    /// known about the flow.
+    fn may_ask_all(&self, now: Instant, key: FlowKey) -> bool {
+        self.is_list_complete(now) && !self.possible_owners(key.address).is_empty()
+    }
+
     /// Acts on the outcome of a lookup.
     pub(super) fn apply_outcome(
         &mut self,
@@ -162,6 +167,11 @@
                 );
             }
             Outcome::Unknown => self.probe_next(now, key, lookup, actions),
+            // The list became complete after the queries were sent: agents that it has gained since
+            // are asked, too.
+            Outcome::NoOwner if !lookup.is_complete && self.may_ask_all(now, key) => {
+                self.send_queries(now, key, lookup, actions);
+            }
             Outcome::NoOwner
                 if !lookup.is_complete && self.wait_for_list(now, key, self.list_complete_at()) =>
             {
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -630,6 +630,30 @@
     }
 }
 
+/// Load pattern: as above. Guards against flows that are given up without a reset because the list
+/// became complete between their queries and the replies.
+#[test]
+fn a_list_that_becomes_complete_during_a_lookup_ends_it() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_joined(false);
+    balancer.set_targets(START, views([1, 2]));
+    balancer.set_registered(START, [1, 2, 3].into_iter().map(agent_at).collect());
+    let key = caller(1);
+    let now = START + Duration::from_millis(100);
+    balancer.handle_caller_packet(now, Bytes::new(), &data(key, 6));
+    balancer.set_targets(now, views([1, 2, 3]));
+    let not_owned = |balancer: &mut Balancer, agent| {
+        let ownership = Ownership::NotOwned;
+        let reply = Frame::OwnerReplies(vec![OwnerReply { key, ownership }]);
+        balancer.handle_frame(now, agent_at(agent), reply, Bytes::new(), None)
+    };
+    let mut actions = not_owned(&mut balancer, 1);
+    actions.extend(not_owned(&mut balancer, 2));
+    assert!(!actions.iter().any(is_reset), "{actions:?}");
+    let actions = not_owned(&mut balancer, 3);
+    assert!(actions.iter().any(is_reset), "{actions:?}");
+}
+
 /// Guards against entries of agents that are gone for good, which delay each recovery, and against
 /// a registry that lacks agents which have started since it was read.
 #[test]
