--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -1,6 +1,7 @@
 //! Interface to a platform: the functions that translate its packets, heartbeats, settings and
 //! store into the types of this crate and of `monsoon-flow`.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -41,6 +42,39 @@
     pub revision: u64,
     /// Entries or changes, in order.
     pub items: Vec<T>,
+    /// Entries that cannot be used, for example those of another writer.
+    pub rejected: Vec<RejectedEntry>,
+    /// Whether further entries follow that were not read, because the list has too many pages.
+    pub is_partial: bool,
+}
+
+impl<T> StoreRead<T> {
+    /// Result without entries.
+    pub fn new(revision: u64) -> Self {
+        Self {
+            revision,
+            items: Vec::new(),
+            rejected: Vec::new(),
+            is_partial: false,
+        }
+    }
+
+    /// Adds an entry, or the reason why it cannot be used.
+    pub fn push(&mut self, entry: Result<T, RejectedEntry>) {
+        match entry {
+            Ok(item) => self.items.push(item),
+            Err(rejected) => self.rejected.push(rejected),
+        }
+    }
+}
+
+/// Entry of the store that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RejectedEntry {
+    /// Name, if it can be read.
+    pub name: Option<String>,
+    /// What is wrong with the entry.
+    pub reason: String,
 }
 
 /// Whether a data centre is evacuated.
@@ -54,6 +88,15 @@
     pub revision: u64,
 }
 
+/// Agents that may own flows, as the store keeps them across restarts of all processes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AgentRegistry {
+    /// Revision of the last change; `None` when the registry does not exist.
+    pub revision: Option<u64>,
+    /// Frame addresses.
+    pub agents: BTreeSet<SocketAddrV4>,
+}
+
 /// A call to the store failed.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum StoreError {
@@ -66,6 +109,18 @@
     /// The store has discarded the changes since the revision.
     #[display("the store has discarded these changes; the whole list is read again")]
     Gone,
+    /// The object or its kind does not exist.
+    #[display("the store has no such object; check its name")]
+    NotFound,
+    /// The object exists already, or has changed since it was read.
+    #[display("the object exists already or has changed; read it again")]
+    Conflict,
+    /// The response exceeds the limit of the client.
+    #[display("the response has more than {limit} bytes; remove large entries from the store")]
+    TooLarge {
+        /// Limit in bytes.
+        limit: usize,
+    },
     /// The response cannot be parsed.
     #[display("the response of the store is malformed ({reason}); check the platform's version")]
     Malformed {
@@ -77,16 +132,31 @@
 /// Future of a call to the store.
 pub type StoreFuture<T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send>>;
 
-/// Reads and writes of the store at an address. With a revision, a read waits for the changes after
-/// it; without one, it returns the whole list.
+/// What a read of a list returns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadFrom {
+    /// The whole list, as it is now.
+    List,
+    /// The whole list, as it is now or was some seconds ago. Costs the store less.
+    StaleList,
+    /// The changes after this revision, as soon as there is one.
+    Changes(u64),
+}
+
+/// Reads and writes of the store at an address.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreClient {
     /// Reads the configurations, the newest last.
-    pub read_catalogue: fn(SocketAddr, Option<u64>) -> StoreFuture<StoreRead<Catalogue>>,
+    pub read_catalogue: fn(SocketAddr, ReadFrom) -> StoreFuture<StoreRead<Catalogue>>,
     /// Reads which data centres are evacuated.
-    pub read_evacuations: fn(SocketAddr, Option<u64>) -> StoreFuture<StoreRead<EvacuationEntry>>,
+    pub read_evacuations: fn(SocketAddr, ReadFrom) -> StoreFuture<StoreRead<EvacuationEntry>>,
     /// Lists the membership addresses of balancers. Some may be outdated.
-    pub list_balancers: fn(SocketAddr) -> StoreFuture<Vec<SocketAddr>>,
+    pub list_balancers: fn(SocketAddr) -> StoreFuture<StoreRead<SocketAddr>>,
+    /// Reads the registry of agents.
+    pub read_agents: fn(SocketAddr) -> StoreFuture<AgentRegistry>,
+    /// Replaces the registry of agents, unless it has changed since the revision. Returns the new
+    /// revision.
+    pub write_agents: fn(SocketAddr, AgentRegistry) -> StoreFuture<u64>,
     /// Records the membership address of the balancer on the named instance.
     pub register_balancer: fn(SocketAddr, String, SocketAddrV4) -> StoreFuture<()>,
 }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -1,5 +1,9 @@
-//! Discovery of balancers through the store, for processes whose seeds in the settings are all
-//! unreachable.
+//! Discovery through the store: of balancers, for processes whose seeds in the settings are all
+//! unreachable, and of agents, for balancers that start when no other balancer knows them.
+//!
+//! The registry of agents is one object, which one balancer keeps up to date and each balancer that
+//! starts reads once. It tells a balancer which agents it has to hear of before it may take a flow without
+//! owner for ended.
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -8,10 +12,13 @@
 use tokio::time::sleep;
 
 use crate::message::{Message, MessageSender};
-use crate::{Settings, StoreClient};
+use crate::store_watch::rejected_entries;
+use crate::{AgentRegistry, Settings, StoreClient};
 
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Delay before a failed read of the registry is retried. Flows without owner wait for it.
+const REGISTRY_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Least time between two reads while no other process is received from.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -38,10 +45,14 @@
 ) {
     loop {
         match (client.list_balancers)(store).await {
-            Ok(mut balancers) => {
+            Ok(response) => {
+                let rejected = rejected_entries(&response, "balancers");
+                let mut balancers = response.items;
                 balancers.retain(|&address| address != SocketAddr::V4(own_address));
-                if messages.send(Message::Balancers(balancers)).await.is_err() {
-                    return;
+                for message in rejected.into_iter().chain([Message::Balancers(balancers)]) {
+                    if messages.send(message).await.is_err() {
+                        return;
+                    }
                 }
                 sleep(READ_INTERVAL).await;
                 if is_isolated
@@ -59,3 +70,38 @@
         }
     }
 }
+
+/// Reads the registry of agents, with retries until the store answers.
+pub(crate) async fn read_registry(client: StoreClient, store: SocketAddr, messages: MessageSender) {
+    loop {
+        match (client.read_agents)(store).await {
+            Ok(registry) => {
+                log::info!("registry: read agents={}", registry.agents.len());
+                // Sending fails only when the process ends.
+                let _ = messages.send(Message::Registry(registry)).await;
+                return;
+            }
+            Err(error) => {
+                log::warn!("registry: not read; retrying error=\"{error}\"");
+                sleep(REGISTRY_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Writes the registry of agents once.
+pub(crate) async fn write_registry(
+    client: StoreClient,
+    store: SocketAddr,
+    registry: AgentRegistry,
+    messages: MessageSender,
+) {
+    let agents = registry.agents.clone();
+    let written = (client.write_agents)(store, registry).await;
+    let result = written.map(|revision| AgentRegistry {
+        revision: Some(revision),
+        agents,
+    });
+    // Sending fails only when the process ends.
+    let _ = messages.send(Message::RegistryWritten(result)).await;
+}
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -25,7 +25,8 @@
 use crate::message::{Message, MessageSender, QUEUE_LENGTH};
 use crate::metrics::Metrics;
 use crate::peers::{self, SharedConfiguration};
-use crate::{Adapter, Settings};
+use crate::rejection_log::RejectionLog;
+use crate::{Adapter, AgentRegistry, Settings, discovery};
 
 /// Largest datagram: a packet of 1,232 bytes and the largest frame header.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
@@ -104,6 +105,7 @@
     pub adapter: Adapter,
     pub clock: Clock,
     pub decision_log: DecisionLog,
+    pub rejections: RejectionLog,
     pub metrics: Metrics,
     pub catalogue: Option<Arc<Catalogue>>,
     pub evacuations: Evacuations,
@@ -118,6 +120,8 @@
     generation: watch::Sender<u64>,
     /// Whether balancers announce changes to this agent, so that it need not watch the store.
     peers_suffice: watch::Sender<bool>,
+    /// Whether the configuration is checked and other processes announce changes.
+    is_supported: watch::Sender<bool>,
     /// Time of the agent's last fetch from a peer.
     fetched_at: Instant,
     /// Whether no membership message was received for [`ISOLATED_AFTER`].
@@ -197,10 +201,14 @@
         });
         // Each call to the store is priced, and balancers answer every announcement of an agent
         // with their versions. A balancer itself always watches the store.
-        let peers_suffice =
-            self.config_checked && !is_isolated && matches!(role_state, RoleState::Agent(_));
-        self.peers_suffice
-            .send_if_modified(|old| std::mem::replace(old, peers_suffice) != peers_suffice);
+        let is_supported = self.config_checked && !is_isolated;
+        let peers_suffice = is_supported && matches!(role_state, RoleState::Agent(_));
+        for (sender, value) in [
+            (&self.is_supported, is_supported),
+            (&self.peers_suffice, peers_suffice),
+        ] {
+            sender.send_if_modified(|old| std::mem::replace(old, value) != value);
+        }
         match role_state {
             RoleState::Balancer(balancer) => balancer.tick(self, now),
             RoleState::Agent(agent) => agent.tick(self, now),
@@ -279,6 +287,12 @@
                     self.set_config_checked(role_state, "peer");
                 }
             }
+            Message::Rejected(kind, entries) => {
+                for entry in entries {
+                    let name = entry.name.unwrap_or_default();
+                    self.rejections.record(now, kind, name, entry.reason);
+                }
+            }
             Message::ReadFailed(object) => {
                 self.freshness.is_failing[object as usize] = true;
                 self.fetch_from_seed();
@@ -287,6 +301,16 @@
                 RoleState::Balancer(balancer) => balancer.node.add_seeds(balancers),
                 RoleState::Agent(agent) => agent.node.add_seeds(balancers),
             },
+            Message::Registry(registry) => {
+                if let RoleState::Balancer(balancer) = role_state {
+                    balancer.set_registry(self, now, registry);
+                }
+            }
+            Message::RegistryWritten(result) => {
+                if let RoleState::Balancer(balancer) = role_state {
+                    balancer.registry_written(self, result);
+                }
+            }
             Message::Heartbeat(heartbeat, reply) => {
                 if let RoleState::Agent(agent) = role_state {
                     agent.receive_heartbeat(self, now, heartbeat);
@@ -320,7 +344,8 @@
                     RoleState::Balancer(balancer) => balancer.gauges(),
                     RoleState::Agent(agent) => agent.gauges(now),
                 };
-                let _ = reply.send(self.metrics.render(self.decision_log.counts(), &gauges));
+                let (decisions, rejections) = (self.decision_log.counts(), &self.rejections);
+                let _ = reply.send(self.metrics.render(decisions, rejections, &gauges));
             }
             Message::Readiness(reply) => {
                 let is_ready = match role_state {
@@ -334,6 +359,23 @@
         }
     }
 
+    /// Reads the registry of agents in the background.
+    pub(crate) fn read_registry(&self) {
+        let (client, store) = (self.adapter.store_client, self.settings.store);
+        tokio::spawn(discovery::read_registry(
+            client,
+            store,
+            self.messages.clone(),
+        ));
+    }
+
+    /// Writes the registry of agents in the background.
+    pub(crate) fn write_registry(&self, registry: AgentRegistry) {
+        let (client, store) = (self.adapter.store_client, self.settings.store);
+        let messages = self.messages.clone();
+        tokio::spawn(discovery::write_registry(client, store, registry, messages));
+    }
+
     /// Begins to stop. Returns the time at which the process ends.
     fn stop(&mut self, role_state: &mut RoleState) -> Instant {
         self.is_stopping = true;
