Give each request to a target a connection of its own

A target that repeats an answer late, on a connection that was in use again, answered the next caller with it: HTTP/1.1 does not tell to which request an answer belongs. Ruled out: waiting until a connection was quiet before it is used again, since a repetition may come later.

Change: the agent of the first data path opens a connection for each request to its target, on the same instance, and closes it after the answer. Test: a_repeated_answer_reaches_no_other_caller, failed first (the second caller got the first one's answer).

--- a/crates/daemon/src/agent/health.rs
+++ b/crates/daemon/src/agent/health.rs
@@ -83,6 +83,5 @@
         .await
         .ok()?
         .to_bytes();
-    exchange.complete();
     serde_json::from_slice(&body).ok()
 }
--- a/crates/daemon/src/agent/local.rs
+++ b/crates/daemon/src/agent/local.rs
@@ -160,12 +160,13 @@
             }
         }
     }
+    // The connection had to stay open until the whole response was read.
+    drop(exchange);
     permit.set_outcome(if is_overloaded {
         Outcome::Failed
     } else {
         Outcome::Ok
     });
-    exchange.complete();
     send_frame(replies, ResponseFrame::End).await
 }
 
--- a/crates/daemon/src/agent/target.rs
+++ b/crates/daemon/src/agent/target.rs
@@ -1,11 +1,13 @@
 //! HTTP/1.1 client for the local target.
 //!
 //! The error type says whether the target may have received the request, because only a request
-//! that was certainly not sent may run elsewhere. A connection whose response is not read to its end
-//! is closed, which cancels the request at the target.
+//! that was certainly not sent may run elsewhere.
+//!
+//! Each connection carries one request. HTTP/1.1 does not tell to which request a response belongs,
+//! so a target that repeats a response late would answer the next request of a reused connection
+//! with it. Closing the connection early cancels the request at the target.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,8 +22,6 @@
 
 /// Longest wait for a TCP connection to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Most idle connections kept; a further one is closed.
-const IDLE_CONNECTIONS_MAX: usize = 32;
 
 /// Body of a request to the target.
 pub type RequestBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -51,54 +51,23 @@
     },
 }
 
-/// Client of the local target with its idle connections.
+/// Client of the local target.
 #[derive(Clone, Debug)]
 pub struct Target {
     address: SocketAddr,
-    idle: Arc<Mutex<Vec<Connection>>>,
-}
-
-#[derive(Debug)]
-struct Connection {
-    sender: SendRequest<RequestBody>,
-    driver: AbortHandle,
 }
 
 impl Target {
-    /// Client without any connection.
+    /// Client of the target at this address.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            idle: Arc::default(),
-        }
+        Self { address }
     }
 
-    /// Reserves an idle connection or opens one.
+    /// Opens a connection for one request.
     ///
     /// # Errors
     /// Returns [`TargetError::NotRun`] when no connection can be made.
     pub async fn connect(&self) -> Result<Exchange, TargetError> {
-        let connection = match self.take_idle() {
-            Some(connection) => connection,
-            None => self.open().await?,
-        };
-        Ok(Exchange {
-            target: self.clone(),
-            connection: Some(connection),
-        })
-    }
-
-    fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle.lock().expect("no panic while the lock is held");
-        while let Some(connection) = idle.pop() {
-            if connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    async fn open(&self) -> Result<Connection, TargetError> {
         let not_run = |reason: String| TargetError::NotRun {
             address: self.address,
             reason,
@@ -118,18 +87,21 @@
                 log::debug!("target: connection closed by an error: {error}");
             }
         });
-        Ok(Connection {
+        Ok(Exchange {
+            address: self.address,
             sender,
             driver: task.abort_handle(),
         })
     }
 }
 
-/// One request and its response on a reserved connection; dropping it cancels the request.
+/// One request and its response on a connection of their own; dropping it before the response was
+/// read cancels the request.
 #[derive(Debug)]
 pub struct Exchange {
-    target: Target,
-    connection: Option<Connection>,
+    address: SocketAddr,
+    sender: SendRequest<RequestBody>,
+    driver: AbortHandle,
 }
 
 impl Exchange {
@@ -142,15 +114,8 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, TargetError> {
-        let address = self.target.address;
-        let Some(connection) = &mut self.connection else {
-            return Err(TargetError::NotRun {
-                address,
-                reason: "the exchange is complete".into(),
-            });
-        };
-        connection
-            .sender
+        let address = self.address;
+        self.sender
             .try_send_request(request)
             .await
             .map_err(|mut error| {
@@ -163,27 +128,13 @@
                 }
             })
     }
-
-    /// Keeps the connection for reuse after the response was read to its end.
-    pub fn complete(mut self) {
-        let Some(connection) = self.connection.take() else {
-            return;
-        };
-        let mut idle = self
-            .target
-            .idle
-            .lock()
-            .expect("no panic while the lock is held");
-        if idle.len() < IDLE_CONNECTIONS_MAX {
-            idle.push(connection);
-        }
-    }
 }
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        if let Some(connection) = &self.connection {
-            connection.driver.abort();
-        }
+        self.driver.abort();
     }
 }
+
+#[cfg(test)]
+mod tests;
