Replace a registry of agents that cannot be used

Cause: a registry whose contents another writer spoiled was read again five times a second for ever, and one that was deleted was never written again.

--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -145,7 +145,7 @@
             }
             Err(error) => {
                 log::warn!("registry: not written error=\"{error}\"");
-                if error == StoreError::Conflict {
+                if matches!(error, StoreError::Conflict | StoreError::NotFound) {
                     process.read_registry();
                 }
             }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -17,8 +17,11 @@
 
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Delay before a failed read of the registry is retried. Flows without owner wait for it.
+/// First delay before a failed read of the registry is retried; doubles up to
+/// [`MAX_REGISTRY_DELAY`]. Flows without owner wait for it.
 const REGISTRY_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Longest delay before a failed read of the registry is retried.
+const MAX_REGISTRY_DELAY: Duration = Duration::from_secs(5);
 /// Least time between two reads while no other process is received from.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -73,6 +76,7 @@
 
 /// Reads the registry of agents, with retries until the store answers.
 pub(crate) async fn read_registry(client: StoreClient, store: SocketAddr, messages: MessageSender) {
+    let mut delay = REGISTRY_RETRY_DELAY;
     loop {
         match (client.read_agents)(store).await {
             Ok(registry) => {
@@ -83,7 +87,8 @@
             }
             Err(error) => {
                 log::warn!("registry: not read; retrying error=\"{error}\"");
-                sleep(REGISTRY_RETRY_DELAY).await;
+                sleep(delay).await;
+                delay = (delay * 2).min(MAX_REGISTRY_DELAY);
             }
         }
     }
