--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -2,8 +2,8 @@
 //! unreachable, and of agents, for balancers that start when no other balancer knows them.
 //!
 //! The registry of agents is one object, which one balancer keeps up to date and each balancer that
-//! starts reads once. It tells a balancer which agents it has to hear of before it may take a flow without
-//! owner for ended.
+//! starts reads once. It tells a balancer which agents it has to hear of before it may take a flow
+//! without owner for ended.
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
