--- a/crates/relay/src/store_watch/tests.rs
+++ b/crates/relay/src/store_watch/tests.rs
@@ -78,7 +78,9 @@
     static CALLS: AtomicU64 = AtomicU64::new(0);
     let client = StoreClient {
         read_catalogue: |_, _| {
-            CALLS.fetch_add(1, Ordering::Relaxed);
+            // Without a pause between the calls, the paused time would never advance.
+            let calls = CALLS.fetch_add(1, Ordering::Relaxed);
+            assert!(calls < 1_000, "the store is called without a pause");
             Box::pin(async { Ok(StoreRead::new(7)) })
         },
         ..REFUSING
