Review: rollouts of both roles at the same time

Cause: a balancer that does not know the owner of a flow hands packets of the flow to agents that cannot tell, also while it does not know all agents, and without a limit for one flow.

--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -394,8 +394,7 @@
         to = self.deployment.routers.node(self.zone, self.key)
         packet = Packet(self.source, self.route, flags, self.seq if seq is None else seq,
                         self.ack if ack is None else ack, data)
-        if to:
-            self.deployment.client_udp.sendto(packet.encode(), to)
+        self.deployment.client_udp.sendto(packet.encode(), to)
         self.used_at = time.monotonic()
 
     def receive(self, packet):
@@ -523,7 +522,7 @@
         elif 2 * len(nodes) < len(own):
             nodes = own
         if not nodes:
-            return None
+            nodes = own
         best = max(nodes, key=lambda m: zlib.crc32(repr((m.name, key)).encode()))
         return best.ip, self.deployment.ports["udp"]
 
