--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,14 +11,14 @@
 
 ZONES = ["brno-a", "brno-b", "olomouc"]
 OLD, NEW = "huvo11a", "wuno96b"
-ROUTE = ("198.18.0.1", 8443)
-OTHER = ("198.18.0.2", 8443)
+ROUTE = ("127.18.0.1", 8443)
+OTHER = ("127.18.0.2", 8443)
 FLOWS = 24
 
 
-def deployment(directory):
+def deployment(record):
     sides = [(zone, OLD) for zone in ZONES] + [(zone, NEW) for zone in ZONES]
-    return Deployment(ZONES, ZONES, sides, [OLD, NEW], directory)
+    return Deployment(ZONES, ZONES, sides, [OLD, NEW], record)
 
 
 async def keep_asking(client):
@@ -67,4 +67,4 @@
     return broken > 0
 
 
-main(sys.modules[__name__], HERE)
+main(sys.modules[__name__])
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -378,7 +378,7 @@
         self.key = (self.source, route)
         self.outcome = None  # how it ended: refused, silent, reset by the system, reset
         self.is_open, self.ended = False, asyncio.Event()
-        self.opened_at = self.used_at = None
+        self.opened_at = self.used_at = self.ended_at = None
         self.input, self.wake = b"", asyncio.Event()
         self.sent_at = None
         self.answers = []
@@ -422,7 +422,7 @@
         self.wake.set()
 
     def finish(self, outcome):
-        self.outcome = outcome
+        self.outcome, self.ended_at = outcome, time.monotonic()
         self.ended.set()
         self.wake.set()
 
@@ -528,11 +528,10 @@
 
 
 class Deployment:
-    def __init__(self, zones, fronts, sides, services, directory):
-        self.directory = Path(directory)
+    def __init__(self, zones, fronts, sides, services, record):
         self.zones, self.services = zones, services
         self.begun = time.monotonic()
-        self.record = open(self.directory / "record.txt", "w")
+        self.record = open(record, "w")
         self.scratch = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = f"127.{random.randint(60, 250)}.{random.randint(1, 250)}"
         self.client_ip = f"{self.net}.200"
@@ -696,6 +695,19 @@
                 for line in found[:limit]:
                     print(f"          log {machine.name}: {line}", file=self.record)
 
+    def write_requests(self):
+        """Writes every request that was sent, run and answered, in the order of time."""
+        lines = [(at, f"sent {number} to {route[0]}:{route[1]}") for at, number, route in self.sent]
+        lines += [(at, f"run {number} by {identity} of {service}")
+                  for at, number, service, identity in self.ran]
+        lines += [(at, f"answered {text}")
+                  for client in self.clients.values() for at, text in client.answers]
+        lines += [(client.ended_at, f"flow {source[1]} ended: {client.outcome}")
+                  for source, client in self.clients.items() if client.ended_at]
+        print(f"requests: sent {len(self.sent)}, run {len(self.ran)}", file=self.record)
+        for at, text in sorted(lines):
+            print(f"{at - self.begun:9.3f} {text}", file=self.record)
+
     async def end(self):
         for task in self.tasks:
             task.cancel()
@@ -707,6 +719,7 @@
             if process and process.returncode is None:
                 process.kill()
                 await process.wait()
+        self.write_requests()
         self.record.close()
         if os.environ.get("KEEP_LOGS") != "1":
             shutil.rmtree(self.scratch, ignore_errors=True)
@@ -714,13 +727,16 @@
             print(self.scratch)
 
 
-def main(play, directory):
-    """Runs a case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    trouble = os.environ.get("TROUBLE", "1")
+def main(play):
+    """Runs a case, with the arguments of its run.sh: TROUBLE and the path of the record.
+
+    Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+    """
+    trouble, record = sys.argv[1:]
     trouble = False if trouble == "0" else trouble
 
     async def run():
-        deployment = play.deployment(directory)
+        deployment = play.deployment(record)
         try:
             deployment.note(f"trouble={trouble}")
             broken = await asyncio.wait_for(play.play(deployment, trouble), 110)
