Look for the owner of a flow at the agents of all services

Cause: a balancer asked only the agents of services that the route had led to since the balancer's own start, and took their denials for certain. One that starts after the change, or that missed a version, does not know the former service.

Evidence: the resetting balancer wrote "asked agents=3" of 6 and then "reset reason=nobody holds it"; one that had both versions in force wrote "asked agents=6" and "found" for the same flow.

Change: the services that a route is known to have led to only tell which agents are asked first. Before a flow counts as without owner, the agents of all services are asked, also when a likely owner does not reply.

--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -62,7 +62,9 @@
             Some(Flow::LookingUp(lookup)) => lookup.queue_packet(packet, info),
             // None of the probed agents owns the flow, or some did not reply.
             Some(Flow::Probing(lookup)) if now.since(lookup.last_sent) >= PROBE_TIMEOUT => {
-                self.look_up(now, packet, info, None, actions);
+                let mut lookup = Lookup::new(now, info.ack);
+                lookup.queue_packet(packet, info);
+                self.ask_all(now, key, lookup, actions);
             }
             Some(Flow::Probing(lookup)) => {
                 let agents = lookup.pending_probes();
@@ -115,7 +117,8 @@
         self.send_queries(now, info.key, lookup, actions);
     }
 
-    /// Asks all agents that may own the flow and have not denied it.
+    /// Asks the agents that may own the flow and have not denied it: at first the likely owners, then
+    /// all.
     pub(super) fn send_queries(
         &mut self,
         now: Instant,
@@ -123,9 +126,13 @@
         mut lookup: Lookup,
         actions: &mut Vec<Action>,
     ) {
-        let possible_owners = self.possible_owners(key.address);
+        let owners = if lookup.asks_all {
+            self.possible_owners()
+        } else {
+            self.likely_owners(key.address)
+        };
         lookup.is_complete = self.may_ask_all(now, key);
-        lookup.ask(now, &possible_owners);
+        lookup.ask(now, &owners);
         if lookup.is_answered() {
             self.apply_outcome(now, key, lookup, Outcome::NoOwner, actions);
             return;
@@ -138,10 +145,22 @@
         self.sent_lookups.push_back((now, key));
     }
 
+    /// Asks the agents of all services, because no likely owner has confirmed the flow.
+    fn ask_all(
+        &mut self,
+        now: Instant,
+        key: FlowKey,
+        mut lookup: Lookup,
+        actions: &mut Vec<Action>,
+    ) {
+        lookup.asks_all = true;
+        self.send_queries(now, key, lookup, actions);
+    }
+
     /// Whether every agent that may own the flow can be asked. Without any listed agent, nothing is
     /// known about the flow.
     fn may_ask_all(&self, now: Instant, key: FlowKey) -> bool {
-        self.is_list_complete(now) && !self.possible_owners(key.address).is_empty()
+        self.is_list_complete(now) && !self.likely_owners(key.address).is_empty()
     }
 
     /// Acts on the outcome of a lookup.
@@ -167,6 +186,7 @@
                 );
             }
             Outcome::Unknown => self.probe_next(now, key, lookup, actions),
+            Outcome::NoOwner if !lookup.asks_all => self.ask_all(now, key, lookup, actions),
             // The list became complete after the queries were sent: agents that it has gained since
             // are asked, too.
             Outcome::NoOwner if !lookup.is_complete && self.may_ask_all(now, key) => {
@@ -203,7 +223,9 @@
         actions: &mut Vec<Action>,
     ) {
         let agents = lookup.unknown.iter().map(|&at| (at, self.targets.get(&at)));
-        let ranked = rank_owners(key.hash(), self.settings.data_centre, agents);
+        let mut ranked = rank_owners(key.hash(), self.settings.data_centre, agents);
+        let likely_owners = self.likely_owners(key.address);
+        ranked.sort_by_key(|agent| !likely_owners.contains(agent));
         let wave = lookup.next_wave(ranked);
         if !wave.is_empty() {
             actions.push(log(key, "tried", format!("agents={}", wave.len())));
@@ -229,6 +251,8 @@
             Some(Flow::LookingUp(mut lookup)) if lookup.last_sent == at => {
                 if !lookup.unknown.is_empty() {
                     self.apply_outcome(now, key, lookup, Outcome::Unknown, actions);
+                } else if !lookup.asks_all {
+                    self.ask_all(now, key, lookup, actions);
                 } else if now.since(lookup.started_at) < LOOKUP_TIMEOUT {
                     self.batches
                         .add(lookup.unanswered(), lookup.query(key), actions);
--- a/crates/flow/src/balancer/targets.rs
+++ b/crates/flow/src/balancer/targets.rs
@@ -152,8 +152,15 @@
         self.followed_since + wait
     }
 
-    /// Agents that may own a flow of the route: those of every service that it has led to.
-    pub(super) fn possible_owners(&self, address: SocketAddrV4) -> BTreeSet<SocketAddrV4> {
+    /// Agents that may own a flow, whatever its route. The route may have led to any service before
+    /// this process started, or by a version that it never had in force.
+    pub(super) fn possible_owners(&self) -> BTreeSet<SocketAddrV4> {
+        self.owners_where(|_| true)
+    }
+
+    /// Agents that most likely own a flow of the route: those of the services that it is known to
+    /// have led to.
+    pub(super) fn likely_owners(&self, address: SocketAddrV4) -> BTreeSet<SocketAddrV4> {
         let services: BTreeSet<_> = self
             .past_services
             .get(&address)
@@ -161,11 +168,15 @@
             .flatten()
             .map(|service| service.service_id())
             .collect();
-        let serves = |agent: &RecentAgent| {
-            agent.presence != Presence::Ended && services.contains(&agent.service)
-        };
-        let recent = self.recent_agents.iter().filter(|(_, agent)| serves(agent));
-        recent.map(|(&at, _)| at).collect()
+        self.owners_where(|agent| services.contains(&agent.service))
+    }
+
+    fn owners_where(&self, is_meant: impl Fn(&RecentAgent) -> bool) -> BTreeSet<SocketAddrV4> {
+        let recent = self.recent_agents.iter();
+        recent
+            .filter(|(_, agent)| agent.presence != Presence::Ended && is_meant(agent))
+            .map(|(&at, _)| at)
+            .collect()
     }
 
     pub(super) fn suspect(&mut self, now: Instant, agent: SocketAddrV4) {
--- a/crates/flow/src/lookup.rs
+++ b/crates/flow/src/lookup.rs
@@ -1,6 +1,7 @@
 //! Lookup of the owner of a flow that a balancer does not know.
 //!
-//! The balancer asks every agent that may own the flow. Agents that restarted beside a running
+//! The balancer asks the agents of the services that the route is known to have led to, and then all
+//! others: only when every agent has denied the flow does it have no owner. Agents that restarted beside a running
 //! target cannot tell. If no agent confirms that it owns the flow, packets are sent to those that
 //! cannot tell, in waves: a target returns a packet of a flow that it does not know.
 
@@ -44,7 +45,10 @@
     has_data: bool,
     /// Sequence number that the caller expects next.
     pub ack: u32,
-    /// Whether every agent that may own the flow was asked.
+    /// Whether the agents of all services are asked, in place of those that the route is known to
+    /// have led to.
+    pub asks_all: bool,
+    /// Whether the list of agents was complete when they were asked.
     pub is_complete: bool,
 }
 
@@ -73,6 +77,7 @@
             packets: VecDeque::new(),
             has_data: false,
             ack,
+            asks_all: false,
             is_complete: false,
         }
     }
--- a/crates/flow/tests/world/mod.rs
+++ b/crates/flow/tests/world/mod.rs
@@ -57,10 +57,12 @@
 
 /// Configuration of one route to the service [`tag`].
 pub fn catalogue(version: u64) -> Catalogue {
-    let share = Share {
-        service: tag(),
-        weight: 1,
-    };
+    catalogue_to(version, tag())
+}
+
+/// Configuration of one route to a service.
+pub fn catalogue_to(version: u64, service: ServiceTag) -> Catalogue {
+    let share = Share { service, weight: 1 };
     let route_of = Route {
         name: "r".to_owned(),
         shares: vec![share],
@@ -120,13 +122,17 @@
 }
 
 pub fn ready_balancer(now: Instant, number: u8) -> Balancer {
+    ready_balancer_with(now, number, catalogue(1))
+}
+
+pub fn ready_balancer_with(now: Instant, number: u8, catalogue: Catalogue) -> Balancer {
     let settings = BalancerSettings {
         frame_address: balancer_at(number),
         data_centre: DataCentreId(1),
         flow_ttl: Duration::from_secs(60),
     };
     let mut balancer = Balancer::new(now, settings);
-    balancer.set_catalogue(Arc::new(catalogue(1)));
+    balancer.set_catalogue(Arc::new(catalogue));
     balancer.set_config_checked();
     balancer
 }
