Notice changes within seconds after lost answers of the store

Cause: an answer of the store may be lost while its connection stays open. Nothing but the end of the wait (25 s) shows this. Processes tell each other of newer versions, but when all watches lost the same answer, nobody knew it; and a newer set of evacuations was never fetched from a peer while the own watch had not failed.

Change: two balancers of a group wait 1 s instead of 25 s and give up half a second later; the next call does not wait. A balancer that takes over this duty, or hears of a change that its watch has not delivered for 0.4 s, asks the store at once and the peer meanwhile, for evacuations as well. The time that a watch waits is now decided here, not by the platform's client. The log says "store: behind", counted as watch_late.

--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -139,8 +139,13 @@
     List,
     /// The whole list, as it is now or was some seconds ago. Costs the store less.
     StaleList,
-    /// The changes after this revision, as soon as there is one.
-    Changes(u64),
+    /// The changes after a revision.
+    Changes {
+        /// Revision up to which the changes are known.
+        after: u64,
+        /// Time for which the store waits for a change.
+        wait: std::time::Duration,
+    },
 }
 
 /// Reads and writes of the store at an address.
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -21,6 +21,10 @@
 /// Interval at which the registry of agents is compared with the list. Agents that start together
 /// cost one write.
 const REGISTRATION_INTERVAL: Duration = Duration::from_secs(1);
+/// Balancers of a group that watch the store closely. One of them may be down or cut off.
+const CLOSE_WATCHERS: usize = 2;
+/// Salt of the ranking that selects them.
+const WATCH_SALT: u64 = hash::bytes(b"store-watch");
 /// Salt of the ranking that selects the balancer which writes the registry of agents.
 const REGISTRY_SALT: u64 = hash::bytes(b"agent-registry");
 
@@ -31,6 +35,8 @@
     pub node: BalancerNode,
     next_refresh: Instant,
     next_registration: Instant,
+    /// Whether this balancer is one of those that watch the store closely.
+    is_on_duty: bool,
     /// Registry of agents as this process last read or wrote it.
     registry: Option<AgentRegistry>,
     /// Whether a write of the registry is in progress.
@@ -54,6 +60,7 @@
             node: BalancerNode::new(now, member, seeds, rand::random()),
             next_refresh: now,
             next_registration: now + REGISTRATION_INTERVAL,
+            is_on_duty: true,
             registry: None,
             is_writing: false,
             announced_state: None,
@@ -169,8 +176,14 @@
         }
     }
 
+    /// Whether this balancer is one of those that watch the store closely.
+    pub(crate) fn is_on_duty(&self) -> bool {
+        self.is_on_duty
+    }
+
     fn refresh_targets(&mut self, process: &mut Process, now: Instant) {
         self.next_refresh = now + REFRESH_INTERVAL;
+        self.is_on_duty = self.node.own_rank(WATCH_SALT) < CLOSE_WATCHERS;
         self.flows.set_joined(self.node.has_joined_older());
         let actions = self.flows.set_targets(now, targets(now, &self.node));
         process.perform_flow_actions(now, actions);
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -37,6 +37,8 @@
 /// Time for which a process with an outdated configuration waits for its watch of the store before
 /// it asks a peer.
 const WATCH_GRACE: Duration = Duration::from_millis(400);
+/// Least time between two polls of the store because a peer has a newer configuration.
+const REWATCH_INTERVAL: Duration = Duration::from_secs(2);
 /// Least time between two fetches of an agent from peers, so that changes in quick succession cost
 /// one fetch.
 const FETCH_INTERVAL: Duration = Duration::from_millis(300);
@@ -94,8 +96,8 @@
     is_read: [bool; 2],
     /// Which objects could not be read at the last attempt.
     is_failing: [bool; 2],
-    /// Time since which a peer is known to have a newer configuration.
-    behind_since: Option<Instant>,
+    /// Time since which a peer is known to have a newer version of an object.
+    behind_since: [Option<Instant>; 2],
 }
 
 /// State of a process that does not depend on its role.
@@ -122,6 +124,12 @@
     peers_suffice: watch::Sender<bool>,
     /// Whether the configuration is checked and other processes announce changes.
     is_supported: watch::Sender<bool>,
+    /// Whether other processes rely on this one to notice changes in the store soon.
+    is_on_duty: watch::Sender<bool>,
+    /// Raised when a peer has a change that the watches of the store have not delivered.
+    behind: watch::Sender<u64>,
+    /// Time at which `behind` was last raised.
+    rewatched_at: Instant,
     /// Time of the agent's last fetch from a peer.
     fetched_at: Instant,
     /// Whether no membership message was received for [`ISOLATED_AFTER`].
@@ -200,11 +208,15 @@
             changed
         });
         // Each call to the store is priced, and balancers answer every announcement of an agent
-        // with their versions. A balancer itself always watches the store.
-        let is_supported = self.config_checked && !is_isolated;
-        let peers_suffice = is_supported && matches!(role_state, RoleState::Agent(_));
+        // with their versions. A balancer itself always watches the store, and a few of them closely.
+        let has_peers = self.config_checked && !is_isolated;
+        let (is_on_duty, peers_suffice) = match role_state {
+            RoleState::Balancer(balancer) => (is_isolated || balancer.is_on_duty(), false),
+            RoleState::Agent(_) => (!has_peers, has_peers),
+        };
         for (sender, value) in [
-            (&self.is_supported, is_supported),
+            (&self.is_supported, has_peers && !is_on_duty),
+            (&self.is_on_duty, is_on_duty),
             (&self.peers_suffice, peers_suffice),
         ] {
             sender.send_if_modified(|old| std::mem::replace(old, value) != value);
--- a/crates/relay/src/process/configuration.rs
+++ b/crates/relay/src/process/configuration.rs
@@ -7,8 +7,8 @@
 use monsoon_flow::{Catalogue, Evacuations};
 use monsoon_model::{Instant, Version, Versions};
 
-use super::{FETCH_INTERVAL, Process, RoleState, WATCH_GRACE};
-use crate::message::Message;
+use super::{FETCH_INTERVAL, Process, REWATCH_INTERVAL, RoleState, WATCH_GRACE};
+use crate::message::{Message, StoreObject};
 use crate::{Settings, peers};
 
 /// Marks the end of a fetch when it is dropped, also when the fetch panics.
@@ -30,7 +30,7 @@
 
     /// Handles a peer's message that it has a newer configuration. Usually the watch of the store
     /// delivers it; it is fetched from the peer when the store does not answer or the watch is
-    /// late.
+    /// late. The answer to a late watch may be lost, so that the store is polled, too.
     pub(super) fn handle_newer_peer(&mut self, now: Instant, peer: SocketAddr, versions: Versions) {
         let own = self.versions();
         if *self.peers_suffice.borrow() {
@@ -40,17 +40,31 @@
             }
             return;
         }
-        let document_is_newer = versions.document > own.document;
-        let since = *self.freshness.behind_since.get_or_insert(now);
-        let is_late = document_is_newer && now.since(since) >= WATCH_GRACE;
-        let store_fails = self.freshness.is_failing.contains(&true);
-        if !document_is_newer {
-            self.freshness.behind_since = None;
+        let is_newer = [
+            versions.document > own.document,
+            versions.evacuations > own.evacuations,
+        ];
+        let mut is_late = false;
+        for (since, is_newer) in self.freshness.behind_since.iter_mut().zip(is_newer) {
+            *since = is_newer.then(|| since.unwrap_or(now));
+            is_late |= since.is_some_and(|since| now.since(since) >= WATCH_GRACE);
         }
-        if !(is_late || store_fails && versions.is_ahead_of(own)) {
-            return;
+        if is_late && now.since(self.rewatched_at) >= REWATCH_INTERVAL {
+            self.rewatched_at = now;
+            self.behind.send_modify(|behind| *behind += 1);
+            self.metrics.count("watch_late");
+            log::warn!(
+                "store: behind peer={peer} config={} newer={} places={} newer={}",
+                own.document,
+                versions.document,
+                own.evacuations,
+                versions.evacuations
+            );
+        }
+        let store_fails = self.freshness.is_failing.contains(&true);
+        if is_late || store_fails && versions.is_ahead_of(own) {
+            self.fetch_from_peer(peer);
         }
-        self.fetch_from_peer(peer);
     }
 
     /// Fetches the configuration of a peer, unless another fetch is in progress.
@@ -99,7 +113,7 @@
             catalogue.services.len()
         );
         self.catalogue = Some(Arc::clone(&catalogue));
-        self.freshness.behind_since = None;
+        self.freshness.behind_since[StoreObject::Catalogue as usize] = None;
         match role_state {
             RoleState::Balancer(balancer) => balancer.flows.set_catalogue(catalogue),
             RoleState::Agent(agent) => agent.flows.set_catalogue(catalogue),
@@ -115,6 +129,7 @@
         if evacuations.version < self.evacuations.version {
             return;
         }
+        self.freshness.behind_since[StoreObject::Places as usize] = None;
         if evacuations.data_centres != self.evacuations.data_centres {
             log::info!(
                 "places: in force places={} out={:?}",
--- a/crates/relay/src/process/start.rs
+++ b/crates/relay/src/process/start.rs
@@ -121,6 +121,9 @@
             generation: watch::Sender::new(0),
             peers_suffice: watch::Sender::new(false),
             is_supported: watch::Sender::new(false),
+            is_on_duty: watch::Sender::new(true),
+            behind: watch::Sender::new(0),
+            rewatched_at: Instant::ZERO,
             fetched_at: Instant::ZERO,
             is_isolated: watch::Sender::new(false),
             last_control: clock.now(),
@@ -159,6 +162,8 @@
             generation: self.generation.subscribe(),
             peers_suffice: self.peers_suffice.subscribe(),
             is_supported: self.is_supported.subscribe(),
+            is_on_duty: self.is_on_duty.subscribe(),
+            behind: self.behind.subscribe(),
             starts_stale: matches!(settings.role, Role::Agent(_)),
         };
         let (catalogue_policy, messages) = (policy.clone(), self.messages.clone());
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -1,5 +1,9 @@
 //! Watch on the configuration in the store. The whole list is read once; then each call waits for
 //! the changes after the last revision that was read.
+//!
+//! An answer may be lost while its connection stays open. Nothing shows this but the end of the wait,
+//! and the same loss may affect all processes at once. Calls are priced, so that only a few balancers
+//! wait briefly; the others wait long and hear of a change from them.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -9,16 +13,26 @@
 use monsoon_flow::{Catalogue, Evacuations};
 use monsoon_model::Version;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::message::{Message, MessageSender, StoreObject};
 use crate::{
     EvacuationEntry, ReadFrom, RejectedEntry, StoreClient, StoreError, StoreFuture, StoreRead,
 };
 
-/// First delay after a failed read; doubles up to [`MAX_RETRY_DELAY`].
+/// Time for which the store holds a watch open while other processes tell of changes. The store
+/// allows 30 s.
+const LONG_WAIT: Duration = Duration::from_secs(25);
+/// The same for a process on duty. Bounds the time for which all processes miss changes after lost
+/// answers.
+const SHORT_WAIT: Duration = Duration::from_secs(1);
+/// Time for an answer, after [`SHORT_WAIT`]. It usually takes milliseconds. A later one costs one
+/// more call.
+const SHORT_WAIT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Least time between the starts of a failed read and the next one; doubles up to
+/// [`MAX_RETRY_DELAY`].
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Longest delay after a failed read. Short compared with the time in which a change has to be in
+/// Longest delay from a failed read to the next. Short compared with the time in which a change has to be in
 /// force.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// The same while other processes are heard, which tell of a change. Each refused call is priced,
@@ -38,11 +52,64 @@
     /// Set while the configuration is checked and other processes announce changes, so that a
     /// failed read is not urgent.
     pub is_supported: watch::Receiver<bool>,
+    /// Set while other processes rely on this one to notice each change soon.
+    pub is_on_duty: watch::Receiver<bool>,
+    /// Raised when another process has a change that the watches have not delivered.
+    pub behind: watch::Receiver<u64>,
     /// Whether the first list may be some seconds old, because other processes announce what is
     /// newer, and nothing is decided by this process alone.
     pub starts_stale: bool,
 }
 
+/// Why a call in progress is given up.
+enum Interruption {
+    /// Everything has to be read again.
+    ReadAll,
+    /// Other processes announce changes.
+    PeersSuffice,
+    /// A change may have been missed, or must not be missed from now on.
+    Poll,
+    /// The answer to a short watch is overdue.
+    NoAnswer,
+}
+
+impl ReadPolicy {
+    /// Waits until there is a reason to give up the call in progress, which may be a watch that waits
+    /// for this time.
+    async fn interruption(&mut self, watch: Option<Duration>) -> Interruption {
+        let is_short = watch == Some(SHORT_WAIT);
+        let interruption = tokio::select! {
+            Ok(()) = self.generation.changed() => Some(Interruption::ReadAll),
+            Ok(_) = self.peers_suffice.wait_for(|peers_suffice| *peers_suffice) => {
+                Some(Interruption::PeersSuffice)
+            }
+            Ok(()) = self.behind.changed(), if watch.is_some() => Some(Interruption::Poll),
+            Ok(_) = self.is_on_duty.wait_for(|is_on_duty| *is_on_duty),
+                if watch.is_some() && !is_short => Some(Interruption::Poll),
+            () = sleep(SHORT_WAIT + SHORT_WAIT_TIMEOUT), if is_short => {
+                Some(Interruption::NoAnswer)
+            }
+            // The process ends.
+            else => None,
+        };
+        match interruption {
+            Some(interruption) => interruption,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Waits until a read may follow one that was called at `called_at` and failed.
+    async fn wait_to_retry(&mut self, called_at: Instant, delay: Duration) {
+        let retry_at = called_at + delay.mul_f64(rand::random_range(0.5..1.0));
+        tokio::select! {
+            () = sleep_until(retry_at) => {}
+            // Without support, the delay is too long.
+            Ok(_) = self.is_supported.wait_for(|is_supported| !*is_supported),
+                if delay > MAX_RETRY_DELAY => {}
+        }
+    }
+}
+
 /// Watches the configuration until the process ends.
 pub(crate) async fn watch_catalogue(
     client: StoreClient,
@@ -143,10 +210,14 @@
     };
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut is_failing = false;
+    // After a watch without an answer, the next call does not wait: a change may have been missed.
+    let mut must_poll = false;
     loop {
         let called_at = Instant::now();
         let generation = *policy.generation.borrow_and_update();
         let peers_suffice = *policy.peers_suffice.borrow_and_update();
+        let is_on_duty = *policy.is_on_duty.borrow_and_update();
+        policy.behind.mark_unchanged();
         if peers_suffice {
             tokio::select! {
                 Ok(()) = policy.peers_suffice.changed() => {}
@@ -158,15 +229,32 @@
             list = ReadFrom::List;
             continue;
         }
+        let wait = match (must_poll, is_on_duty) {
+            (true, _) => Duration::ZERO,
+            (false, true) => SHORT_WAIT,
+            (false, false) => LONG_WAIT,
+        };
+        let from = revision.map_or(list, |after| ReadFrom::Changes { after, wait });
+        let watch = (revision.is_some() && !must_poll).then_some(wait);
         let result = tokio::select! {
-            result = read(revision.map_or(list, ReadFrom::Changes)) => result,
-            Ok(()) = policy.generation.changed() => {
-                revision = None;
-                list = ReadFrom::List;
-                continue;
-            }
-            Ok(_) = policy.peers_suffice.wait_for(|peers_suffice| *peers_suffice) => continue,
+            result = read(from) => result,
+            interruption = policy.interruption(watch) => match interruption {
+                Interruption::ReadAll => {
+                    revision = None;
+                    list = ReadFrom::List;
+                    continue;
+                }
+                Interruption::PeersSuffice => continue,
+                Interruption::Poll => {
+                    must_poll = true;
+                    continue;
+                }
+                Interruption::NoAnswer => Err(StoreError::Unavailable {
+                    reason: "a watch was not answered in time".to_owned(),
+                }),
+            },
         };
+        let was_poll = std::mem::take(&mut must_poll);
         match result {
             Ok(response) => {
                 if is_failing {
@@ -191,7 +279,7 @@
                 }
                 // A store that does not hold a watch open must not be called without a pause.
                 let was_held = called_at.elapsed() >= MAX_RETRY_DELAY;
-                if !is_full_list && (has_entries || !was_held) {
+                if !is_full_list && (has_entries || !(was_held || was_poll)) {
                     sleep(CHANGE_DELAY).await;
                 }
             }
@@ -205,22 +293,18 @@
                     log::warn!("store: lost object={object:?} error=\"{error}\"");
                 }
                 is_failing = true;
+                must_poll = true;
                 if messages.send(Message::ReadFailed(object)).await.is_err() {
                     return;
                 }
-                tokio::select! {
-                    () = sleep(retry_delay.mul_f64(rand::random_range(0.5..1.0))) => {}
-                    // Without support, the delay is too long.
-                    Ok(_) = policy.is_supported.wait_for(|is_supported| !*is_supported),
-                        if retry_delay > MAX_RETRY_DELAY => {}
-                }
+                policy.wait_to_retry(called_at, retry_delay).await;
                 retry_delay = next_delay(retry_delay, *policy.is_supported.borrow());
             }
         }
     }
 }
 
-/// Delay after one more failed read.
+/// Delay from one more failed read to the next.
 fn next_delay(delay: Duration, is_supported: bool) -> Duration {
     let longest = if is_supported {
         SUPPORTED_RETRY_DELAY
--- a/crates/relay/src/store_watch/tests.rs
+++ b/crates/relay/src/store_watch/tests.rs
@@ -39,10 +39,115 @@
         generation: watch::Sender::new(0).subscribe(),
         peers_suffice: watch::Sender::new(false).subscribe(),
         is_supported: watch::Sender::new(is_supported).subscribe(),
+        is_on_duty: watch::Sender::new(false).subscribe(),
+        behind: watch::Sender::new(0).subscribe(),
         starts_stale: false,
     }
 }
 
+/// Policy of a process that others rely on.
+fn on_duty() -> ReadPolicy {
+    ReadPolicy {
+        is_on_duty: watch::Sender::new(true).subscribe(),
+        ..policy(false)
+    }
+}
+
+/// Store that loses the answer to every watch, while its connection stays open. Calls that do not
+/// wait are answered.
+const SILENT: StoreClient = StoreClient {
+    read_catalogue: |_, from| match from {
+        ReadFrom::Changes { wait, .. } if wait > Duration::ZERO => Box::pin(async move {
+            tokio::time::sleep(wait + Duration::from_millis(1_500)).await;
+            unavailable()
+        }),
+        ReadFrom::Changes { after, .. } => Box::pin(async move { Ok(StoreRead::new(after + 1)) }),
+        ReadFrom::List | ReadFrom::StaleList => Box::pin(async { Ok(StoreRead::new(1)) }),
+    },
+    ..REFUSING
+};
+
+/// Time from the first read of the catalogue to the next one that succeeds.
+async fn next_read(client: StoreClient, policy: ReadPolicy) -> Duration {
+    let (sender, mut messages) = mpsc::channel(8);
+    let watch = tokio::spawn(watch_catalogue(client, STORE, policy, sender));
+    let mut reads = Vec::new();
+    while reads.len() < 2 {
+        if let Message::ObjectRead(..) = messages.recv().await.expect("the watch continues") {
+            reads.push(tokio::time::Instant::now());
+        }
+    }
+    watch.abort();
+    reads[1] - reads[0]
+}
+
+/// Guards against a change that no process notices before the end of a long watch, because the
+/// answers to the watches of all were lost while their connections stayed open.
+#[tokio::test(start_paused = true)]
+async fn a_process_on_duty_notices_a_lost_answer_soon() {
+    let delay = next_read(SILENT, on_duty()).await;
+    assert!(delay <= Duration::from_secs(2), "{delay:?}");
+}
+
+/// Guards against a process that keeps waiting for an answer that was lost although another process
+/// has told it of the change.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_is_behind_polls_the_store() {
+    let behind = watch::Sender::new(0);
+    let policy = ReadPolicy {
+        behind: behind.subscribe(),
+        ..policy(true)
+    };
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        behind.send_modify(|behind| *behind += 1);
+        std::future::pending::<()>().await;
+    });
+    let delay = next_read(SILENT, policy).await;
+    assert_eq!(delay, Duration::from_secs(1));
+}
+
+/// Guards against a process that takes over the duty and still waits for an answer that was lost.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_takes_over_the_duty_polls_the_store() {
+    let is_on_duty = watch::Sender::new(false);
+    let policy = ReadPolicy {
+        is_on_duty: is_on_duty.subscribe(),
+        ..policy(true)
+    };
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        is_on_duty.send_replace(true);
+        std::future::pending::<()>().await;
+    });
+    let delay = next_read(SILENT, policy).await;
+    assert_eq!(delay, Duration::from_secs(1));
+}
+
+/// Guards against short watches of every process, whose calls would grow with the deployment.
+#[tokio::test(start_paused = true)]
+async fn only_a_process_on_duty_calls_an_unchanged_store_often() {
+    static CALLS: AtomicU64 = AtomicU64::new(0);
+    let client = StoreClient {
+        read_catalogue: |_, from| {
+            CALLS.fetch_add(1, Ordering::Relaxed);
+            Box::pin(async move {
+                if let ReadFrom::Changes { wait, .. } = from {
+                    tokio::time::sleep(wait).await;
+                }
+                Ok(StoreRead::new(1))
+            })
+        },
+        ..REFUSING
+    };
+    watch_for_a_minute(client, policy(true)).await;
+    let supported = CALLS.swap(0, Ordering::Relaxed);
+    assert!(supported <= 4, "{supported} calls");
+    watch_for_a_minute(client, on_duty()).await;
+    let on_duty = CALLS.swap(0, Ordering::Relaxed);
+    assert!((55..=62).contains(&on_duty), "{on_duty} calls");
+}
+
 /// Runs a watch on the catalogue for a minute and discards its messages.
 async fn watch_for_a_minute(client: StoreClient, policy: ReadPolicy) {
     let (sender, mut messages) = mpsc::channel(8);
