Bound a daemon's watch of the store whose answer is lost

What callers saw: nothing yet; found by looking for the cause of the lost answers on related paths.

Cause: the daemon's watch waited 35 s for an answer. If it is lost while the connection stays open, both watching balancers of a data centre miss every change for that long.

Change: Client::watch gives up after 2 s and reads the object, which also tries the further addresses. Two balancers of a data centre make at most one read a second for each of two objects.

Result: a_watch_whose_answer_is_lost_still_returns_the_change failed before after 35 s with 'Err(Unreachable { reason: "...: no answer in time" })' and passes now.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -9,6 +9,7 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use monsoon_model::Version;
+use tokio::time::timeout;
 
 use crate::connection::{ExchangeError, Response, exchange};
 use crate::error::{PutError, StoreError};
@@ -20,7 +21,10 @@
 const GET_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of a write; longer than that of a read, because a lost response costs a further read.
 const PUT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout of a watch; the store waits up to 30 s for a newer version.
+/// Longest wait of a watch, although the store waits up to 30 s. The answer may be lost while the
+/// connection stays open, which only a read shows. Bounds the time for which a change is missed.
+const MAX_WATCH: Duration = Duration::from_secs(2);
+/// Timeout of a watch at one address; the store waits up to 30 s for a newer version.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(35);
 
 /// Result of a watch.
@@ -74,14 +78,22 @@
         }
     }
 
-    /// Waits until the object has a version newer than `after`.
+    /// Waits until the object has a version newer than `after`, at most [`MAX_WATCH`]. Reads the
+    /// object if the store has not answered by then.
     ///
     /// # Errors
     /// Returns an error when no address answers or the response doesn't follow the protocol.
     pub async fn watch(&self, name: &str, after: Version) -> Result<WatchResult, StoreError> {
-        let response = self
-            .read(name, &format!("?watch={after}"), WATCH_TIMEOUT)
-            .await?;
+        let query = format!("?watch={after}");
+        let answer = timeout(MAX_WATCH, self.read(name, &query, WATCH_TIMEOUT)).await;
+        let Ok(response) = answer else {
+            return Ok(match self.get(name).await? {
+                Some((version, stored)) if version > after => WatchResult::Newer(version, stored),
+                Some((version, _)) if version == after => WatchResult::Unchanged,
+                other => WatchResult::Behind(other.map(|(version, _)| version)),
+            });
+        };
+        let response = response?;
         match response.status {
             StatusCode::OK => {
                 let (version, stored) = object(name, &response)?;
--- a/crates/store/tests/calls.rs
+++ b/crates/store/tests/calls.rs
@@ -87,6 +87,29 @@
     );
 }
 
+/// Guards against balancers that miss every change for as long as a watch lasts, because its answer
+/// was lost while its connection stayed open.
+#[tokio::test]
+async fn a_watch_whose_answer_is_lost_still_returns_the_change() {
+    let store = FakeStore::start();
+    store.lose_watches();
+    store.set(NAME, "a");
+    let client = client(&[store.address]);
+    let result = client.watch(NAME, Version(0)).await;
+    assert!(
+        matches!(result, Ok(WatchResult::Newer(Version(1), _))),
+        "{result:?}"
+    );
+    assert_eq!(
+        client.watch(NAME, Version(1)).await,
+        Ok(WatchResult::Unchanged)
+    );
+    assert_eq!(
+        client.watch(NAME, Version(2)).await,
+        Ok(WatchResult::Behind(Some(Version(1))))
+    );
+}
+
 /// Guards against a client that stops at the first address that fails.
 #[tokio::test]
 async fn addresses_are_tried_in_turn() {
--- a/crates/store/tests/fake_store/mod.rs
+++ b/crates/store/tests/fake_store/mod.rs
@@ -41,6 +41,8 @@
     pub writes: u64,
     /// Text that another writer stores right after the next read.
     pub after_read: Option<String>,
+    /// Whether answers to watches are lost while their connections stay open.
+    pub loses_watches: bool,
     /// Text served at `/histograms`.
     pub histograms: String,
 }
@@ -106,6 +108,11 @@
             .push_back(fault);
     }
 
+    /// Loses the answers to all watches while their connections stay open.
+    pub fn lose_watches(&self) {
+        self.state.lock().expect("state is usable").loses_watches = true;
+    }
+
     pub fn writes(&self) -> u64 {
         self.state.lock().expect("state is usable").writes
     }
@@ -171,6 +178,9 @@
                 .get(&name)
                 .map(|o| o.0 > after)
         };
+        if state.lock().expect("state is usable").loses_watches {
+            return std::future::pending().await;
+        }
         let end = tokio::time::Instant::now() + WATCH_WAIT;
         while is_newer() == Some(false) && tokio::time::Instant::now() < end {
             tokio::time::sleep(Duration::from_millis(5)).await;
