Keep open flows of a route that this balancer has never known

What callers saw: nothing reported; found by looking for the cause of the reset flows of moved routes on related paths. A balancer that has a version some hundred milliseconds later than another one reset flows of a route that this version added.

Cause: a route that is not in force here was taken for a dropped one, as if the configurations since the start of this process were all there are.

Change: routes that were dropped here are remembered, and their flows reset at once as before. Packets of a route that was never in force here are dropped for a second, in which the newer version arrives.

Result: flows_of_an_added_route_outlive_a_balancer_that_is_behind failed before with 'decision: "reset", inputs: "reason=\"route dropped\" config=1"' and passes now; the tests of moved routes move along into changed_routes.rs.

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -39,6 +39,9 @@
 const MAX_WAITING: usize = 16_384;
 /// Time after which a flow that did not open or has no known owner is forgotten.
 const UNDECIDED_TTL: Duration = Duration::from_secs(2);
+/// Limit of remembered dropped routes. At the limit the first addresses are forgotten; their flows
+/// count as flows of unknown routes.
+const MAX_DROPPED_ROUTES: usize = 4_096;
 /// Interval of removing expired flows.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -67,6 +70,8 @@
     LookingUp(Lookup),
     /// Packets are sent to agents that cannot tell, until one of them is the owner.
     Probing(Lookup),
+    /// The route is not in force, and never was here.
+    UnknownRoute { since: Instant },
 }
 
 /// Flow that is being placed.
@@ -103,6 +108,8 @@
     /// Agents that are or recently were listed.
     recent_agents: BTreeMap<SocketAddrV4, RecentAgent>,
     catalogue: Option<Arc<Catalogue>>,
+    /// Routes that were in force here until a later version dropped them.
+    dropped_routes: BTreeSet<SocketAddrV4>,
     /// Services that each route has led to since the start. Open flows stay there.
     past_services: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
     evacuations: BTreeSet<DataCentreId>,
@@ -138,6 +145,7 @@
             targets: BTreeMap::new(),
             recent_agents: BTreeMap::new(),
             catalogue: None,
+            dropped_routes: BTreeSet::new(),
             past_services: BTreeMap::new(),
             evacuations: BTreeSet::new(),
             versions: Versions::default(),
@@ -160,6 +168,14 @@
             return;
         }
         self.versions.document = catalogue.version;
+        if let Some(former) = &self.catalogue {
+            self.dropped_routes.extend(former.routes.keys());
+        }
+        self.dropped_routes
+            .retain(|address| !catalogue.routes.contains_key(address));
+        while self.dropped_routes.len() > MAX_DROPPED_ROUTES {
+            self.dropped_routes.pop_first();
+        }
         self.past_services
             .retain(|address, _| catalogue.routes.contains_key(address));
         for (&address, route) in &catalogue.routes {
@@ -335,6 +351,7 @@
         self.flows.retain(|_, flow| match flow {
             Flow::Opening(opening) => now.since(opening.placed_at) < UNDECIDED_TTL,
             Flow::Owned { last_used, .. } => now.since(*last_used) <= idle,
+            Flow::UnknownRoute { since } => now.since(*since) < UNDECIDED_TTL,
             Flow::LookingUp(lookup) | Flow::Probing(lookup) => {
                 now.since(lookup.last_sent) < UNDECIDED_TTL
             }
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -14,6 +14,10 @@
 /// in its first packets.
 const MAX_OFFER_DISTANCE: u32 = 65_536;
 
+/// Time for which a flow of a route that was never in force here waits for a newer version. Another
+/// balancer's version usually arrives within this time.
+const ROUTE_WAIT: Duration = Duration::from_secs(1);
+
 /// Time after which agents that could not tell are asked again, because they may know by then.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -27,7 +31,7 @@
     ) {
         let key = info.key;
         if !self.has_route(key) {
-            self.reset_without_route(info, actions);
+            self.handle_without_route(now, info, actions);
             return;
         }
         match self.flows.get_mut(&key) {
@@ -71,7 +75,9 @@
                 actions.extend(agents.map(|agent| forward(agent, packet.clone())));
                 lookup.queue_packet(packet, info);
             }
-            None => self.look_up(now, packet, info, None, actions),
+            Some(Flow::UnknownRoute { .. }) | None => {
+                self.look_up(now, packet, info, None, actions);
+            }
         }
     }
 
@@ -80,18 +86,37 @@
         catalogue.is_none_or(|c| c.routes.contains_key(&key.address))
     }
 
-    /// Resets a flow because its route is no longer configured.
-    fn reset_without_route(&mut self, info: &PacketInfo, actions: &mut Vec<Action>) {
+    /// Resets a flow whose route is not in force. The route may have been added by a version that
+    /// another balancer has earlier, so that a flow of one that was never in force here waits first.
+    fn handle_without_route(&mut self, now: Instant, info: &PacketInfo, actions: &mut Vec<Action>) {
         let key = info.key;
-        self.flows.remove(&key);
-        if self.config_checked && info.kind != PacketKind::Reset {
-            actions.push(log(
-                key,
-                "reset",
-                format!("reason=\"route dropped\" config={}", self.versions.document),
-            ));
-            actions.push(reset(key, info.ack));
+        if !self.config_checked || info.kind == PacketKind::Reset {
+            self.flows.remove(&key);
+            return;
+        }
+        let config = self.versions.document;
+        if !self.dropped_routes.contains(&key.address) {
+            let since = match self.flows.get(&key) {
+                Some(Flow::UnknownRoute { since }) => *since,
+                _ => now,
+            };
+            if now.since(since) < ROUTE_WAIT {
+                self.insert_flow(key, Flow::UnknownRoute { since });
+                actions.push(log(
+                    key,
+                    "dropped",
+                    format!("reason=\"unknown route\" config={config}"),
+                ));
+                return;
+            }
         }
+        self.flows.remove(&key);
+        actions.push(log(
+            key,
+            "reset",
+            format!("reason=\"route dropped\" config={config}"),
+        ));
+        actions.push(reset(key, info.ack));
     }
 
     /// Whether an agent announced that its target, and so all its flows, have ended.
--- a/crates/flow/tests/moved_routes.rs
+++ b/crates/flow/tests/changed_routes.rs
@@ -1,15 +1,19 @@
-//! Flows that opened before their route moved to another service. They stay with the former service,
-//! also when they reach a balancer that never had the former configuration in force.
+//! Flows of routes that a configuration moves or adds, at a balancer that does not know the former
+//! or not yet the present configuration. A moved route leaves its open flows with the former service.
 
 mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use monsoon_flow::{Action, Balancer, Frame, OwnerReply, Ownership, TargetView};
 use monsoon_model::{Duration, Instant};
-use world::{agent_at, caller, catalogue_to, data, other_tag, ready_balancer_with, tag, view};
+use world::{
+    agent_at, caller, catalogue, catalogue_to, data, other_tag, ready_balancer_with, tag, view,
+    views,
+};
 
 const START: Instant = Instant::from_secs(100);
 /// Time after [`START`] from which the list of agents counts as complete.
@@ -118,3 +122,39 @@
     let actions = reply(&mut balancer, now, FORMER, Ownership::Unknown);
     assert!(is_forwarded(&actions, agent_at(FORMER)), "{actions:?}");
 }
+
+/// Balancer whose configuration does not have the route yet.
+fn balancer_before_addition() -> Balancer {
+    let mut without = catalogue(1);
+    without.routes.clear();
+    let mut balancer = ready_balancer_with(START, 1, without);
+    balancer.set_targets(START, views([FORMER]));
+    balancer
+}
+
+/// Guards against resets of open flows of a route that was just added, by a balancer that has the
+/// configuration a moment later than the one through which they opened.
+#[test]
+fn flows_of_an_added_route_outlive_a_balancer_that_is_behind() {
+    let mut balancer = balancer_before_addition();
+    let now = START + LIST_WAIT;
+    let actions = balancer.handle_caller_packet(now, Bytes::new(), &data(caller(1), 6));
+    assert!(!is_reset(&actions), "{actions:?}");
+    balancer.set_catalogue(Arc::new(catalogue(2)));
+    let now = now + Duration::from_millis(200);
+    let actions = balancer.handle_caller_packet(now, Bytes::new(), &data(caller(1), 6));
+    assert_eq!(asked(&actions), BTreeSet::from([agent_at(FORMER)]));
+}
+
+/// Guards against callers that wait on a flow whose route was dropped before this balancer started.
+#[test]
+fn a_flow_of_an_unknown_route_is_reset_when_the_route_stays_unknown() {
+    let mut balancer = balancer_before_addition();
+    let now = START + LIST_WAIT;
+    balancer.handle_caller_packet(now, Bytes::new(), &data(caller(1), 6));
+    balancer.tick(now + Duration::from_secs(1));
+    // Third retransmission of a caller.
+    let now = now + Duration::from_millis(1_400);
+    let actions = balancer.handle_caller_packet(now, Bytes::new(), &data(caller(1), 6));
+    assert!(is_reset(&actions), "{actions:?}");
+}
