Do not take every second lifetime after a restart for a new one

Cause: the agent took each change of the lifetime after its first heartbeat for a target that had started while it ran, and so denied all flows that it did not know and ended those that it had found.

Evidence: "target: started" twice, the former identity first, then resets with "nobody holds it".

Change: a lifetime counts as new here only if its first heartbeat shows it (as for the first one), or if the process knows all flows. A flow that was found at the target is looked up again when the target returns it.

Both new tests failed before, the first with 'decision: "reset", inputs: "reason=\"target ended\""'.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -68,7 +68,7 @@
     pub slots: u16,
 }
 
-/// Fields of the first heartbeat that tell the age of the target.
+/// Fields of a lifetime's first heartbeat that tell the age of the target.
 #[derive(Clone, Copy, Debug)]
 struct FirstHeartbeat {
     sequence: u64,
@@ -93,7 +93,7 @@
     started_at: Instant,
     /// Whether the target may have open flows from before the start of this process.
     has_unknown: bool,
-    /// First heartbeat that was received.
+    /// First heartbeat that was received of the present lifetime.
     first_heartbeat: Option<FirstHeartbeat>,
     /// Opening packets that the target has not answered, with the times of their delivery.
     pending_opens: VecDeque<(Instant, FlowKey)>,
@@ -185,12 +185,15 @@
         match self.target_state.receive_heartbeat(now, heartbeat) {
             None => Some("ignored"),
             Some(true) => {
-                if is_first {
-                    self.first_heartbeat = Some(FirstHeartbeat {
-                        sequence,
-                        cold_left,
-                    });
-                } else {
+                let first = FirstHeartbeat {
+                    sequence,
+                    cold_left,
+                };
+                self.first_heartbeat = Some(first);
+                // After a restart, the heartbeat before may have been a late one of a former
+                // lifetime, so that the present one may own flows from before the start.
+                let may_be_older = self.has_unknown && !self.is_new_target(first);
+                if !is_first && !may_be_older {
                     // The target started while this process ran, so this process knows all its
                     // flows.
                     self.has_unknown = false;
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -65,6 +65,9 @@
                 actions.push(owner_reply(*from, key, Ownership::NotOwned));
                 self.flows.remove(key);
             }
+            // The flow was found at the target, which has been replaced since. The caller's next
+            // packet is tried again, or starts a lookup.
+            Some(Flow::Open(open_flow)) if open_flow.offer.is_none() => self.flows.remove(key),
             _ => {}
         }
     }
--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -929,6 +929,69 @@
     );
 }
 
+/// Guards against resets of open flows after a restart of their agent, when the first heartbeat that
+/// it receives is a late one of a former lifetime of its target.
+#[test]
+fn a_late_heartbeat_after_a_restart_ends_no_flow_of_the_present_lifetime() {
+    let mut agent = Agent::new(START, agent_settings(1, false));
+    agent.set_catalogue(Arc::new(catalogue(1)));
+    agent.set_evacuations(START, &Evacuations::default());
+    agent.set_config_checked();
+    agent.receive_heartbeat(START, heartbeat_of("former", 9));
+    let (from, packet) = (balancer_at(1), Bytes::from_static(b"p"));
+    let request = |number| data(caller(number), 7_001);
+    // One flow is found at the target before its next heartbeat, another one after it.
+    agent.handle_frame(START, from, Frame::Data, packet.clone(), Some(request(1)));
+    let answer = PacketInfo {
+        kind: PacketKind::Data,
+        sequence: 7_001,
+        bytes: 20,
+        ..opening(caller(1), 0)
+    };
+    agent.handle_target_packet(START, packet.clone(), &answer);
+    let mut present = heartbeat_of("present", 12);
+    present.started_ms = 2;
+    let now = START + Duration::from_millis(800);
+    agent.receive_heartbeat(now, present);
+    for number in [1, 2] {
+        let info = Some(request(number));
+        let actions = agent.handle_frame(now, from, Frame::Data, packet.clone(), info);
+        let is_delivery = |a: &Action| matches!(a, Action::ToTarget(_));
+        assert!(actions.iter().any(is_delivery), "{number}: {actions:?}");
+    }
+}
+
+/// Guards against callers that wait forever on a flow that an agent found at its target, when the
+/// target returns its packets.
+#[test]
+fn a_flow_found_after_a_restart_is_looked_up_when_the_target_returns_it() {
+    let mut agent = Agent::new(START, agent_settings(1, false));
+    agent.set_catalogue(Arc::new(catalogue(1)));
+    agent.receive_heartbeat(START, heartbeat_of("i", 9));
+    let (from, packet) = (balancer_at(1), Bytes::from_static(b"p"));
+    let request = data(caller(1), 7_001);
+    agent.handle_frame(START, from, Frame::Data, packet.clone(), Some(request));
+    let answer = PacketInfo {
+        kind: PacketKind::Data,
+        sequence: 7_001,
+        bytes: 20,
+        ..opening(caller(1), 0)
+    };
+    agent.handle_target_packet(START, packet.clone(), &answer);
+    let returned = PacketInfo {
+        is_returned: true,
+        ..request
+    };
+    agent.handle_target_packet(START, packet.clone(), &returned);
+    agent.handle_frame(START, from, Frame::Data, packet.clone(), Some(request));
+    let actions = agent.handle_target_packet(START, packet, &returned);
+    let denies = |a: &Action| {
+        matches!(a, Action::Send { frame: Frame::OwnerReplies(replies), .. }
+            if replies[0].ownership == Ownership::NotOwned)
+    };
+    assert!(actions.iter().any(denies), "{actions:?}");
+}
+
 /// Guards against callers that wait forever on a flow that an agent found at its target after a
 /// restart, when that target then ends.
 #[test]
