Probe agents only once their list is complete, and remember denials

Cause: a balancer that has just started knows few agents. Those that have restarted cannot tell whether they own a flow, and it handed them its packets to try, again with each retransmission, while the owner was not listed yet. An agent forgot that its target had returned a packet.

Change: until the list of agents is complete, the packets are kept; then the agents are probed as before. An agent denies a flow whose packet its target has returned, for ten seconds. A growing list no longer asks agents again that could not tell.

--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -12,6 +12,9 @@
 const MAX_FLOWS: usize = 65_536;
 /// Time for which a closed flow is kept, because its last packets may be retransmitted.
 const CLOSED_TTL: Duration = Duration::from_secs(4);
+/// Time for which it is remembered that the target does not hold a flow. Balancers that start in
+/// quick succession ask about the same flows.
+const RETURNED_TTL: Duration = Duration::from_secs(10);
 /// Time for which an opening flow counts as in flight. The caller answers the offer within a few
 /// round trips or not at all.
 const MAX_PENDING_TIME: Duration = Duration::from_millis(500);
@@ -70,6 +73,9 @@
     /// A packet of an unknown flow was delivered to the target; the balancer `from` is told whether
     /// the target knows the flow.
     Probed { from: SocketAddrV4, at: Instant },
+    /// The target returned a packet of a flow that this process did not know, so that it does not
+    /// hold the flow.
+    Returned { at: Instant },
     /// The target ended, or returned a packet of its own flow.
     Ended { at: Instant, last: OpenFlow },
 }
@@ -184,7 +190,7 @@
             Flow::Open(open_flow) => {
                 open_flow.offer.is_none() || open_flow.offered_at <= last_heartbeat
             }
-            Flow::Probed { .. } | Flow::Ended { .. } => true,
+            Flow::Probed { .. } | Flow::Returned { .. } | Flow::Ended { .. } => true,
         });
     }
 
@@ -205,7 +211,7 @@
                     };
                 }
                 Flow::Ended { .. } => {}
-                Flow::Opening(_) | Flow::Probed { .. } => return false,
+                Flow::Opening(_) | Flow::Probed { .. } | Flow::Returned { .. } => return false,
             }
             true
         });
@@ -258,6 +264,7 @@
             }
             Flow::Open(open_flow) => now.since(open_flow.last_used) <= idle,
             Flow::Probed { at, .. } => now.since(*at) < CLOSED_TTL,
+            Flow::Returned { at } => now.since(*at) < RETURNED_TTL,
             Flow::Ended { at, .. } => now.since(*at) <= idle,
         });
         self.in_flight = self
@@ -279,6 +286,6 @@
     match flow {
         Flow::Opening(opening) => opening.is_pending,
         Flow::Open(open_flow) => open_flow.waiting_since.is_some(),
-        Flow::Probed { .. } | Flow::Ended { .. } => false,
+        Flow::Probed { .. } | Flow::Returned { .. } | Flow::Ended { .. } => false,
     }
 }
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -202,7 +202,7 @@
                 self.flows.set(key, Flow::Probed { from, at: now });
                 actions.push(Action::ToTarget(packet));
             }
-            Some(Flow::Open(_) | Flow::Ended { .. }) | None => {
+            Some(Flow::Open(_) | Flow::Returned { .. } | Flow::Ended { .. }) | None => {
                 actions.push(send(from, Frame::NotOwned, packet));
             }
         }
@@ -247,7 +247,7 @@
                 Ownership::NotOwned
             }
             None if self.may_have_unknown() => Ownership::Unknown,
-            Some(Flow::Open(_)) | None => Ownership::NotOwned,
+            Some(Flow::Open(_) | Flow::Returned { .. }) | None => Ownership::NotOwned,
         }
     }
 }
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -63,11 +63,13 @@
             }
             Some(Flow::Probed { from, .. }) => {
                 actions.push(owner_reply(*from, key, Ownership::NotOwned));
-                self.flows.remove(key);
+                self.flows.set(key, Flow::Returned { at: now });
             }
             // The flow was found at the target, which has been replaced since. The caller's next
-            // packet is tried again, or starts a lookup.
-            Some(Flow::Open(open_flow)) if open_flow.offer.is_none() => self.flows.remove(key),
+            // packet starts a lookup.
+            Some(Flow::Open(open_flow)) if open_flow.offer.is_none() => {
+                self.flows.set(key, Flow::Returned { at: now });
+            }
             _ => {}
         }
     }
@@ -89,7 +91,7 @@
                 actions.push(send(opening.open.balancer, taken, Bytes::new()));
             }
             self.flows.set(key, Flow::Opening(opening));
-        } else if self.flows.get(key).is_none() {
+        } else if matches!(self.flows.get(key), Some(Flow::Returned { .. }) | None) {
             self.adopt(now, info, Some(offer));
         }
         actions.push(Action::ToCaller { key, packet });
@@ -136,7 +138,7 @@
             }
             // The former lifetime of the target sent it; the flow was reset already.
             Some(Flow::Ended { .. }) => return,
-            None => self.adopt(now, info, None),
+            Some(Flow::Returned { .. }) | None => self.adopt(now, info, None),
         }
         let end = info.sequence.wrapping_add(u32::from(info.bytes));
         let mut requested_at = None;
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -159,7 +159,8 @@
         lookup.is_complete = self.may_ask_all(now, key);
         lookup.ask(now, &owners);
         if lookup.is_answered() {
-            self.apply_outcome(now, key, lookup, Outcome::NoOwner, actions);
+            let outcome = lookup.outcome();
+            self.apply_outcome(now, key, lookup, outcome, actions);
             return;
         }
         let agents = lookup.unanswered().count();
@@ -210,6 +211,14 @@
                     },
                 );
             }
+            // The owner may be an agent that is not listed yet, and the probes would only reach other
+            // targets.
+            Outcome::Unknown
+                if !self.is_list_complete(now)
+                    && self.wait_for_list(now, key, self.list_complete_at()) =>
+            {
+                self.insert_flow(key, Flow::LookingUp(lookup));
+            }
             Outcome::Unknown => self.probe_next(now, key, lookup, actions),
             Outcome::NoOwner if !lookup.asks_all => self.ask_all(now, key, lookup, actions),
             // The list became complete after the queries were sent: agents that it has gained since
--- a/crates/flow/src/lookup.rs
+++ b/crates/flow/src/lookup.rs
@@ -82,13 +82,11 @@
         }
     }
 
-    /// Starts a round of queries to the agents that may own the flow. Those that have denied it are
-    /// not asked again.
+    /// Starts a round of queries to the agents that may own the flow. Those that have replied are not
+    /// asked again.
     pub(crate) fn ask(&mut self, now: Instant, owners: &BTreeSet<SocketAddrV4>) {
         self.last_sent = now;
-        self.unanswered = owners - &self.denied;
-        self.unknown.clear();
-        self.probed.clear();
+        self.unanswered = &(owners - &self.denied) - &self.unknown;
     }
 
     /// Records that an agent does not own the flow.
@@ -156,13 +154,19 @@
                 self.denied.insert(from);
             }
         }
-        match (
-            was_asked || ownership == Ownership::NotOwned,
-            self.unanswered.is_empty(),
-        ) {
-            (true, true) if self.unknown.is_empty() => Outcome::NoOwner,
-            (true, true) => Outcome::Unknown,
-            _ => Outcome::Pending,
+        if was_asked || ownership == Ownership::NotOwned {
+            self.outcome()
+        } else {
+            Outcome::Pending
+        }
+    }
+
+    /// Outcome of the replies so far, none of which confirmed the flow.
+    pub(crate) fn outcome(&self) -> Outcome {
+        match (self.unanswered.is_empty(), self.unknown.is_empty()) {
+            (false, _) => Outcome::Pending,
+            (true, true) => Outcome::NoOwner,
+            (true, false) => Outcome::Unknown,
         }
     }
 
