Do not let peers with different news delay each other

A balancer that is behind in the config and in the evacuations, and hears of one from one peer and of the other from another one, started its wait of 0.4 s anew with each message, and fetched neither.

Cause: a message of a peer that is not newer in an object cleared the time since which this process is behind in it.

Change: only a newer version in force clears it. The decision moves into a module of its own, with tests.

Result: peers_with_different_objects_do_not_delay_each_other failed with the former loop and passes now.

--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -2,6 +2,7 @@
 //! messages of other tasks, and timers.
 
 mod configuration;
+mod freshness;
 mod packets;
 mod start;
 
@@ -16,6 +17,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
+use freshness::Freshness;
 use start::spawn_signals;
 
 use crate::agent::AgentState;
@@ -34,9 +36,6 @@
 const MAX_BATCH: usize = 64;
 /// Longest sleep of the loop. Limits the time until a suspension is detected.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
-/// Time for which a process with an outdated configuration waits for its watch of the store before
-/// it asks a peer.
-const WATCH_GRACE: Duration = Duration::from_millis(400);
 /// Least time between two polls of the store because a peer has a newer configuration.
 const REWATCH_INTERVAL: Duration = Duration::from_secs(2);
 /// Least time between two fetches of an agent from peers, so that changes in quick succession cost
@@ -88,18 +87,6 @@
     control: UdpSocket,
 }
 
-/// Whether the configuration of a process may be outdated. The arrays are indexed by
-/// `StoreObject`.
-#[derive(Debug, Default)]
-pub(crate) struct Freshness {
-    /// Which objects were read from the store since the start or the last suspension.
-    is_read: [bool; 2],
-    /// Which objects could not be read at the last attempt.
-    is_failing: [bool; 2],
-    /// Time since which a peer is known to have a newer version of an object.
-    behind_since: [Option<Instant>; 2],
-}
-
 /// State of a process that does not depend on its role.
 #[derive(Debug)]
 pub(crate) struct Process {
--- a/crates/relay/src/process/configuration.rs
+++ b/crates/relay/src/process/configuration.rs
@@ -7,7 +7,7 @@
 use monsoon_flow::{Catalogue, Evacuations};
 use monsoon_model::{Instant, Version, Versions};
 
-use super::{FETCH_INTERVAL, Process, REWATCH_INTERVAL, RoleState, WATCH_GRACE};
+use super::{FETCH_INTERVAL, Process, REWATCH_INTERVAL, RoleState};
 use crate::message::{Message, StoreObject};
 use crate::{Settings, peers};
 
@@ -40,15 +40,7 @@
             }
             return;
         }
-        let is_newer = [
-            versions.document > own.document,
-            versions.evacuations > own.evacuations,
-        ];
-        let mut is_late = false;
-        for (since, is_newer) in self.freshness.behind_since.iter_mut().zip(is_newer) {
-            *since = is_newer.then(|| since.unwrap_or(now));
-            is_late |= since.is_some_and(|since| now.since(since) >= WATCH_GRACE);
-        }
+        let is_late = self.freshness.is_late(now, own, versions);
         if is_late && now.since(self.rewatched_at) >= REWATCH_INTERVAL {
             self.rewatched_at = now;
             self.behind.send_modify(|behind| *behind += 1);
@@ -113,7 +105,7 @@
             catalogue.services.len()
         );
         self.catalogue = Some(Arc::clone(&catalogue));
-        self.freshness.behind_since[StoreObject::Catalogue as usize] = None;
+        self.freshness.set_newer(StoreObject::Catalogue);
         match role_state {
             RoleState::Balancer(balancer) => balancer.flows.set_catalogue(catalogue),
             RoleState::Agent(agent) => agent.flows.set_catalogue(catalogue),
@@ -129,7 +121,7 @@
         if evacuations.version < self.evacuations.version {
             return;
         }
-        self.freshness.behind_since[StoreObject::Places as usize] = None;
+        self.freshness.set_newer(StoreObject::Places);
         if evacuations.data_centres != self.evacuations.data_centres {
             log::info!(
                 "places: in force places={} out={:?}",
--- a/crates/relay/src/process/start.rs
+++ b/crates/relay/src/process/start.rs
@@ -9,7 +9,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use super::{Freshness, Process, RELOAD_INTERVAL, RoleState, RunError, Sockets};
+use super::freshness::Freshness;
+use super::{Process, RELOAD_INTERVAL, RoleState, RunError, Sockets};
 use crate::agent::AgentState;
 use crate::balancer::BalancerState;
 use crate::clock::{Clock, SuspensionDetector};
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -32,8 +32,8 @@
 /// Least time between the starts of a failed read and the next one; doubles up to
 /// [`MAX_RETRY_DELAY`].
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Longest delay from a failed read to the next. Short compared with the time in which a change has to be in
-/// force.
+/// Longest delay from a failed read to the next. Short compared with the time in which a change has
+/// to be in force.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// The same while other processes are heard, which tell of a change. Each refused call is priced,
 /// and the store may refuse a part of the processes for long.
@@ -74,8 +74,8 @@
 }
 
 impl ReadPolicy {
-    /// Waits until there is a reason to give up the call in progress, which may be a watch that waits
-    /// for this time.
+    /// Waits until there is a reason to give up the call in progress. `watch` is the time for which
+    /// the call waits for a change, if it does.
     async fn interruption(&mut self, watch: Option<Duration>) -> Interruption {
         let is_short = watch == Some(SHORT_WAIT);
         let interruption = tokio::select! {
