Repeat an unanswered watch of the daemon in place of a read

Cause: the read that followed an unanswered watch returned the whole object every two seconds, 33 KB with 360 services, which counts against the control traffic of a balancer.

Change: after 2 s, the daemon's client watches again, at the next address, because the former one may accept calls and never answer. A watch without news has no body.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -22,7 +22,8 @@
 /// Timeout of a write; longer than that of a read, because a lost response costs a further read.
 const PUT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest wait of a watch, although the store waits up to 30 s. The answer may be lost while the
-/// connection stays open, which only a read shows. Bounds the time for which a change is missed.
+/// connection stays open, which only a further call shows. Bounds the time for which a change is
+/// missed.
 const MAX_WATCH: Duration = Duration::from_secs(2);
 /// Timeout of a watch at one address; the store waits up to 30 s for a newer version.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(35);
@@ -32,7 +33,7 @@
 pub enum WatchResult {
     /// The object has this newer version.
     Newer(Version, StoredObject),
-    /// No newer version appeared while the store waited.
+    /// No newer version was returned while the client waited.
     Unchanged,
     /// The store has an older version or no object, for example after it lost data. It answers at
     /// once, so the caller has to pause before the next watch.
@@ -78,8 +79,8 @@
         }
     }
 
-    /// Waits until the object has a version newer than `after`, at most [`MAX_WATCH`]. Reads the
-    /// object if the store has not answered by then.
+    /// Waits until the object has a version newer than `after`, at most [`MAX_WATCH`]. The next watch
+    /// then asks another address, because this one may not answer at all.
     ///
     /// # Errors
     /// Returns an error when no address answers or the response doesn't follow the protocol.
@@ -87,11 +88,10 @@
         let query = format!("?watch={after}");
         let answer = timeout(MAX_WATCH, self.read(name, &query, WATCH_TIMEOUT)).await;
         let Ok(response) = answer else {
-            return Ok(match self.get(name).await? {
-                Some((version, stored)) if version > after => WatchResult::Newer(version, stored),
-                Some((version, _)) if version == after => WatchResult::Unchanged,
-                other => WatchResult::Behind(other.map(|(version, _)| version)),
-            });
+            let next = self.preferred.load(Ordering::Relaxed) + 1;
+            self.preferred
+                .store(next % self.addresses.len(), Ordering::Relaxed);
+            return Ok(WatchResult::Unchanged);
         };
         let response = response?;
         match response.status {
