Do not lose a lookup that waits for the list beside a silent agent

While the list is incomplete, some agents cannot tell and another one does not reply, the next change of the list dropped the lookup from the waiting ones, so that the flow waited until the lookup expired, two seconds later.

Cause: only lookups to which every agent had replied were decided again.

Change: a lookup with agents that cannot tell is decided again, too, and asks the silent ones once more.

Result: a_silent_agent_does_not_delay_the_probes_of_a_complete_list failed before (no probe within 1.2 s) and passes now.

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -296,7 +296,10 @@
                 Some(Flow::Opening(opening)) if opening.last_candidates.is_empty() => {
                     self.place(now, key, opening, &mut actions);
                 }
-                Some(Flow::LookingUp(lookup)) if lookup.is_answered() => {
+                // With agents that cannot tell, a lookup waits although others have not replied.
+                Some(Flow::LookingUp(lookup))
+                    if lookup.is_answered() || !lookup.unknown.is_empty() =>
+                {
                     self.send_queries(now, key, lookup, &mut actions);
                 }
                 _ => {}
--- a/crates/flow/tests/probes.rs
+++ b/crates/flow/tests/probes.rs
@@ -60,6 +60,27 @@
     assert_eq!(probed, [agent_at(1), agent_at(2)]);
 }
 
+/// Guards against a flow that waits for seconds because one agent is down while the others cannot
+/// tell and the list is not complete.
+#[test]
+fn a_silent_agent_does_not_delay_the_probes_of_a_complete_list() {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_targets(START, views([1, 2]));
+    let now = START + Duration::from_millis(100);
+    balancer.handle_caller_packet(now, Bytes::new(), &data(caller(1), 6));
+    reply_unknown(&mut balancer, now, 1);
+    // Agent 2 does not reply, and the list changes several times.
+    let mut probes = Vec::new();
+    for step in 1..=24 {
+        let at = now + Duration::from_millis(step * 50);
+        probes.extend(probed(&balancer.tick(at)));
+        if step % 4 == 0 {
+            probes.extend(probed(&balancer.set_targets(at, views([1, 2]))));
+        }
+    }
+    assert_eq!(probes, [agent_at(1)]);
+}
+
 /// Guards against an agent that forgets that its target returned a packet, and hands it the packets
 /// of the same flow again for each further balancer that asks.
 #[test]
