--- a/crates/flow/tests/limits.rs
+++ b/crates/flow/tests/limits.rs
@@ -929,35 +929,50 @@
     );
 }
 
-/// Guards against resets of open flows after a restart of their agent, when the first heartbeat that
-/// it receives is a late one of a former lifetime of its target.
-#[test]
-fn a_late_heartbeat_after_a_restart_ends_no_flow_of_the_present_lifetime() {
+/// Request on the flow that [`agent_with_found_flow`] found.
+fn request_of_found_flow() -> PacketInfo {
+    data(caller(1), 7_001)
+}
+
+/// Agent that started beside a running target, received the heartbeat of this identity, and found a
+/// flow at the target.
+fn agent_with_found_flow(id: &str) -> Agent {
     let mut agent = Agent::new(START, agent_settings(1, false));
     agent.set_catalogue(Arc::new(catalogue(1)));
     agent.set_evacuations(START, &Evacuations::default());
     agent.set_config_checked();
-    agent.receive_heartbeat(START, heartbeat_of("former", 9));
-    let (from, packet) = (balancer_at(1), Bytes::from_static(b"p"));
-    let request = |number| data(caller(number), 7_001);
-    // One flow is found at the target before its next heartbeat, another one after it.
-    agent.handle_frame(START, from, Frame::Data, packet.clone(), Some(request(1)));
-    let answer = PacketInfo {
+    agent.receive_heartbeat(START, heartbeat_of(id, 9));
+    forward(&mut agent, START, request_of_found_flow());
+    let response = PacketInfo {
         kind: PacketKind::Data,
         sequence: 7_001,
         bytes: 20,
         ..opening(caller(1), 0)
     };
-    agent.handle_target_packet(START, packet.clone(), &answer);
+    agent.handle_target_packet(START, Bytes::from_static(b"p"), &response);
+    agent
+}
+
+/// Hands a packet of a balancer to an agent.
+fn forward(agent: &mut Agent, now: Instant, info: PacketInfo) -> Vec<Action> {
+    let packet = Bytes::from_static(b"p");
+    agent.handle_frame(now, balancer_at(1), Frame::Data, packet, Some(info))
+}
+
+/// Guards against resets of open flows after a restart of their agent, when the first heartbeat that
+/// it receives is a late one of a former lifetime of its target.
+#[test]
+fn a_late_heartbeat_after_a_restart_ends_no_flow_of_the_present_lifetime() {
+    let mut agent = agent_with_found_flow("former");
     let mut present = heartbeat_of("present", 12);
     present.started_ms = 2;
     let now = START + Duration::from_millis(800);
     agent.receive_heartbeat(now, present);
-    for number in [1, 2] {
-        let info = Some(request(number));
-        let actions = agent.handle_frame(now, from, Frame::Data, packet.clone(), info);
+    // One flow was found before this heartbeat, the other one is unknown yet.
+    for info in [request_of_found_flow(), data(caller(2), 7_001)] {
+        let actions = forward(&mut agent, now, info);
         let is_delivery = |a: &Action| matches!(a, Action::ToTarget(_));
-        assert!(actions.iter().any(is_delivery), "{number}: {actions:?}");
+        assert!(actions.iter().any(is_delivery), "{info:?}: {actions:?}");
     }
 }
 
@@ -965,25 +980,13 @@
 /// target returns its packets.
 #[test]
 fn a_flow_found_after_a_restart_is_looked_up_when_the_target_returns_it() {
-    let mut agent = Agent::new(START, agent_settings(1, false));
-    agent.set_catalogue(Arc::new(catalogue(1)));
-    agent.receive_heartbeat(START, heartbeat_of("i", 9));
-    let (from, packet) = (balancer_at(1), Bytes::from_static(b"p"));
-    let request = data(caller(1), 7_001);
-    agent.handle_frame(START, from, Frame::Data, packet.clone(), Some(request));
-    let answer = PacketInfo {
-        kind: PacketKind::Data,
-        sequence: 7_001,
-        bytes: 20,
-        ..opening(caller(1), 0)
-    };
-    agent.handle_target_packet(START, packet.clone(), &answer);
+    let mut agent = agent_with_found_flow("i");
     let returned = PacketInfo {
         is_returned: true,
-        ..request
+        ..request_of_found_flow()
     };
-    agent.handle_target_packet(START, packet.clone(), &returned);
-    let actions = agent.handle_frame(START, from, Frame::Data, packet, Some(request));
+    agent.handle_target_packet(START, Bytes::from_static(b"p"), &returned);
+    let actions = forward(&mut agent, START, request_of_found_flow());
     let is_denial = |a: &Action| {
         matches!(
             a,
@@ -1000,26 +1003,12 @@
 /// restart, when that target then ends.
 #[test]
 fn a_flow_found_after_a_restart_ends_with_its_lifetime() {
-    let mut agent = Agent::new(START, agent_settings(1, false));
-    agent.set_catalogue(Arc::new(catalogue(1)));
-    agent.set_evacuations(START, &Evacuations::default());
-    agent.set_config_checked();
-    agent.receive_heartbeat(START, heartbeat_of("i", 9));
+    let mut agent = agent_with_found_flow("i");
     let now = START + Duration::from_millis(100);
-    let (from, packet) = (balancer_at(1), Bytes::from_static(b"p"));
-    let request = data(caller(1), 7_001);
-    agent.handle_frame(now, from, Frame::Data, packet.clone(), Some(request));
-    let response = PacketInfo {
-        kind: PacketKind::Data,
-        sequence: 7_001,
-        bytes: 20,
-        ..opening(caller(1), 0)
-    };
-    agent.handle_target_packet(now, packet.clone(), &response);
     let mut next = heartbeat_of("j", 1);
     next.started_ms = 2;
     agent.receive_heartbeat(now, next);
-    let actions = agent.handle_frame(now, from, Frame::Data, packet, Some(request));
+    let actions = forward(&mut agent, now, request_of_found_flow());
     let is_reset = |a: &Action| matches!(a, Action::Reset(_));
     assert!(actions.iter().any(is_reset), "{actions:?}");
 }
--- a/crates/store/tests/calls.rs
+++ b/crates/store/tests/calls.rs
@@ -87,14 +87,8 @@
     );
 }
 
-/// Guards against balancers that miss every change for as long as a watch lasts, because its answer
-/// was lost while its connection stayed open.
-#[tokio::test]
-async fn a_change_is_found_by_the_watch_after_one_whose_answer_is_lost() {
-    let store = FakeStore::start();
-    store.lose_watches(1);
-    store.set(NAME, "a");
-    let client = client(&[store.address]);
+/// Watches twice, with the answer to the first watch lost and a change in the store.
+async fn assert_second_watch_finds_change(client: &Client) {
     assert_eq!(
         client.watch(NAME, Version(0)).await,
         Ok(WatchResult::Unchanged)
@@ -106,22 +100,23 @@
     );
 }
 
+/// Guards against balancers that miss every change for as long as a watch lasts, because its answer
+/// was lost while its connection stayed open.
+#[tokio::test]
+async fn a_change_is_found_by_the_watch_after_one_whose_answer_is_lost() {
+    let store = FakeStore::start();
+    store.lose_watches(1);
+    store.set(NAME, "a");
+    assert_second_watch_finds_change(&client(&[store.address])).await;
+}
+
 /// Guards against a client that waits at an address which accepts calls and never answers.
 #[tokio::test]
 async fn a_watch_that_is_not_answered_is_followed_by_one_at_another_address() {
     let (silent, store) = (FakeStore::start(), FakeStore::start());
     silent.lose_watches(u32::MAX);
     store.set(NAME, "a");
-    let client = client(&[silent.address, store.address]);
-    assert_eq!(
-        client.watch(NAME, Version(0)).await,
-        Ok(WatchResult::Unchanged)
-    );
-    let result = client.watch(NAME, Version(0)).await;
-    assert!(
-        matches!(result, Ok(WatchResult::Newer(Version(1), _))),
-        "{result:?}"
-    );
+    assert_second_watch_finds_change(&client(&[silent.address, store.address])).await;
 }
 
 /// Guards against a client that stops at the first address that fails.
