--- a/crates/flow/src/lookup.rs
+++ b/crates/flow/src/lookup.rs
@@ -1,9 +1,9 @@
 //! Lookup of the owner of a flow that a balancer does not know.
 //!
-//! The balancer asks the agents of the services that the route is known to have led to, and then all
-//! others: only when every agent has denied the flow does it have no owner. Agents that restarted beside a running
-//! target cannot tell. If no agent confirms that it owns the flow, packets are sent to those that
-//! cannot tell, in waves: a target returns a packet of a flow that it does not know.
+//! The balancer first asks the agents of the services that the route is known to have led to, and
+//! then all others. A flow has no owner only when every agent has denied it. Agents that restarted
+//! beside a running target cannot tell. If no agent confirms that it owns the flow, packets are sent
+//! to those that cannot tell, in waves: a target returns a packet of a flow that it does not know.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
--- a/crates/flow/tests/changed_routes.rs
+++ b/crates/flow/tests/changed_routes.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use monsoon_flow::{Action, Balancer, Frame, OwnerReply, Ownership, TargetView};
+use monsoon_flow::{Action, Balancer, Frame, OwnerReply, Ownership, ServiceTag, TargetView};
 use monsoon_model::{Duration, Instant};
 use world::{
     agent_at, caller, catalogue, catalogue_to, data, other_tag, ready_balancer_with, tag, view,
@@ -28,7 +28,7 @@
 /// Balancer that started after the route had moved from [`tag`] to [`other_tag`].
 fn balancer_after_move() -> Balancer {
     let mut balancer = ready_balancer_with(START, 1, catalogue_to(2, other_tag()));
-    let serving = |service: monsoon_flow::ServiceTag| TargetView {
+    let serving = |service: ServiceTag| TargetView {
         service: service.service_id(),
         ..view()
     };
@@ -64,7 +64,10 @@
 
 /// Whether a packet of the flow is sent to an agent.
 fn is_forwarded(actions: &[Action], agent: SocketAddrV4) -> bool {
-    let is_packet = |action: &Action| matches!(action, Action::Send { to, frame: Frame::Data, .. } if *to == agent);
+    let is_packet = |action: &Action| match action {
+        Action::Send { to, frame, .. } => *to == agent && *frame == Frame::Data,
+        _ => false,
+    };
     actions.iter().any(is_packet)
 }
 
@@ -117,7 +120,9 @@
     let mut balancer = balancer_after_move();
     let now = START + LIST_WAIT;
     balancer.handle_caller_packet(now, Bytes::new(), &data(caller(1), 6));
-    reply(&mut balancer, now, PRESENT, Ownership::Unknown);
+    let actions = reply(&mut balancer, now, PRESENT, Ownership::Unknown);
+    assert!(is_forwarded(&actions, agent_at(PRESENT)), "{actions:?}");
+    assert!(!is_forwarded(&actions, agent_at(FORMER)), "{actions:?}");
     reply(&mut balancer, now, PRESENT, Ownership::NotOwned);
     let actions = reply(&mut balancer, now, FORMER, Ownership::Unknown);
     assert!(is_forwarded(&actions, agent_at(FORMER)), "{actions:?}");
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -25,7 +25,8 @@
 /// connection stays open, which only a further call shows. Bounds the time for which a change is
 /// missed.
 const MAX_WATCH: Duration = Duration::from_secs(2);
-/// Timeout of a watch at one address; the store waits up to 30 s for a newer version.
+/// Timeout of a watch at one address, longer than the wait of the store. [`MAX_WATCH`], which covers
+/// all addresses, ends a watch earlier.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(35);
 
 /// Result of a watch.
