Read routes that serve downloads

Cause: a configuration whose routes have the type download was rejected as a whole, because the type was not known, so that no request of the deployment was served. Downloads may be repeated like idempotent requests.

Change: the type is read, and metrics name it as a class of its own.

--- a/crates/flow/src/catalogue.rs
+++ b/crates/flow/src/catalogue.rs
@@ -42,6 +42,8 @@
     Once,
     /// Upload of the caller; runs at most once.
     Upload,
+    /// Download of the caller; may run more than once.
+    Download,
 }
 
 impl RequestKind {
@@ -51,6 +53,7 @@
             Self::Idempotent => "idempotent",
             Self::Once => "once",
             Self::Upload => "upload",
+            Self::Download => "download",
         }
     }
 }
