--- a/crates/flow/src/catalogue.rs
+++ b/crates/flow/src/catalogue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
-use derive_more::Display;
+use derive_more::{Display, Error};
 use monsoon_model::hash::{self, mix};
 use monsoon_model::{Duration, ServiceId, Version};
 use serde::{Deserialize, Serialize};
@@ -67,6 +67,80 @@
     pub weight: u32,
 }
 
+/// Longest time limit of a request that counts as a plausible setting.
+const MAX_TIME_LIMIT: Duration = Duration::from_secs(3_600);
+
+/// What the callers of a route need of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Response-time goal, counted from the caller's first attempt.
+    pub goal: Duration,
+    /// Time after which an answer is useless. At least the goal.
+    pub limit: Duration,
+    /// Urgency under overload; 0 is the highest.
+    pub priority: u8,
+}
+
+/// Operators stated a demand that cannot be used as it is.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum DemandError {
+    /// The time limit is missing, zero or longer than an hour.
+    #[display("the time limit is not between 1 ms and 1 h; requests are served without a demand")]
+    Limit,
+    /// The goal is missing or zero.
+    #[display("the response-time goal is missing or zero; the time limit is used in its place")]
+    Goal,
+    /// The goal is above the time limit.
+    #[display("the response-time goal is above the time limit; the time limit is used")]
+    GoalAboveLimit,
+    /// The priority is not an integer between 0 and 255.
+    #[display("the priority is not between 0 and 255; the lowest is used")]
+    Priority,
+}
+
+/// Demand as operators stated it. A value that cannot be read is `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatedDemand {
+    /// Response-time goal.
+    pub goal: Option<Duration>,
+    /// Time limit.
+    pub limit: Option<Duration>,
+    /// Urgency; 0 is the highest.
+    pub priority: Option<u8>,
+}
+
+impl StatedDemand {
+    /// Demand with a safe default for what cannot be used, and what was wrong with it. Without a
+    /// usable time limit there is none.
+    pub fn check(self) -> (Option<Demand>, Vec<DemandError>) {
+        let limit = self.limit.filter(|&limit| limit > Duration::ZERO);
+        let Some(limit) = limit.filter(|&limit| limit <= MAX_TIME_LIMIT) else {
+            return (None, vec![DemandError::Limit]);
+        };
+        let mut errors = Vec::new();
+        let goal = match self.goal.filter(|&goal| goal > Duration::ZERO) {
+            Some(goal) if goal <= limit => goal,
+            Some(_) => {
+                errors.push(DemandError::GoalAboveLimit);
+                limit
+            }
+            None => {
+                errors.push(DemandError::Goal);
+                limit
+            }
+        };
+        if self.priority.is_none() {
+            errors.push(DemandError::Priority);
+        }
+        let demand = Demand {
+            goal,
+            limit,
+            priority: self.priority.unwrap_or(u8::MAX),
+        };
+        (Some(demand), errors)
+    }
+}
+
 /// Address to which callers send, and the services behind it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
@@ -76,6 +150,8 @@
     pub shares: Vec<Share>,
     /// How often its requests may run.
     pub kind: RequestKind,
+    /// What its callers need; without it, requests are admitted by free slots alone.
+    pub demand: Option<Demand>,
 }
 
 impl Route {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -25,7 +25,10 @@
 pub use action::{Action, Log};
 pub use agent::{Agent, AgentStats, Settings as AgentSettings};
 pub use balancer::{Balancer, Presence, Settings as BalancerSettings, TargetView};
-pub use catalogue::{Catalogue, Evacuations, RequestKind, Route, Service, ServiceTag, Share};
+pub use catalogue::{
+    Catalogue, Demand, DemandError, Evacuations, RequestKind, Route, Service, ServiceTag, Share,
+    StatedDemand,
+};
 pub use frame::{
     Fallback, Frame, FrameError, Open, OwnerQuery, OwnerReply, Ownership, Reason, decode, encode,
 };
--- a/crates/flow/tests/world/mod.rs
+++ b/crates/flow/tests/world/mod.rs
@@ -67,6 +67,7 @@
         name: "r".to_owned(),
         shares: vec![share],
         kind: RequestKind::Idempotent,
+        demand: None,
     };
     let service = Service {
         name: "stock".to_owned(),
