Add the wait queue and the account shares

Cause: a target processes 2 requests and queues 8; it answers the rest with status 503. Nothing orders the requests beyond that by their goals, priorities and accounts (docs/overload-and-restores.md).

Change: WaitQueue holds requests until a place is free, in the order of the specification, and rejects those that cannot be answered within their limits. AccountShares keeps the recent use by account. Neither is used by a program yet.

The wait queue has no test yet; that follows.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -25,6 +25,7 @@
 //! failure and no report, cannot be distinguished from a warm one until it fails. The work started
 //! before the first failure overloads it. The time between later attempts doubles.
 
+mod account_shares;
 mod admission;
 mod estimate;
 mod in_flight;
@@ -33,10 +34,15 @@
 mod queue;
 mod streams;
 mod types;
+mod wait_queue;
 
+pub use account_shares::{AccountKey, AccountShares, HALF_LIFE, MAX_ACCOUNTS};
 pub use admission::Admission;
 pub use queue::{CLASSES_MAX, QUEUE_PER_SLOT};
 pub use types::{
     Action, ClassParameters, HealthReport, Load, Outcome, ReportedState, ShedReason,
     TargetParameters, TargetState, WorkId,
 };
+pub use wait_queue::{
+    Estimate, LATE_WORK, MAX_WAITING, RejectReason, Rejected, WaitQueue, Waiting,
+};
