Pace targets that have started or recovered by their answers

Cause: only a configured rate of new requests limits a cold target, and none is set on the new deployments. Such a target is flooded, and a fixed slow ramp would leave it idle.

Change: Pace begins with one request in flight and allows one more with each answer at good latency. A late answer lowers the limit, a failure halves it and keeps it below the level that failed until a pause is over, which doubles with each failure. Restarts in quick succession hold the limit at one request. The pace ends after a round at good latency at full concurrency, or 4 s after the first answer of a slow target. The latency baseline, the sum over a round, the doubled pause and the latency ratios are shared with the limiter of the daemon, whose behaviour does not change.

--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -17,7 +17,7 @@
 
 /// Estimates of one class, in microseconds.
 #[derive(Clone, Copy, Debug, Default)]
-struct Estimate {
+pub(crate) struct Estimate {
     mean: f64,
     deviation: f64,
     baseline: f64,
@@ -41,25 +41,12 @@
     ServiceTime,
 }
 
-impl Estimates {
-    pub(crate) fn new(classes: usize) -> Self {
-        Self {
-            classes: vec![Estimate::default(); classes],
-        }
-    }
-
-    /// Adds estimates for further classes. Estimates of removed classes stay for work in flight.
-    pub(crate) fn grow(&mut self, classes: usize) {
-        let classes = classes.max(self.classes.len());
-        self.classes.resize(classes, Estimate::default());
-    }
-
+impl Estimate {
     /// Records the latency of a success. Returns its ratio to the previous baseline.
-    pub(crate) fn record(&mut self, class: usize, latency: Duration, mode: LearnMode) -> f64 {
+    pub(crate) fn record(&mut self, latency: Duration, mode: LearnMode) -> f64 {
         let sample = (latency.as_micros() as f64).max(1.0);
-        let estimate = &mut self.classes[class];
-        if estimate.samples == 0 {
-            *estimate = Estimate {
+        if self.samples == 0 {
+            *self = Self {
                 mean: sample,
                 deviation: sample / 4.0,
                 baseline: sample,
@@ -67,33 +54,65 @@
             };
             return 1.0;
         }
-        let ratio = sample / estimate.baseline;
-        estimate.samples = estimate.samples.saturating_add(1);
-        estimate.deviation += ((sample - estimate.mean).abs() - estimate.deviation) * SERVICE_RATE;
-        estimate.mean += (sample - estimate.mean) * SERVICE_RATE;
+        let ratio = sample / self.baseline;
+        self.samples = self.samples.saturating_add(1);
+        self.deviation += ((sample - self.mean).abs() - self.deviation) * SERVICE_RATE;
+        self.mean += (sample - self.mean) * SERVICE_RATE;
         let rate = match mode {
             LearnMode::Provisional => PROVISIONAL_RATE,
-            LearnMode::Warm => BASELINE_RATE.max(1.0 / f64::from(estimate.samples)),
+            LearnMode::Warm => BASELINE_RATE.max(1.0 / f64::from(self.samples)),
             LearnMode::ServiceTime => 0.0,
         };
         let clipped = match mode {
             LearnMode::Provisional => sample,
-            LearnMode::Warm | LearnMode::ServiceTime => sample.min(estimate.baseline * CLIP_RATIO),
+            LearnMode::Warm | LearnMode::ServiceTime => sample.min(self.baseline * CLIP_RATIO),
         };
-        estimate.baseline += (clipped - estimate.baseline) * rate;
+        self.baseline += (clipped - self.baseline) * rate;
         ratio
     }
 
+    /// Returns the ratio of an age or latency to the baseline, if there is one.
+    pub(crate) fn ratio(&self, age: Duration) -> Option<f64> {
+        (self.samples > 0).then(|| age.as_micros() as f64 / self.baseline)
+    }
+
+    /// Returns the baseline latency, if there is one.
+    pub(crate) fn baseline(&self) -> Option<Duration> {
+        (self.samples > 0).then(|| Duration::from_micros(self.baseline as u64))
+    }
+
+    /// Multiplies the baseline by `factor`.
+    pub(crate) fn rescale(&mut self, factor: f64) {
+        self.baseline *= factor;
+    }
+}
+
+impl Estimates {
+    pub(crate) fn new(classes: usize) -> Self {
+        Self {
+            classes: vec![Estimate::default(); classes],
+        }
+    }
+
+    /// Adds estimates for further classes. Estimates of removed classes stay for work in flight.
+    pub(crate) fn grow(&mut self, classes: usize) {
+        let classes = classes.max(self.classes.len());
+        self.classes.resize(classes, Estimate::default());
+    }
+
+    /// Records the latency of a success. Returns its ratio to the previous baseline.
+    pub(crate) fn record(&mut self, class: usize, latency: Duration, mode: LearnMode) -> f64 {
+        self.classes[class].record(latency, mode)
+    }
+
     /// Returns the ratio of an age or latency to the baseline, if the class has one.
     pub(crate) fn ratio(&self, class: usize, age: Duration) -> Option<f64> {
-        let estimate = self.classes[class];
-        (estimate.samples > 0).then(|| age.as_micros() as f64 / estimate.baseline)
+        self.classes[class].ratio(age)
     }
 
     /// Returns the baseline latency of the class, if it has one.
     pub(crate) fn baseline(&self, class: usize) -> Option<Duration> {
-        let estimate = self.classes[class];
-        (estimate.samples > 0).then(|| Duration::from_micros(estimate.baseline as u64))
+        self.classes[class].baseline()
     }
 
     /// Returns the mean service time of the class in microseconds, or zero if unknown.
@@ -110,7 +129,7 @@
     /// Multiplies all baselines by `factor`, after the target became lastingly slower or faster.
     pub(crate) fn rescale(&mut self, factor: f64) {
         for estimate in &mut self.classes {
-            estimate.baseline *= factor;
+            estimate.rescale(factor);
         }
     }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,5 +1,8 @@
 //! Admission control for one target, run by its agent.
 //!
+//! [`Admission`] is the control of the daemon, which sees requests. [`Pace`] limits a target of the
+//! platform, whose agent sees flows only, after a start or recovery.
+//!
 //! [`Admission`] tracks the requests in flight at the target, its open streams and a bounded queue
 //! per class. It is sans-I/O: each call receives the current time and returns [`Action`]s.
 //!
@@ -29,12 +32,15 @@
 mod estimate;
 mod in_flight;
 mod limit;
+mod pace;
 mod pacer;
 mod queue;
+mod round;
 mod streams;
 mod types;
 
 pub use admission::Admission;
+pub use pace::Pace;
 pub use queue::{CLASSES_MAX, QUEUE_PER_SLOT};
 pub use types::{
     Action, ClassParameters, HealthReport, Load, Outcome, ReportedState, ShedReason,
--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -4,6 +4,9 @@
 
 use monsoon_model::{Duration, Instant};
 
+use crate::round::Round;
+pub(crate) use evidence::{DECREASE_FACTOR, GOOD_RATIO, HIGH_RATIO};
+
 /// Minimum time in the cold phase. It exceeds the usual lag of a health endpoint, so that a target
 /// that turned cold has reported it before the limit rises. Each failed attempt to warm doubles it.
 const DWELL_MIN: Duration = Duration::from_secs(4);
@@ -22,7 +25,7 @@
 const REPORT_TTL: Duration = Duration::from_secs(10);
 
 /// Maximum latency ratio of a sample, so that a single outlier does not change the limit.
-const SAMPLE_RATIO_MAX: f64 = 8.0;
+pub(crate) const SAMPLE_RATIO_MAX: f64 = 8.0;
 
 /// Phase of the target.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -47,14 +50,6 @@
     pub(crate) saturated: bool,
 }
 
-/// Latency ratios of one round of successes.
-#[derive(Clone, Copy, Debug, Default)]
-struct Round {
-    started_at: Instant,
-    count: u32,
-    sum: f64,
-}
-
 /// Limit and phase of one target. Limits are in slots, ratios are latency over baseline.
 #[derive(Clone, Debug)]
 pub(crate) struct Limiter {
@@ -66,6 +61,7 @@
     limit: f64,
     /// Minimum time in the cold phase.
     dwell: Duration,
+    /// Latency ratios of the successes since the last change.
     round: Round,
     /// Moving mean of the ratios with weight 1/8, for decreases and increases.
     slow_mean: f64,
@@ -188,10 +184,7 @@
     }
 
     fn restart_round(&mut self, now: Instant) {
-        self.round = Round {
-            started_at: now,
-            ..Round::default()
-        };
+        self.round = Round::new(now);
     }
 
     fn must_stay_cold(&self, now: Instant) -> bool {
--- a/crates/admission/src/limit/evidence.rs
+++ b/crates/admission/src/limit/evidence.rs
@@ -14,16 +14,16 @@
 const RISE_FACTOR: f64 = 1.5;
 
 /// Mean ratio of latency to baseline up to which a round counts as good.
-const GOOD_RATIO: f64 = 1.5;
+pub(crate) const GOOD_RATIO: f64 = 1.5;
 
 /// Mean ratio of latency to baseline from which the limit falls in the ready phase.
-const HIGH_RATIO: f64 = 2.5;
+pub(crate) const HIGH_RATIO: f64 = 2.5;
 
 /// Ratio of latency to baseline from which a target counts as cold.
 const COLD_RATIO: f64 = 4.0;
 
 /// Factor by which the limit falls in the ready phase.
-const DECREASE_FACTOR: f64 = 0.8;
+pub(crate) const DECREASE_FACTOR: f64 = 0.8;
 
 /// Successes between two decreases, so that the effect of the first shows before the second.
 const DECREASE_GAP: u32 = 8;
@@ -121,12 +121,11 @@
         min_count: u32,
         min_time: Duration,
     ) -> Option<f64> {
-        self.round.count += 1;
-        self.round.sum += ratio;
+        self.round.add(ratio);
         if self.round.count < min_count || now.since(self.round.started_at) < min_time {
             return None;
         }
-        let mean = self.round.sum / f64::from(self.round.count);
+        let mean = self.round.mean();
         self.restart_round(now);
         Some(mean)
     }
--- a/crates/admission/src/pacer.rs
+++ b/crates/admission/src/pacer.rs
@@ -8,6 +8,15 @@
 /// Maximum pause after failures, so that a recovered target is detected.
 const PAUSE_MAX: Duration = Duration::from_secs(2);
 
+/// Returns the pause after the failure number `count` in a row: `first` after the first one, doubled
+/// with each further one, up to `max`. Zero without a failure.
+pub(crate) fn backoff(first: Duration, count: u32, max: Duration) -> Duration {
+    let Some(doublings) = count.checked_sub(1) else {
+        return Duration::ZERO;
+    };
+    first.mul_f64(f64::from(1_u32 << doublings.min(8))).min(max)
+}
+
 /// Keeps the share of time in which a target is busy at or below a limit under one.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pacer {
@@ -30,8 +39,8 @@
             self.resume_at = self.resume_at.max(now + pause);
         }
         if failed && limit < 1.0 {
-            let doubled = FAILURE_PAUSE.mul_f64(f64::from(1_u32 << (self.failures - 1).min(8)));
-            self.resume_at = self.resume_at.max(now + doubled.min(PAUSE_MAX));
+            let pause = backoff(FAILURE_PAUSE, self.failures, PAUSE_MAX);
+            self.resume_at = self.resume_at.max(now + pause);
         }
     }
 
