Reject requests earlier that will be late by those ahead of them

Change: once LATE_WORK is used up, the last request in order that will miss its goal is rejected when another arrives. LATE_WORK is 50 ms instead of 100 ms.

--- a/crates/admission/src/wait_queue.rs
+++ b/crates/admission/src/wait_queue.rs
@@ -7,7 +7,13 @@
 //! A request is rejected as soon as its limit cannot be met: when it arrives, by the requests ahead
 //! of it; later, when its time has run out or more urgent requests have taken it. Requests that can
 //! only be answered late wait behind those of their priority that reach their goals, and at most
-//! [`LATE_WORK`] of them while such requests wait.
+//! [`LATE_WORK`] of them while such requests wait. Once there is that much, requests that will be
+//! late by those ahead of them are rejected as well, so that their callers can try elsewhere in
+//! time.
+//!
+//! The queue judges waiting as if all places of the target were busy, and trusts the estimate. Its
+//! owner starts a request without the queue while a place is free and nothing waits; otherwise an
+//! estimate that is too high would reject everything and never be corrected.
 //!
 //! The queue owns the [`AccountShares`]: `pop` records the start. Requests that the target starts
 //! without waiting are recorded with [`WaitQueue::record_start`].
@@ -33,9 +39,9 @@
 pub const MAX_WAITING: usize = 1_024;
 
 /// Work of late requests of one priority that is kept while requests that can reach their goals
-/// wait, as time of the target. It fills the target when the overload ends, and adds this much to
-/// the wait of a lower priority at most.
-pub const LATE_WORK: Duration = Duration::from_millis(100);
+/// wait, as time of the target. It keeps the target busy when the overload ends. More of it makes
+/// callers wait for rejections: during a long overload, late requests mostly wait until their limit.
+pub const LATE_WORK: Duration = Duration::from_millis(50);
 
 /// Queue of one target.
 #[derive(Clone, Debug)]
@@ -172,6 +178,10 @@
 
     /// Rejects the last requests in order while the queue is too long for them.
     fn trim(&mut self, estimate: Estimate, rejected: &mut Vec<Rejected<T>>) {
+        while let Some(sequence) = self.order.crowded(estimate, late_max(estimate)) {
+            let request = self.take(sequence);
+            rejected.extend(request.map(|w| reject(w, RejectReason::Late)));
+        }
         while let Some(sequence) = self.order.last() {
             let Some(request) = self.requests.get(&sequence) else {
                 return;
--- a/crates/admission/src/wait_queue/group.rs
+++ b/crates/admission/src/wait_queue/group.rs
@@ -78,8 +78,9 @@
 
     /// Last request in order. Shares grow as requests start, so this is the last request of the
     /// account whose share is the largest after all its requests have started.
-    pub(super) fn last(&self) -> Option<Sequence> {
-        self.tails.last().map(|&(_, _, sequence, _)| sequence)
+    pub(super) fn last(&self) -> Option<(Instant, Sequence)> {
+        let &(_, goal, sequence, _) = self.tails.last()?;
+        Some((goal, sequence))
     }
 
     /// Expected number of requests that start before a new one of the account.
--- a/crates/admission/src/wait_queue/order.rs
+++ b/crates/admission/src/wait_queue/order.rs
@@ -167,7 +167,8 @@
     /// Last request in order.
     pub(super) fn last(&self) -> Option<Sequence> {
         let (_, level) = self.levels.last_key_value()?;
-        level.late.last().or_else(|| level.in_time.last())
+        let last = level.late.last().or_else(|| level.in_time.last())?;
+        Some(last.1)
     }
 
     /// Expected number of requests that start before a further one that can reach its goal.
@@ -193,7 +194,23 @@
     pub(super) fn excess_last(&self, max: usize) -> Option<Sequence> {
         let mut levels = self.levels.iter().rev();
         let (_, level) = levels.find(|&(&p, _)| self.excess(p, max) > 0)?;
-        level.late.last()
+        Some(level.late.last()?.1)
+    }
+
+    /// Last request in order of those that could reach their goals now, but cannot with the requests
+    /// ahead of them, of a priority that has `max` late ones.
+    pub(super) fn crowded(&self, estimate: Estimate, max: usize) -> Option<Sequence> {
+        let mut ahead = 0;
+        for level in self.levels.values() {
+            let wait = estimate.time_for((ahead + level.in_time.len()) as f64);
+            let reachable = estimate.reachable_goal(self.now + wait);
+            let last = level.in_time.last().filter(|k| k.0 < reachable);
+            if let Some((_, sequence)) = last.filter(|_| level.late.len() >= max) {
+                return Some(sequence);
+            }
+            ahead += level.len();
+        }
+        None
     }
 
     /// Time at which a request is the next whose limit cannot be met.
