Decide about late requests in one place

Change: only the rule that looks at the last request in order stays. New tests of it and of displaced requests; each fails without its rule.

--- a/crates/admission/src/wait_queue.rs
+++ b/crates/admission/src/wait_queue.rs
@@ -92,8 +92,8 @@
         estimate: Estimate,
     ) -> Vec<Rejected<T>> {
         let mut rejected = self.expire(now, estimate);
-        if let Some(reason) = self.refusal(&request, estimate) {
-            rejected.push(reject(request, reason));
+        if !self.can_end(&request, estimate) {
+            rejected.push(reject(request, RejectReason::Wait));
             return rejected;
         }
         self.order.insert(Place::new(self.next, &request));
@@ -120,7 +120,7 @@
             let request = self.requests.remove(&sequence);
             rejected.extend(request.map(|w| reject(w, RejectReason::Expired)));
         }
-        while let Some(sequence) = self.order.excess_last(late_max(estimate)) {
+        while let Some(sequence) = self.order.excess(late_max(estimate)) {
             let request = self.take(sequence);
             rejected.extend(request.map(|w| reject(w, RejectReason::Late)));
         }
@@ -163,17 +163,10 @@
         requests.into_values().collect()
     }
 
-    /// Why the request cannot be admitted, if so.
-    fn refusal(&self, request: &Waiting<T>, estimate: Estimate) -> Option<RejectReason> {
+    /// Whether the request can be answered within its limit, given what is ahead of it.
+    fn can_end(&self, request: &Waiting<T>, estimate: Estimate) -> bool {
         let wait = self.expected_wait(request.priority, request.account, estimate);
-        let start = self.order.now + wait;
-        if start + estimate.service_time > request.expires_at {
-            return Some(RejectReason::Wait);
-        }
-        let is_late = estimate.reachable_goal(start) > request.goal_at;
-        let others = late_max(estimate) - 1;
-        let is_excess = is_late && self.order.excess(request.priority, others) > 0;
-        is_excess.then_some(RejectReason::Late)
+        self.order.now + wait + estimate.service_time <= request.expires_at
     }
 
     /// Rejects the last requests in order while the queue is too long for them.
--- a/crates/admission/src/wait_queue/order.rs
+++ b/crates/admission/src/wait_queue/order.rs
@@ -179,22 +179,17 @@
         above as f64 + level.map_or(0.0, own)
     }
 
-    /// Number of late requests of the priority beyond `max`, zero if no request of this or a higher
-    /// priority that can reach its goal waits.
-    pub(super) fn excess(&self, priority: u8, max: usize) -> usize {
-        let mut above = self.levels.range(..=priority);
-        if above.all(|(_, l)| l.in_time.len() == 0) {
-            return 0;
+    /// Last late request in order of a priority that has more than `max` of them, while a request
+    /// of this or a higher priority can reach its goal.
+    pub(super) fn excess(&self, max: usize) -> Option<Sequence> {
+        let mut has_in_time = false;
+        for level in self.levels.values() {
+            has_in_time |= level.in_time.len() > 0;
+            if has_in_time && level.late.len() > max {
+                return Some(level.late.last()?.1);
+            }
         }
-        let late = self.levels.get(&priority).map_or(0, |l| l.late.len());
-        late.saturating_sub(max)
-    }
-
-    /// Last late request in order of a priority that has more than `max` of them.
-    pub(super) fn excess_last(&self, max: usize) -> Option<Sequence> {
-        let mut levels = self.levels.iter().rev();
-        let (_, level) = levels.find(|&(&p, _)| self.excess(p, max) > 0)?;
-        Some(level.late.last()?.1)
+        None
     }
 
     /// Last request in order of those that could reach their goals now, but cannot with the requests
--- a/crates/admission/tests/wait_queue.rs
+++ b/crates/admission/tests/wait_queue.rs
@@ -122,6 +122,43 @@
     assert_eq!(queue.pop(now, ESTIMATE).map(|w| w.item), Some(20));
 }
 
+/// Guards against requests that wait until their limit behind more urgent ones that came later.
+#[test]
+fn urgent_requests_displace_the_last_in_order() {
+    let mut queue = WaitQueue::new();
+    for n in 0..110 {
+        admit(&mut queue, Instant::ZERO, request(n, Instant::ZERO, 2, 1));
+    }
+    let urgent = (110..130).map(|n| request(n, Instant::ZERO, 1, 2));
+    let rejected: Vec<_> = urgent
+        .flat_map(|r| queue.offer(Instant::ZERO, r, ESTIMATE))
+        .collect();
+    let items: Vec<u32> = rejected.iter().map(|r| r.item).collect();
+    assert_eq!(items, (98..110).rev().collect::<Vec<u32>>());
+    assert!(rejected.iter().all(|r| r.reason == RejectReason::Displaced));
+}
+
+/// Guards against requests that wait for their rejection until their goals have passed.
+#[test]
+fn requests_that_will_be_late_are_rejected_early_when_enough_are_late() {
+    let mut queue = WaitQueue::new();
+    for n in 0..6 {
+        admit(&mut queue, Instant::ZERO, request(n, Instant::ZERO, 2, 1));
+    }
+    let now = Instant::from_millis(300);
+    let mut rejected = Vec::new();
+    for n in 6..46 {
+        rejected.extend(queue.offer(now, request(n, now, 2, 1), ESTIMATE));
+    }
+    for n in 46..50 {
+        rejected.extend(queue.offer(now, request(n, now, 1, 2), ESTIMATE));
+    }
+    let items: Vec<u32> = rejected.iter().map(|r| r.item).collect();
+    let refused = 26..46;
+    assert_eq!(items, refused.chain((22..26).rev()).collect::<Vec<u32>>());
+    assert!(rejected.iter().all(|r| r.reason == RejectReason::Late));
+}
+
 /// Guards against a request whose caller gave up that still starts, and against requests that are
 /// lost when the queue is passed on.
 #[test]
