--- a/crates/admission/src/wait_queue/group.rs
+++ b/crates/admission/src/wait_queue/group.rs
@@ -78,8 +78,9 @@
 
     /// Last request in order. Shares grow as requests start, so this is the last request of the
     /// account whose share is the largest after all its requests have started.
-    pub(super) fn last(&self) -> Option<Sequence> {
-        self.tails.last().map(|&(_, _, sequence, _)| sequence)
+    pub(super) fn last(&self) -> Option<(Instant, Sequence)> {
+        let &(_, goal, sequence, _) = self.tails.last()?;
+        Some((goal, sequence))
     }
 
     /// Expected number of requests that start before a new one of the account.
@@ -91,8 +92,10 @@
         let own_len = own.map_or(0, |q| q.requests.len());
         let turn = share.starts + own_len as f64;
         let mut ahead = own_len as f64;
+        let mut previous = None;
         for (&bucket, sum) in &self.sums {
-            let level = bucket.use_at(now);
+            let level = bucket.use_after(previous, now);
+            previous = Some((bucket, level));
             if bucket > share.bucket && level > turn {
                 break;
             }
--- a/crates/admission/src/wait_queue/order.rs
+++ b/crates/admission/src/wait_queue/order.rs
@@ -167,7 +167,8 @@
     /// Last request in order.
     pub(super) fn last(&self) -> Option<Sequence> {
         let (_, level) = self.levels.last_key_value()?;
-        level.late.last().or_else(|| level.in_time.last())
+        let last = level.late.last().or_else(|| level.in_time.last())?;
+        Some(last.1)
     }
 
     /// Expected number of requests that start before a further one that can reach its goal.
@@ -178,22 +179,33 @@
         above as f64 + level.map_or(0.0, own)
     }
 
-    /// Number of late requests of the priority beyond `max`, zero if no request of this or a higher
-    /// priority that can reach its goal waits.
-    pub(super) fn excess(&self, priority: u8, max: usize) -> usize {
-        let mut above = self.levels.range(..=priority);
-        if above.all(|(_, l)| l.in_time.len() == 0) {
-            return 0;
+    /// Last late request in order of a priority that has more than `max` of them, while a request
+    /// of this or a higher priority can reach its goal.
+    pub(super) fn excess(&self, max: usize) -> Option<Sequence> {
+        let mut has_in_time = false;
+        for level in self.levels.values() {
+            has_in_time |= level.in_time.len() > 0;
+            if has_in_time && level.late.len() > max {
+                return Some(level.late.last()?.1);
+            }
         }
-        let late = self.levels.get(&priority).map_or(0, |l| l.late.len());
-        late.saturating_sub(max)
-    }
-
-    /// Last late request in order of a priority that has more than `max` of them.
-    pub(super) fn excess_last(&self, max: usize) -> Option<Sequence> {
-        let mut levels = self.levels.iter().rev();
-        let (_, level) = levels.find(|&(&p, _)| self.excess(p, max) > 0)?;
-        level.late.last()
+        None
+    }
+
+    /// Last request in order of those that could reach their goals now, but cannot with the requests
+    /// ahead of them, of a priority that has `max` late ones.
+    pub(super) fn crowded(&self, estimate: Estimate, max: usize) -> Option<Sequence> {
+        let mut ahead = 0;
+        for level in self.levels.values() {
+            let wait = estimate.time_for((ahead + level.in_time.len()) as f64);
+            let reachable = estimate.reachable_goal(self.now + wait);
+            let last = level.in_time.last().filter(|k| k.0 < reachable);
+            if let Some((_, sequence)) = last.filter(|_| level.late.len() >= max) {
+                return Some(sequence);
+            }
+            ahead += level.len();
+        }
+        None
     }
 
     /// Time at which a request is the next whose limit cannot be met.
