Explain where a balancer would place a flow

Cause: operators cannot see why a flow goes to a target, or why it gets none, without opening one and reading the logs of all processes.

Change: Balancer::explain returns the route, service, demand, versions, the agents of the service with the reason for their rank or exclusion, the decision on the next packet, and the decision without candidates. It calls the functions that place flows; only their visibility changes, and wait_deadline takes the service and the time in place of an Opening.

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -2,6 +2,7 @@
 //! owners.
 
 mod data;
+mod explain;
 mod frames;
 mod open;
 mod query_batches;
@@ -16,6 +17,7 @@
 
 use crate::lookup::Lookup;
 use crate::{Action, Catalogue, Evacuations, FlowKey, PacketInfo, PacketKind, ServiceTag};
+pub use explain::{Candidate, Decision, DropReason, Explanation, RankReason, ResetReason};
 use query_batches::QueryBatches;
 use targets::RecentAgent;
 pub use targets::{Presence, TargetView};
@@ -311,7 +313,7 @@
     /// Lets a flow wait until the list of agents changes, at most until `deadline`. Returns whether
     /// it waits.
     fn wait_for_list(&mut self, now: Instant, key: FlowKey, deadline: Instant) -> bool {
-        let waits = now < deadline && self.waiting.len() < MAX_WAITING;
+        let waits = self.may_wait(now, deadline);
         if waits {
             let at = self
                 .waiting
@@ -321,15 +323,19 @@
         waits
     }
 
+    fn may_wait(&self, now: Instant, deadline: Instant) -> bool {
+        now < deadline && self.waiting.len() < MAX_WAITING
+    }
+
     /// Until when a new flow may wait: for a complete list of agents, or for a target of its
     /// service that takes no flows at present.
-    fn wait_deadline(&self, opening: &Opening) -> Instant {
+    fn wait_deadline(&self, service: ServiceTag, received_at: Instant) -> Instant {
         let serves = |target: &TargetView| {
-            target.service == opening.service.service_id() && target.presence != Presence::Ended
+            target.service == service.service_id() && target.presence != Presence::Ended
         };
         let complete_at = self.wait_for_agents_until();
         if self.targets.values().any(serves) {
-            complete_at.max(opening.received_at + MAX_OPEN_WAIT)
+            complete_at.max(received_at + MAX_OPEN_WAIT)
         } else {
             complete_at
         }
--- a/crates/flow/src/balancer/data.rs
+++ b/crates/flow/src/balancer/data.rs
@@ -81,7 +81,7 @@
         }
     }
 
-    fn has_route(&self, key: FlowKey) -> bool {
+    pub(super) fn has_route(&self, key: FlowKey) -> bool {
         let catalogue = self.catalogue.as_ref();
         catalogue.is_none_or(|c| c.routes.contains_key(&key.address))
     }
@@ -120,7 +120,7 @@
     }
 
     /// Whether an agent announced that its target, and so all its flows, have ended.
-    fn has_ended(&self, agent: SocketAddrV4) -> bool {
+    pub(super) fn has_ended(&self, agent: SocketAddrV4) -> bool {
         let recent = self.recent_agents.get(&agent);
         recent.is_some_and(|recent| recent.presence == Presence::Ended)
     }
--- a/crates/flow/src/balancer/open.rs
+++ b/crates/flow/src/balancer/open.rs
@@ -75,7 +75,12 @@
     }
 
     /// Candidates for a new flow, best first.
-    fn candidates(&self, now: Instant, service: ServiceTag, key: FlowKey) -> Vec<SocketAddrV4> {
+    pub(super) fn candidates(
+        &self,
+        now: Instant,
+        service: ServiceTag,
+        key: FlowKey,
+    ) -> Vec<SocketAddrV4> {
         let fits = |target: &super::TargetView| {
             target.accepts_flows
                 && target.service == service.service_id()
@@ -100,7 +105,7 @@
         order.truncate(MAX_HOPS);
         let Some(first) = order.first().copied() else {
             opening.last_candidates.clear();
-            let deadline = self.wait_deadline(&opening);
+            let deadline = self.wait_deadline(opening.service, opening.received_at);
             if self.wait_for_list(now, key, deadline) {
                 // Agents that refused may take flows again by then.
                 opening.refused_by.clear();
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -24,7 +24,10 @@
 
 pub use action::{Action, Log};
 pub use agent::{Agent, AgentStats, Settings as AgentSettings};
-pub use balancer::{Balancer, Presence, Settings as BalancerSettings, TargetView};
+pub use balancer::{
+    Balancer, Candidate, Decision, DropReason, Explanation, Presence, RankReason, ResetReason,
+    Settings as BalancerSettings, TargetView,
+};
 pub use catalogue::{
     Catalogue, Demand, DemandError, Evacuations, RequestKind, Route, Service, ServiceTag, Share,
     StatedDemand,
--- a/crates/flow/src/ranking.rs
+++ b/crates/flow/src/ranking.rs
@@ -14,7 +14,7 @@
 const RANKING_SALT: u64 = hash::bytes(b"flow-candidates");
 /// Load, in percent of the slots, from which a target in the own data centre is no longer
 /// preferred.
-const LOCAL_LOAD_LIMIT: u16 = 150;
+pub(crate) const LOCAL_LOAD_LIMIT: u16 = 150;
 
 /// Candidates for a new flow, best first.
 ///
