Serve explanations at /explain and show them with monsoonctl

Cause: the explanation of a placement is only of use where operators can ask a running balancer for it.

Change: GET /explain on the peer and metrics addresses answers with JSON; status 400 names a bad parameter, an agent answers 404, another method 405. The task that owns the state answers and sends nothing. monsoonctl explain shows the answer as a table or as JSON; it needs no store. The store client gains fetch_response, because the body of an error names the reason.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -57,6 +57,8 @@
     Dc(DcArguments),
     /// show latencies and outcomes of requests, read from processes
     Histogram(HistogramArguments),
+    /// show where a balancer would send a request now, and why
+    Explain(ExplainArguments),
 }
 
 /// Reads a document file and writes nothing.
@@ -146,3 +148,22 @@
     #[options(free)]
     pub more: Vec<SocketAddr>,
 }
+
+/// Asks a balancer where it would place a flow. Nothing is sent and no state changes.
+#[derive(Debug, Options)]
+pub struct ExplainArguments {
+    /// show this help
+    pub help: bool,
+    /// peer or metrics address of the balancer as HOST:PORT
+    #[options(no_short, required, meta = "ADDR")]
+    pub balancer: String,
+    /// address of the caller as IP:PORT
+    #[options(no_short, required, meta = "ADDR")]
+    pub caller: String,
+    /// address to which the caller sends, as IP:PORT
+    #[options(no_short, required, meta = "ADDR")]
+    pub address: String,
+    /// print JSON
+    #[options(no_short)]
+    pub json: bool,
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,6 +5,7 @@
 mod change;
 mod document;
 mod evacuations;
+mod explain;
 mod failure;
 mod histogram;
 mod objects;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -12,7 +12,7 @@
 use crate::failure::{Failure, FailureKind};
 use crate::objects::Context;
 use crate::report::Report;
-use crate::{document, evacuations, histogram, status};
+use crate::{document, evacuations, explain, histogram, status};
 
 /// Runs the command and prints its result.
 pub fn run(args: &[String]) -> ExitCode {
@@ -33,7 +33,7 @@
         print(&help(&arguments));
         return ExitCode::SUCCESS;
     }
-    let json = arguments.json;
+    let json = arguments.json || matches!(&arguments.command, Some(Command::Explain(e)) if e.json);
     match execute(&arguments) {
         Ok(report) if json => print(&report.json.to_string()),
         Ok(report) => print(&report.text),
@@ -105,6 +105,9 @@
     if let Command::Histogram(histogram) = command {
         return histogram::show(histogram.at.iter().chain(&histogram.more)).await;
     }
+    if let Command::Explain(explain) = command {
+        return explain::show(explain).await;
+    }
     let client = Client::new(store_addresses(arguments)?)?;
     let author = || author(arguments);
     let write_timeout = Duration::from_secs(u64::from(arguments.patience));
@@ -139,10 +142,12 @@
                 "dc needs out or in; run monsoonctl dc --help",
             )),
         },
-        Command::Check(_) | Command::Promote(_) | Command::Histogram(_) => Err(Failure::new(
-            FailureKind::Usage,
-            "the command is unknown; run monsoonctl --help",
-        )),
+        Command::Check(_) | Command::Promote(_) | Command::Histogram(_) | Command::Explain(_) => {
+            Err(Failure::new(
+                FailureKind::Usage,
+                "the command is unknown; run monsoonctl --help",
+            ))
+        }
     }
 }
 
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -8,6 +8,7 @@
 use monsoon_flow::Heartbeat;
 use tokio::sync::oneshot;
 
+use crate::explain::EXPLAIN_PATH;
 use crate::http::{ReceivedRequest, Reply};
 use crate::message::{Message, MessageSender};
 use crate::{RejectedEntry, TargetCall, peers};
@@ -33,7 +34,7 @@
     }
 }
 
-/// Serves the configuration to other processes, and metrics.
+/// Serves the configuration to other processes, explanations, and metrics.
 pub(crate) fn configuration_and_metrics(
     messages: MessageSender,
 ) -> impl Fn(ReceivedRequest) -> ReplyFuture + Send + Sync + 'static {
@@ -50,6 +51,14 @@
                 "/metrics" => query(&messages, Message::Metrics)
                     .await
                     .map(|text| ("text/plain; version=0.0.4", Bytes::from(text))),
+                EXPLAIN_PATH if request.method != Method::GET => {
+                    return Reply::status(StatusCode::METHOD_NOT_ALLOWED);
+                }
+                EXPLAIN_PATH => {
+                    let answer =
+                        query(&messages, |reply| Message::Explain(request.query, reply)).await;
+                    return answer.unwrap_or(Reply::status(StatusCode::SERVICE_UNAVAILABLE));
+                }
                 _ => None,
             };
             resource.map_or(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod decision_log;
 mod discovery;
 mod endpoints;
+mod explain;
 mod http;
 pub mod logs;
 mod members;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,6 +7,7 @@
 use monsoon_model::Versions;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::http::Reply;
 use crate::{AgentRegistry, RejectedEntry, Settings, StoreError};
 
 /// Messages that the queue holds; when it is full, senders wait.
@@ -65,6 +66,8 @@
     TargetAbsent,
     /// Requests the parts of the configuration that are newer than these versions, encoded.
     Configuration(Versions, oneshot::Sender<Bytes>),
+    /// Requests the answer to this query of `/explain`.
+    Explain(String, oneshot::Sender<Reply>),
     /// Requests the metrics as text.
     Metrics(oneshot::Sender<String>),
     /// Requests whether the process takes new flows.
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -24,11 +24,12 @@
 use crate::balancer::BalancerState;
 use crate::clock::{Clock, SuspensionDetector};
 use crate::decision_log::DecisionLog;
+use crate::http::Reply;
 use crate::message::{Message, MessageSender, QUEUE_LENGTH};
 use crate::metrics::Metrics;
 use crate::peers::{self, SharedConfiguration};
 use crate::rejection_log::RejectionLog;
-use crate::{Adapter, AgentRegistry, Settings, discovery};
+use crate::{Adapter, AgentRegistry, Settings, discovery, explain};
 
 /// Largest datagram: a packet of 1,232 bytes and the largest frame header.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
@@ -338,6 +339,9 @@
                 };
                 let _ = reply.send(peers::encode(&configuration));
             }
+            Message::Explain(query, reply) => {
+                let _ = reply.send(self.explain(role_state, now, &query));
+            }
             Message::Metrics(reply) => {
                 let gauges = match role_state {
                     RoleState::Balancer(balancer) => balancer.gauges(),
@@ -358,6 +362,15 @@
         }
     }
 
+    fn explain(&self, role_state: &RoleState, now: Instant, query: &str) -> Reply {
+        match role_state {
+            RoleState::Balancer(balancer) => {
+                explain::answer(&balancer.flows, now, &self.settings.data_centres, query)
+            }
+            RoleState::Agent(_) => explain::no_balancer(),
+        }
+    }
+
     /// Reads the registry of agents in the background.
     pub(crate) fn read_registry(&self) {
         let (client, store) = (self.adapter.store_client, self.settings.store);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -207,16 +207,26 @@
 /// Returns an error when the address doesn't answer in time or answers with a status other than
 /// 200.
 pub async fn fetch(address: SocketAddr, path: &str) -> Result<Bytes, StoreError> {
-    let request = request(address, Method::GET, path);
-    match exchange(address, request, GET_TIMEOUT).await {
-        Ok(response) if response.status == StatusCode::OK => Ok(response.body),
-        Ok(response) => Err(unexpected(&format!("{address}{path}"), response.status)),
-        Err(error) => Err(StoreError::Unreachable {
-            reason: error.to_string(),
-        }),
+    let response = fetch_response(address, path).await?;
+    if response.status == StatusCode::OK {
+        Ok(response.body)
+    } else {
+        Err(unexpected(&format!("{address}{path}"), response.status))
     }
 }
 
+/// Fetches a page whatever its status is, for callers that show the body of an error.
+///
+/// # Errors
+/// Returns an error when the address doesn't answer in time.
+pub async fn fetch_response(address: SocketAddr, path: &str) -> Result<Response, StoreError> {
+    let request = request(address, Method::GET, path);
+    let response = exchange(address, request, GET_TIMEOUT).await;
+    response.map_err(|error| StoreError::Unreachable {
+        reason: error.to_string(),
+    })
+}
+
 fn check_name(name: &str) -> Result<(), StoreError> {
     let is_valid = is_object_name(name);
     if is_valid {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,7 +12,7 @@
 mod error;
 mod object;
 
-pub use client::{Client, MAX_ADDRESSES, WatchResult, fetch};
+pub use client::{Client, MAX_ADDRESSES, WatchResult, fetch, fetch_response};
 pub use conditional_write::{CallResult, WriteResult, perform, write_conditionally};
 pub use connection::{CONNECT_TIMEOUT, ExchangeError, MAX_BODY, Response, exchange};
 pub use error::{PutError, StoreError};
