--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -348,7 +348,7 @@
                     RoleState::Agent(agent) => agent.gauges(now),
                 };
                 let (decisions, rejections) = (self.decision_log.counts(), &self.rejections);
-                let _ = reply.send(self.metrics.render(decisions, rejections, &gauges));
+                let _ = reply.send(self.metrics.render(decisions, rejections, &gauges, &[]));
             }
             Message::Readiness(reply) => {
                 let is_ready = match role_state {
