--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -228,7 +228,10 @@
         String::new(),
     ];
     if explanation.candidates.is_empty() {
-        lines.push("no agent of the service is known".to_owned());
+        lines.push(match explanation.service {
+            Some(_) => "no agent of the service is known".to_owned(),
+            None => "without a service, there are no agents to list".to_owned(),
+        });
     } else {
         let rows: Vec<_> = explanation.candidates.iter().map(row).collect();
         lines.push(table(&HEADER, &rows));
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -62,6 +62,28 @@
     assert_eq!(json(printed), json(EXAMPLE));
 }
 
+/// Guards against a flow without route or agents that is shown as an error, and against a shortened
+/// list that looks complete.
+#[test]
+fn missing_parts_of_an_answer_are_named() {
+    let mut answer: serde_json::Value = serde_json::from_str(EXAMPLE).expect("text is JSON");
+    let show =
+        |answer: &serde_json::Value| explain(&serve(200, &answer.to_string()).0.to_string(), &[]);
+    let first = answer["candidates"][0].take();
+    answer["candidates"] = serde_json::json!([first]);
+    answer["unlisted"] = serde_json::json!(7);
+    assert_snapshot!(show(&answer));
+    answer["candidates"] = serde_json::json!([]);
+    answer["unlisted"] = serde_json::json!(0);
+    answer["decision"] = answer["without_candidates"].clone();
+    answer["evacuated"] = serde_json::json!([{"id": 3, "name": null}]);
+    assert_snapshot!(show(&answer));
+    for key in ["route", "service", "demand"] {
+        answer[key] = serde_json::Value::Null;
+    }
+    assert_snapshot!(show(&answer));
+}
+
 /// Guards against failures that are shown as answers, or do not say what to do.
 #[test]
 fn failures_name_a_remedy() {
--- a/crates/relay/src/explain.rs
+++ b/crates/relay/src/explain.rs
@@ -54,7 +54,7 @@
 
 /// Answer of an agent, which places no flows.
 pub(crate) fn no_balancer() -> Reply {
-    let error = "this process is an agent; ask a balancer where a flow would go";
+    let error = "this process is an agent, which places no flows";
     reply(StatusCode::NOT_FOUND, &json!({"error": error}))
 }
 
