Admit flows of a route with a demand by expected completion and time left

Agents passed a flow on while all slots were in use, and the last one took it in any case.

Change: an agent takes a flow at once if it has a free slot and answers well within the goal, else the agent with the shortest expected completion queues it. Waiting flows start when the target has a place; what cannot be answered in time is rejected before it reaches the target. Under overload the same accounts are rejected everywhere for two seconds, because callers repeat rejected requests at once. A started target is paced by its answers while others have room.

--- a/crates/admission/src/account_shares.rs
+++ b/crates/admission/src/account_shares.rs
@@ -29,6 +29,11 @@
 /// Use below which an account is forgotten, in starts. One start reaches it after ten half-lives.
 const FORGET_USE: f64 = 1.0 / 1_024.0;
 
+/// Use below which an account counts as unused, in starts. The flows of one account spread over many
+/// targets, so that smaller uses differ by chance: ordered by them, 36 % of the requests of a crowd
+/// of equal accounts waited until they were late.
+const FREE_USE: f64 = 4.0;
+
 /// Steps of a tag per octave of use, as a power of two.
 const TAG_BITS: u32 = 16;
 
@@ -146,8 +151,12 @@
 
     /// Bucket by which the account is ordered.
     pub(crate) fn bucket(&self, account: AccountKey) -> Bucket {
-        let bucket = |e: &Entry| Bucket(e.tag >> (TAG_BITS - BUCKET_BITS));
-        self.entries.get(&account).map_or(Bucket::UNUSED, bucket)
+        match self.entries.get(&account) {
+            Some(entry) if entry.starts >= FREE_USE => {
+                Bucket(entry.tag >> (TAG_BITS - BUCKET_BITS))
+            }
+            _ => Bucket::UNUSED,
+        }
     }
 
     /// Forgets accounts that are hardly used, and the least used ones until one more fits.
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -37,6 +37,7 @@
 mod pacer;
 mod queue;
 mod round;
+mod shedding;
 mod streams;
 mod types;
 mod wait_queue;
@@ -45,6 +46,7 @@
 pub use admission::Admission;
 pub use pace::Pace;
 pub use queue::{CLASSES_MAX, QUEUE_PER_SLOT};
+pub use shedding::{PERIOD as SHEDDING_PERIOD, Shedding};
 pub use types::{
     Action, ClassParameters, HealthReport, Load, Outcome, ReportedState, ShedReason,
     TargetParameters, TargetState, WorkId,
--- a/crates/admission/src/pace.rs
+++ b/crates/admission/src/pace.rs
@@ -176,6 +176,12 @@
         (self.is_limited && !self.has_ended(now)).then_some(self.limit)
     }
 
+    /// Whether the target has failed or restarted repeatedly, so that the limit must be kept even if
+    /// no other target has room.
+    pub fn is_strict(&self, now: Instant) -> bool {
+        matches!(self.phase(now), "held" | "capped")
+    }
+
     /// Name of the phase, for metrics: `full`, `held` after restarts in quick succession, `capped`
     /// below a level that failed, or `rising`.
     pub fn phase(&self, now: Instant) -> &'static str {
--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -37,6 +37,8 @@
         /// Time since the request was delivered to the target.
         latency: Duration,
     },
+    /// Record for the metrics how long an opening packet waited for a place at the target.
+    Waited(Duration),
     /// Log a decision on a flow.
     Log(Log),
 }
--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -3,9 +3,11 @@
 //! The agent takes or passes on opening packets, keeps the table of its target's flows and answers
 //! the lookups of balancers. It judges the target by heartbeats and by how requests end.
 
+mod admission;
 mod flows;
 mod inbound;
 mod outbound;
+mod places;
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
@@ -16,6 +18,7 @@
 use crate::health::Health;
 use crate::target_state::{Heartbeat, TargetLimits, TargetState};
 use crate::{Action, Catalogue, Evacuations, FlowKey, Presence, Reason, ServiceTag};
+use admission::Admission;
 use flows::{Flow, Flows};
 use inbound::pass_on;
 
@@ -97,6 +100,9 @@
     first_heartbeat: Option<FirstHeartbeat>,
     /// Opening packets that the target has not answered, with the times of their delivery.
     pending_opens: VecDeque<(Instant, FlowKey)>,
+    /// Flows whose first request is awaited, with the times of the offers.
+    pending_requests: VecDeque<(Instant, FlowKey)>,
+    admission: Admission,
     next_expiry: Instant,
 }
 
@@ -117,6 +123,8 @@
             config_checked: false,
             started_at: now,
             pending_opens: VecDeque::new(),
+            pending_requests: VecDeque::new(),
+            admission: Admission::default(),
             next_expiry: now + EXPIRY_INTERVAL,
         }
     }
@@ -127,6 +135,11 @@
         self.settings = settings;
     }
 
+    /// Sets the number of the period of [`monsoon_admission::Shedding`], by the time of day.
+    pub fn set_shedding_period(&mut self, period: u64) {
+        self.admission.shedding.set_period(period);
+    }
+
     /// Applies a catalogue. One older than the present is ignored.
     pub fn set_catalogue(&mut self, catalogue: Arc<Catalogue>) {
         if catalogue.version >= self.versions.document {
@@ -147,6 +160,7 @@
             .contains(&self.settings.data_centre);
         if self.is_evacuated && !is_evacuated {
             self.target_state.assume_cold(now);
+            self.restart_pace(now);
         }
         self.is_evacuated = is_evacuated;
     }
@@ -204,6 +218,9 @@
                     }
                     self.health = Health::new(now);
                 }
+                if !may_be_older {
+                    self.restart_pace(now);
+                }
                 Some("started")
             }
             Some(false) => (before != Some(readiness)).then_some("changed"),
@@ -333,13 +350,18 @@
             self.next_expiry = now + EXPIRY_INTERVAL;
             let idle = self.catalogue.as_ref().map(|c| c.idle_timeout);
             let idle = idle.unwrap_or(self.settings.flow_ttl);
-            for _ in 0..self.flows.expire(now, idle, self.health.overdue_after()) {
+            let overdue_after = self.health.overdue_after();
+            for _ in 0..self.flows.expire(now, idle, overdue_after) {
                 self.health.failed(now);
+                let sent_at = Instant::ZERO + now.since(Instant::ZERO + overdue_after);
+                self.admission.pace.failed(now, sent_at);
             }
             if now.since(self.started_at) > self.settings.flow_ttl {
                 self.has_unknown = false;
             }
         }
+        self.expire_pending_requests(now);
+        self.start_waiting(now, &mut actions);
         actions
     }
 
@@ -349,7 +371,9 @@
             .pending_opens
             .front()
             .map(|&(at, _)| at + OFFER_TIMEOUT);
-        pending_opens.map_or(self.next_expiry, |at| at.min(self.next_expiry))
+        let due = [pending_opens, self.next_admission()];
+        let due = due.into_iter().flatten().min();
+        due.map_or(self.next_expiry, |at| at.min(self.next_expiry))
     }
 
     /// Percent of the slots in use; above 100 when requests are queued.
@@ -377,6 +401,9 @@
         {
             let (open, packet) = (opening.open.clone(), opening.packet.clone());
             self.flows.remove(key);
+            if self.target_state.refusal_reason(now) != Some(Reason::Unresponsive) {
+                self.restart_pace(now);
+            }
             self.target_state.set_unresponsive(now);
             pass_on(key, open, packet, Reason::Unresponsive, actions);
         }
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -55,6 +55,11 @@
     pub received_end: Option<u32>,
     /// Since when a request has been waiting for its answer.
     pub waiting_since: Option<Instant>,
+    /// Since when that request has had a place at the target: for the first request, since the
+    /// opening packet was delivered.
+    pub place_since: Option<Instant>,
+    /// Requests at the target when that request reached it, itself included.
+    pub running: usize,
     /// Whether that request was counted as overdue.
     pub is_overdue: bool,
     /// Whether the caller closed its direction.
@@ -91,6 +96,8 @@
             received_end: Some(self.sequence.wrapping_add(1)),
             last_used: self.delivered_at,
             waiting_since: None,
+            place_since: Some(self.delivered_at),
+            running: 0,
             is_overdue: false,
             caller_closed: false,
             target_closed: false,
@@ -131,47 +138,77 @@
 /// Flows by key, with the number of requests in flight.
 #[derive(Debug, Default)]
 pub(super) struct Flows {
-    flows: BTreeMap<FlowKey, Flow>,
+    entries: BTreeMap<FlowKey, Flow>,
     in_flight: usize,
+    /// Those in flight whose request has reached the target.
+    running: usize,
 }
 
 impl Flows {
     pub(super) fn get(&self, key: FlowKey) -> Option<&Flow> {
-        self.flows.get(&key)
+        self.entries.get(&key)
     }
 
     pub(super) fn has_room(&self) -> bool {
-        self.flows.len() < MAX_FLOWS
+        self.entries.len() < MAX_FLOWS
     }
 
     pub(super) fn len(&self) -> usize {
-        self.flows.len()
+        self.entries.len()
     }
 
     pub(super) fn in_flight(&self) -> usize {
         self.in_flight
     }
 
+    /// Requests that have reached the target and wait for their answers.
+    pub(super) fn running(&self) -> usize {
+        self.running
+    }
+
     pub(super) fn set(&mut self, key: FlowKey, flow: Flow) {
         self.in_flight += usize::from(is_in_flight(&flow));
-        if let Some(old) = self.flows.insert(key, flow) {
-            self.in_flight -= usize::from(is_in_flight(&old));
+        self.running += usize::from(is_running(&flow));
+        if let Some(old) = self.entries.insert(key, flow) {
+            self.uncount(&old);
         }
     }
 
     pub(super) fn remove(&mut self, key: FlowKey) {
-        if let Some(old) = self.flows.remove(&key) {
-            self.in_flight -= usize::from(is_in_flight(&old));
+        if let Some(old) = self.entries.remove(&key) {
+            self.uncount(&old);
+        }
+    }
+
+    fn uncount(&mut self, old: &Flow) {
+        self.in_flight -= usize::from(is_in_flight(old));
+        self.running -= usize::from(is_running(old));
+    }
+
+    /// Counts the flows in flight anew.
+    fn recount(&mut self) {
+        let flows = self.entries.values();
+        self.in_flight = flows.clone().filter(|flow| is_in_flight(flow)).count();
+        self.running = flows.filter(|flow| is_running(flow)).count();
+    }
+
+    /// Records that no request is expected on a flow any more if it is still opening.
+    pub(super) fn release_place(&mut self, key: FlowKey) {
+        if let Some(Flow::Opening(opening)) = self.entries.get_mut(&key)
+            && std::mem::take(&mut opening.is_pending)
+        {
+            self.in_flight -= 1;
         }
     }
 
     /// Changes a flow if it is open.
     pub(super) fn update(&mut self, key: FlowKey, change: impl FnOnce(&mut OpenFlow)) {
-        if let Some(Flow::Open(open_flow)) = self.flows.get_mut(&key) {
+        if let Some(Flow::Open(open_flow)) = self.entries.get_mut(&key) {
             let before = open_flow.waiting_since.is_some();
             change(open_flow);
             let after = open_flow.waiting_since.is_some();
             self.in_flight = self.in_flight + usize::from(after) - usize::from(before);
+            self.running = self.running + usize::from(after) - usize::from(before);
         }
     }
 
@@ -195,7 +232,7 @@
     }
 
     fn end(&mut self, ends: impl Fn(&Flow) -> bool) {
-        self.flows.retain(|_, flow| {
+        self.entries.retain(|_, flow| {
             if !ends(flow) {
                 return true;
             }
@@ -215,11 +252,7 @@
             }
             true
         });
-        self.in_flight = self
-            .flows
-            .values()
-            .filter(|flow| is_in_flight(flow))
-            .count();
+        self.recount();
     }
 
     /// Removes flows that were idle for longer than `idle`, and closed ones earlier. Returns how
@@ -231,7 +264,7 @@
         overdue_after: Duration,
     ) -> usize {
         let mut newly_overdue = 0;
-        for flow in self.flows.values_mut() {
+        for flow in self.entries.values_mut() {
             if let Flow::Open(open_flow) = flow
                 && !open_flow.is_overdue
                 && open_flow
@@ -255,7 +288,7 @@
                 _ => {}
             }
         }
-        self.flows.retain(|_, flow| match flow {
+        self.entries.retain(|_, flow| match flow {
             // The caller's answer to the offer may be lost; its next request then accepts the
             // offer.
             Flow::Opening(opening) => now.since(opening.delivered_at) <= idle,
@@ -267,11 +300,7 @@
             Flow::Returned { at } => now.since(*at) < RETURNED_TTL,
             Flow::Ended { at, .. } => now.since(*at) <= idle,
         });
-        self.in_flight = self
-            .flows
-            .values()
-            .filter(|flow| is_in_flight(flow))
-            .count();
+        self.recount();
         newly_overdue
     }
 }
@@ -281,6 +310,11 @@
     number != other && number.wrapping_sub(other) < 1 << 31
 }
 
+/// Whether a request of the flow has reached the target.
+fn is_running(flow: &Flow) -> bool {
+    matches!(flow, Flow::Open(open_flow) if open_flow.waiting_since.is_some())
+}
+
 /// Whether a request of the flow is in flight. An opening flow is expected to bring one.
 fn is_in_flight(flow: &Flow) -> bool {
     match flow {
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -7,10 +7,13 @@
 use monsoon_model::{Duration, Instant};
 
 use super::Agent;
-use super::flows::{Flow, Opening};
+use super::flows::Flow;
 use crate::Fallback;
 use crate::action::{log, reset, send};
-use crate::{Action, FlowKey, Frame, Open, OwnerReply, Ownership, PacketInfo, PacketKind, Reason};
+use crate::{
+    Action, Demand, FlowKey, Frame, Open, OwnerReply, Ownership, PacketInfo, PacketKind, Reason,
+    ServiceTag,
+};
 
 /// Difference of load, in percentage points, from which a flow goes back to a less busy agent that
 /// it has passed.
@@ -41,6 +44,7 @@
             // The other frames are for balancers.
             _ => {}
         }
+        self.start_waiting(now, &mut actions);
         actions
     }
 
@@ -57,59 +61,61 @@
             actions.push(Action::ToTarget(packet));
             return;
         }
-        match self.check_open(now, &open, key) {
-            Ok(()) => {
-                let inputs = format!(
-                    "service={} config={} places={} beat_age_ms={} in_flight={}",
-                    open.service,
-                    open.versions.document,
-                    open.versions.evacuations,
-                    self.target_state
-                        .heartbeat_age(now)
-                        .map_or(0, Duration::as_millis),
-                    self.flows.in_flight(),
-                );
-                actions.push(log(key, "taken", inputs));
-                actions.push(Action::ToTarget(packet.clone()));
-                let opening = Opening {
-                    open,
-                    packet,
-                    sequence: info.sequence,
-                    offer: None,
-                    delivered_at: now,
-                    is_pending: true,
+        if self.is_waiting(&open, &info, actions) {
+            return;
+        }
+        if let Err(reason) = self.check_open(now, &open, key) {
+            pass_on(key, open, packet, reason, actions);
+            return;
+        }
+        if let Some(demand) = self.demand_of(key) {
+            self.open_with_demand(now, demand, open, packet, info, actions);
+            return;
+        }
+        match self.check_load(now, &open) {
+            Ok(()) => self.take(now, open, packet, &info, actions),
+            Err(Reason::Busy) => {
+                let own = Fallback {
+                    agent: self.settings.frame_address,
+                    load: self.load(),
                 };
-                self.flows.set(key, Flow::Opening(opening));
-                self.await_offer(now, key);
-            }
-            Err(Reason::Busy) => self.pass_on_busy(key, open, packet, actions),
-            Err(Reason::Failing) => {
-                let mut open = open;
-                if open.hops.is_empty() {
-                    open.hops
-                        .extend(open.fallback.take().map(|fallback| fallback.agent));
-                }
-                pass_on(key, open, packet, Reason::Failing, actions);
+                pass_on_busy(key, open, own, packet, actions);
             }
+            Err(Reason::Failing) => pass_on_failing(key, open, packet, actions),
             Err(reason) => pass_on(key, open, packet, reason, actions),
         }
     }
 
-    /// Passes a flow on because the target is busy, and offers this agent as the fallback if it has
-    /// the least load so far.
-    fn pass_on_busy(&self, key: FlowKey, mut open: Open, packet: Bytes, actions: &mut Vec<Action>) {
-        let (agent, load) = (self.settings.frame_address, self.load());
-        match open.fallback {
-            Some(fallback) if fallback.load <= load => {}
-            _ => open.fallback = Some(Fallback { agent, load }),
-        }
-        if open.hops.is_empty()
-            && let Some(fallback) = open.fallback.take()
-            && fallback.agent != agent
-        {
-            open.hops.push(fallback.agent);
-        }
-        pass_on(key, open, packet, Reason::Busy, actions);
+    pub(super) fn demand_of(&self, key: FlowKey) -> Option<Demand> {
+        let catalogue = self.catalogue.as_ref()?;
+        catalogue.routes.get(&key.address)?.demand
+    }
+
+    /// Delivers an opening packet to the target.
+    pub(super) fn take(
+        &mut self,
+        now: Instant,
+        open: Open,
+        packet: Bytes,
+        info: &PacketInfo,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = info.key;
+        let inputs = format!(
+            "service={} config={} places={} beat_age_ms={} in_flight={}",
+            open.service,
+            open.versions.document,
+            open.versions.evacuations,
+            self.target_state
+                .heartbeat_age(now)
+                .map_or(0, Duration::as_millis),
+            self.flows.in_flight(),
+        );
+        actions.push(log(key, "taken", inputs));
+        actions.push(Action::ToTarget(packet.clone()));
+        let opening = Flow::opening(now, open, packet, info.sequence);
+        self.flows.set(key, opening);
+        self.await_offer(now, key);
     }
 
     /// Whether the opening packet was delivered to the target before.
@@ -121,11 +127,16 @@
         }
     }
 
-    /// Checks whether the target may get the flow.
+    /// Checks whether the target may get the flow, regardless of its load.
     ///
     /// # Errors
     /// Returns the reason when it may not.
-    fn check_open(&mut self, now: Instant, open: &Open, key: FlowKey) -> Result<(), Reason> {
+    pub(super) fn check_open(
+        &mut self,
+        now: Instant,
+        open: &Open,
+        key: FlowKey,
+    ) -> Result<(), Reason> {
         self.newest_seen.document = self.newest_seen.document.max(open.versions.document);
         self.newest_seen.evacuations = self.newest_seen.evacuations.max(open.versions.evacuations);
         if let Some(reason) = self.refusal_reason(now) {
@@ -146,10 +157,26 @@
         if newest > catalogue.version && newest > open.versions.document {
             return Err(Reason::OlderConfig);
         }
-        let cold_rate = catalogue
-            .services
-            .get(&open.service)
+        Ok(())
+    }
+
+    /// Records one more opening packet for the target.
+    ///
+    /// # Errors
+    /// Returns the reason when the target must not get one now.
+    pub(super) fn admit(&mut self, now: Instant, service: ServiceTag) -> Result<(), Reason> {
+        let services = self.catalogue.as_ref().map(|c| &c.services);
+        let cold_rate = services
+            .and_then(|services| services.get(&service))
             .and_then(|service| service.cold_rate);
+        self.target_state.admit(now, cold_rate)
+    }
+
+    /// Checks whether the target has room for a flow whose route states no demand, and records it.
+    ///
+    /// # Errors
+    /// Returns the reason when it has none.
+    fn check_load(&mut self, now: Instant, open: &Open) -> Result<(), Reason> {
         let load = self.load();
         let is_last = open.hops.is_empty();
         let fallback = open
@@ -167,7 +194,7 @@
         if has_others && self.health.should_avoid(now) {
             return Err(Reason::Failing);
         }
-        self.target_state.admit(now, cold_rate)
+        self.admit(now, open.service)
     }
 
     fn forward_data(
@@ -186,7 +213,11 @@
                     actions.push(send(from, Frame::NotOwned, packet));
                     return;
                 }
+                let (since, has_data) = (now.since(opening.delivered_at), info.bytes > 0);
                 self.flows.set(key, Flow::Open(open_flow));
+                if has_data {
+                    self.record_handshake(since);
+                }
                 self.deliver(now, &info, packet, actions);
             }
             Some(Flow::Open(open_flow)) if open_flow.matches(info.ack) => {
@@ -215,6 +246,7 @@
         packet: Bytes,
         actions: &mut Vec<Action>,
     ) {
+        let running = self.flows.running() + 1;
         self.flows.update(info.key, |flow| {
             flow.last_used = now;
             flow.caller_closed |= info.closes;
@@ -222,6 +254,7 @@
             let is_new = info.bytes > 0 && flow.extend_received(end);
             if is_new && !flow.target_closed && flow.waiting_since.is_none() {
                 flow.waiting_since = Some(now);
+                flow.running = running;
             }
         });
         if info.kind == PacketKind::Reset {
@@ -269,3 +302,39 @@
     actions.push(log(key, "passed", format!("reason=\"{reason}\" to={next}")));
     actions.push(send(next, Frame::Open(open), packet));
 }
+
+/// Passes a flow on because the target is busy, and offers this agent as the fallback if its
+/// offer `own` is the best so far.
+pub(super) fn pass_on_busy(
+    key: FlowKey,
+    mut open: Open,
+    own: Fallback,
+    packet: Bytes,
+    actions: &mut Vec<Action>,
+) {
+    match open.fallback {
+        Some(fallback) if fallback.load <= own.load => {}
+        _ => open.fallback = Some(own),
+    }
+    if open.hops.is_empty()
+        && let Some(fallback) = open.fallback.take()
+        && fallback.agent != own.agent
+    {
+        open.hops.push(fallback.agent);
+    }
+    pass_on(key, open, packet, Reason::Busy, actions);
+}
+
+/// Passes a flow on because the target is ejected; the fallback takes it if it is the last.
+pub(super) fn pass_on_failing(
+    key: FlowKey,
+    mut open: Open,
+    packet: Bytes,
+    actions: &mut Vec<Action>,
+) {
+    if open.hops.is_empty() {
+        open.hops
+            .extend(open.fallback.take().map(|fallback| fallback.agent));
+    }
+    pass_on(key, open, packet, Reason::Failing, actions);
+}
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -31,6 +31,7 @@
                 self.handle_answer(now, packet, info, &mut actions);
             }
         }
+        self.start_waiting(now, &mut actions);
         actions
     }
 
@@ -87,6 +88,7 @@
             let known = opening.offer == Some(offer);
             opening.offer = Some(offer);
             if !known {
+                self.await_request(now, key);
                 let taken = Frame::Offer { key, offer };
                 actions.push(send(opening.open.balancer, taken, Bytes::new()));
             }
@@ -107,10 +109,13 @@
         let key = info.key;
         match self.flows.get(key) {
             Some(flow @ (Flow::Open(_) | Flow::Opening(_))) => {
-                let was_waiting =
-                    matches!(flow, Flow::Open(open_flow) if open_flow.waiting_since.is_some());
+                let waiting_since = match flow {
+                    Flow::Open(open_flow) => open_flow.waiting_since,
+                    _ => None,
+                };
                 self.flows.remove(key);
-                if was_waiting {
+                if let Some(at) = waiting_since {
+                    self.admission.pace.failed(now, at);
                     self.record_failure(now, key, actions);
                 }
                 actions.push(log(key, "reset", "reason=\"target reset it\""));
@@ -141,21 +146,26 @@
             Some(Flow::Returned { .. }) | None => self.adopt(now, info, None),
         }
         let end = info.sequence.wrapping_add(u32::from(info.bytes));
-        let mut requested_at = None;
+        let mut answered = None;
         self.flows.update(key, |flow| {
             flow.last_used = now;
             flow.extend_sent(end);
             flow.target_closed |= info.closes;
             if info.bytes > 0 {
-                requested_at = flow.waiting_since.take();
+                let place_since = flow.place_since.take();
+                let request = flow.waiting_since.take();
+                answered = request.map(|at| (at, place_since.unwrap_or(at), flow.running));
                 flow.is_overdue = false;
             }
             if info.closes {
                 flow.waiting_since = None;
             }
         });
-        if let Some(at) = requested_at {
+        if let Some((at, place_since, running)) = answered {
             let latency = now.since(at);
+            let slots = self.slots();
+            self.admission.places.record_answer(latency, running, slots);
+            self.admission.pace.answered(now, place_since, latency);
             self.health.answered(now, latency);
             actions.push(Action::Answered { key, latency });
         }
@@ -179,6 +189,8 @@
             last_used: now,
             received_end: None,
             waiting_since: None,
+            place_since: None,
+            running: 0,
             is_overdue: false,
             caller_closed: false,
             target_closed: false,
--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -92,6 +92,10 @@
     received_at: Instant,
     /// Agents whose targets offered to take the flow, with the sequence numbers of the offers.
     offers: Vec<(SocketAddrV4, u32)>,
+    /// Agent in whose wait queue the packet is.
+    queued_at: Option<SocketAddrV4>,
+    /// Attempts that ended because no candidate could answer in time.
+    overloads: u32,
     /// Number of the last retransmission.
     copy: u32,
     /// Whether this balancer received every retransmission so far, so that the flow cannot have
--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -10,6 +10,10 @@
 use crate::lookup::Outcome;
 use crate::{Action, FlowKey, Frame, OwnerReply, Ownership, PacketInfo, Reason};
 
+/// Attempts to place a flow that may end at overloaded targets. The targets of a service are about
+/// equally loaded under overload, so that further ones cost more than they find.
+const MAX_OVERLOADS: u32 = 2;
+
 impl Balancer {
     /// Handles a frame of an agent. `info` describes the packet that follows the frame.
     pub fn handle_frame(
@@ -26,6 +30,7 @@
         }
         match (frame, info) {
             (Frame::Offer { key, offer }, _) => self.record_offer(from, key, offer),
+            (Frame::Queued { key }, _) => self.record_queued(from, key),
             (Frame::Refused { reason }, Some(info)) => {
                 self.handle_refusal(now, &info, reason, &mut actions);
             }
@@ -48,6 +53,12 @@
         }
     }
 
+    fn record_queued(&mut self, from: SocketAddrV4, key: FlowKey) {
+        if let Some(Flow::Opening(opening)) = self.flows.get_mut(&key) {
+            opening.queued_at = Some(from);
+        }
+    }
+
     /// Handles a refusal by all candidates of an attempt. Other candidates are asked; without any,
     /// the flow waits for a short time, because a balancer knows the state of agents later than the
     /// agents themselves.
@@ -66,7 +77,14 @@
         }
         let mut opening = opening.clone();
         opening.refused_by.extend(opening.last_candidates.drain(..));
+        opening.queued_at = None;
         actions.push(log(info.key, "refused", format!("reason=\"{reason}\"")));
+        opening.overloads += u32::from(reason == Reason::Overloaded);
+        // Every agent sheds the same accounts.
+        if reason == Reason::Shed || opening.overloads >= MAX_OVERLOADS {
+            self.reject(info.key, &opening, "overloaded", actions);
+            return;
+        }
         self.place(now, info.key, opening, actions);
     }
 
--- a/crates/flow/src/balancer/open.rs
+++ b/crates/flow/src/balancer/open.rs
@@ -56,6 +56,8 @@
                 last_candidates: Vec::new(),
                 received_at: now,
                 offers: Vec::new(),
+                queued_at: None,
+                overloads: 0,
                 copy,
                 saw_all: copy == 0,
                 placed_at: now,
@@ -66,7 +68,31 @@
             actions.push(self.send_open(agent, service, Vec::new(), packet));
             return;
         }
-        self.place(now, key, opening, actions);
+        if let Some(agent) = opening.queued_at {
+            self.ask_queue(now, agent, key, opening, actions);
+        } else {
+            self.place(now, key, opening, actions);
+        }
+    }
+
+    /// Sends a retransmission of a waiting packet to the agent that has it. If the agent does not
+    /// answer, because it has restarted or is unreachable, the packet is placed again.
+    fn ask_queue(
+        &mut self,
+        now: Instant,
+        agent: SocketAddrV4,
+        key: FlowKey,
+        mut opening: Opening,
+        actions: &mut Vec<Action>,
+    ) {
+        let packet = opening.packet.clone();
+        actions.push(self.send_open(agent, opening.service, Vec::new(), packet));
+        opening.queued_at = None;
+        opening.last_candidates = vec![agent];
+        opening.sent_to.insert(agent);
+        opening.placed_at = now;
+        self.insert_flow(key, Flow::Opening(opening));
+        self.pending_opens.push_back((now, key));
     }
 
     pub(super) fn service(&self, key: FlowKey) -> Option<ServiceTag> {
@@ -111,7 +137,7 @@
                 opening.refused_by.clear();
                 self.insert_flow(key, Flow::Opening(opening));
             } else {
-                self.reject(key, &opening, actions);
+                self.reject(key, &opening, "no target", actions);
             }
             return;
         };
@@ -155,14 +181,20 @@
     }
 
     /// Resets a flow that cannot be placed, unless it may have opened through another balancer.
-    fn reject(&mut self, key: FlowKey, opening: &Opening, actions: &mut Vec<Action>) {
+    pub(super) fn reject(
+        &mut self,
+        key: FlowKey,
+        opening: &Opening,
+        reason: &str,
+        actions: &mut Vec<Action>,
+    ) {
         self.flows.remove(&key);
         let decision = if opening.saw_all {
             "rejected"
         } else {
             "dropped"
         };
-        let inputs = format!("reason=\"no target\" copy={}", opening.copy);
+        let inputs = format!("reason=\"{reason}\" copy={}", opening.copy);
         actions.push(log(key, decision, inputs));
         if opening.saw_all {
             actions.push(reset(key, opening.info.ack));
@@ -181,7 +213,7 @@
         let Some(Flow::Opening(opening)) = self.flows.get(&key) else {
             return;
         };
-        if opening.placed_at != at || !opening.offers.is_empty() {
+        if opening.placed_at != at || !opening.offers.is_empty() || opening.queued_at.is_some() {
             return;
         }
         let opening = opening.clone();
--- a/crates/flow/src/frame.rs
+++ b/crates/flow/src/frame.rs
@@ -33,7 +33,8 @@
 pub struct Fallback {
     /// Frame address of the agent.
     pub agent: SocketAddrV4,
-    /// Percent of its slots in use; above 100 when requests are queued.
+    /// Expected time until a further request is answered, in units of 100 µs, if the route states a
+    /// demand. Otherwise percent of the slots in use, above 100 when requests are queued.
     pub load: u16,
 }
 
@@ -76,6 +77,12 @@
     /// The target is ejected because it fails requests.
     #[display("failing")]
     Failing,
+    /// The target cannot answer the request in time.
+    #[display("overloaded")]
+    Overloaded,
+    /// The service is overloaded, and the client account is among those that are rejected for now.
+    #[display("shed")]
+    Shed,
 }
 
 /// Whether an agent owns a flow.
@@ -132,6 +139,11 @@
     OwnerQueries(Vec<OwnerQuery>),
     /// Answers [`Frame::OwnerQueries`].
     OwnerReplies(Vec<OwnerReply>),
+    /// The opening packet waits for a place at the target of the sending agent.
+    Queued {
+        /// Flow.
+        key: FlowKey,
+    },
 }
 
 /// The datagram is not a frame.
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -4,7 +4,9 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
+use monsoon_admission::SHEDDING_PERIOD;
 use monsoon_flow::{Agent, Heartbeat};
 use monsoon_membership::{AgentNode, Event, LocalState, Message as Control, Role};
 use monsoon_model::{Duration, Instant};
@@ -67,6 +69,7 @@
             process.perform_flow_actions(now, actions);
         }
         if now >= self.next_announcement {
+            self.flows.set_shedding_period(shedding_period());
             self.announce(process, now);
             self.probe_target(process, now);
         }
@@ -179,6 +182,13 @@
     }
 }
 
+/// Number of the present shedding period. Instances whose clocks differ shed other accounts for the
+/// length of the difference.
+fn shedding_period() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    Duration::from(time.unwrap_or_default()).as_micros() / SHEDDING_PERIOD.as_micros()
+}
+
 fn flow_settings(settings: &Settings, agent: &AgentSettings) -> monsoon_flow::AgentSettings {
     let limits = settings.limits;
     monsoon_flow::AgentSettings {
--- a/crates/relay/src/process/packets.rs
+++ b/crates/relay/src/process/packets.rs
@@ -132,6 +132,7 @@
                     self.count_send_error(&sent, "reset_not_sent");
                 }
                 Action::Answered { key, latency } => self.record_answer(key, latency),
+                Action::Waited(_) => {}
                 Action::Log(line) => self.decision_log.log(now, &line),
             }
         }
