Order versions by the era of the store first

Versions were ordered by a revision or the operators' number alone. After a restore of the store from an older copy, revisions are assigned again, and a newer evacuation counted as older.

A version now carries the era in its upper 20 bits and the number in the lower 44; a value out of range is rejected with a typed error. A version of era 0 is encoded and shown as before. Requests to peers and entity tags keep the integer.

--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -1,4 +1,4 @@
-//! Identifiers, and versions of the configuration.
+//! Identifiers of services, data centres, targets and processes.
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -35,11 +35,6 @@
     /// Identity of an agent or balancer process, a new one with each start.
     AgentId(u64)
 }
-id! {
-    /// Version of a store object; a larger one is newer.
-    Version(u64)
-}
-
 impl AgentId {
     /// Short tag of the process, carried in its connection IDs. It distinguishes processes that
     /// used the same address one after the other; two of them have the same tag with a probability
@@ -48,20 +43,3 @@
         self.0 as u8
     }
 }
-
-/// Versions of the two configuration objects that are in force in a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Versions {
-    /// Version of the document.
-    pub document: Version,
-    /// Version of the set of evacuated data centres; its name in JSON is `places`.
-    #[serde(rename = "places")]
-    pub evacuations: Version,
-}
-
-impl Versions {
-    /// Whether either object is newer than in `other`.
-    pub fn is_ahead_of(self, other: Self) -> bool {
-        self.document > other.document || self.evacuations > other.evacuations
-    }
-}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod hash;
 mod id;
 mod time;
+mod version;
 
 pub use chain::{Chain, ChainFull, Hop, MAX_HOPS};
-pub use id::{AgentId, ClassKey, DataCentreId, ServiceId, TargetKey, Version, Versions};
+pub use id::{AgentId, ClassKey, DataCentreId, ServiceId, TargetKey};
 pub use time::{Duration, Instant};
+pub use version::{Version, VersionError, Versions};
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,11 +24,12 @@
     pub evacuations: Evacuations,
 }
 
-/// Path and query that request what is newer than these versions.
+/// Path and query that request what is newer than these versions, which are sent as one integer
+/// each. Processes of earlier releases read them as well.
 pub(crate) fn configuration_path(versions: Versions) -> String {
     format!(
         "{CONFIGURATION_PATH}?config={}&places={}",
-        versions.document, versions.evacuations
+        versions.document.0, versions.evacuations.0
     )
 }
 
@@ -74,7 +75,10 @@
     log::info!(
         "peers: fetched peer={peer} checked={} config={} places={}",
         configuration.is_checked,
-        configuration.catalogue.as_ref().map_or(0, |c| c.version.0),
+        configuration
+            .catalogue
+            .as_ref()
+            .map_or(Version(0), |c| c.version),
         configuration.evacuations.version
     );
     // The list of an unchecked peer may be older than that of this process.
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -41,7 +41,7 @@
             Self::Absent => (IF_NONE_MATCH, HeaderValue::from_static("*")),
             Self::At(version) => {
                 // The text consists of digits and quotes, so it is always a valid header value.
-                let tag = HeaderValue::from_str(&format!("\"{version}\""));
+                let tag = HeaderValue::from_str(&format!("\"{}\"", version.0));
                 (
                     IF_MATCH,
                     tag.unwrap_or_else(|_| HeaderValue::from_static("\"0\"")),
