--- a/crates/membership/tests/nodes/lists.rs
+++ b/crates/membership/tests/nodes/lists.rs
@@ -126,6 +126,23 @@
     );
 }
 
+/// Guards against a new era of the store that does not spread because its numbers are lower.
+#[test]
+fn a_new_era_spreads_to_all_within_two_seconds() {
+    let mut net = cluster(56, 3, 5, 8);
+    let versions = |era, document, evacuations| Versions {
+        document: Version::new(era, document).expect("in range"),
+        evacuations: Version::new(era, evacuations).expect("in range"),
+    };
+    net.set_versions(2, versions(0, 7, 90));
+    net.run(Duration::from_secs(2));
+    let newest = versions(1, 7, 41);
+    net.set_versions(5, newest);
+    let everywhere = |net: &Network| net.hosts.iter().all(|host| host.versions == newest);
+    let taken = net.run_until(Duration::from_secs(2), everywhere);
+    assert!(taken.is_some(), "a process has a former era after 2 s");
+}
+
 /// The announced versions must not decrease when a process reports older ones.
 #[test]
 fn versions_never_decrease() {
--- a/crates/relay/src/restore/tests.rs
+++ b/crates/relay/src/restore/tests.rs
@@ -156,6 +156,25 @@
     assert_eq!(in_force(&restore), "plzen");
 }
 
+/// Guards against a process that cannot reach the store and keeps an evacuation for ever, which a
+/// peer has retained and ended without a new revision.
+#[test]
+fn a_process_without_the_store_follows_its_peers() {
+    let mut restore = before_restore("brno");
+    restore.observe(START, 2);
+    assert!(restore.offer(START, set(2, 40, "brno"), Source::Peer));
+    let almost = START + REWRITE_WAIT.saturating_sub(Duration::from_millis(1));
+    assert!(restore.offer(almost, set(2, 40, ""), Source::Peer));
+    assert_eq!(in_force(&restore), "brno");
+    assert!(restore.offer(almost, set(2, 40, "brno"), Source::Peer));
+    restore.expire(START + REWRITE_WAIT);
+    assert_eq!(in_force(&restore), "brno");
+    let recheck_at = START + REWRITE_WAIT + super::RECHECK_DELAY;
+    assert!(restore.take_recheck(recheck_at));
+    assert!(restore.offer(recheck_at, set(2, 40, ""), Source::Peer));
+    assert_eq!(in_force(&restore), "");
+}
+
 /// Guards against an agent that relies on peers before it has read the store in the new era, and
 /// against one that watches the store for ever because it cannot be reached.
 #[test]
