--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,7 +8,7 @@
 use monsoon_model::{Version, Versions};
 use serde::{Deserialize, Serialize};
 
-use crate::message::{Message, MessageSender};
+use crate::message::{Message, MessageSender, Update};
 
 /// HTTP path at which a process serves its configuration.
 pub(crate) const CONFIGURATION_PATH: &str = "/configuration";
@@ -24,11 +24,12 @@
     pub evacuations: Evacuations,
 }
 
-/// Path and query that request what is newer than these versions.
+/// Path and query that request what is newer than these versions, which are sent as one integer
+/// each. Processes of earlier releases read them as well.
 pub(crate) fn configuration_path(versions: Versions) -> String {
     format!(
         "{CONFIGURATION_PATH}?config={}&places={}",
-        versions.document, versions.evacuations
+        versions.document.0, versions.evacuations.0
     )
 }
 
@@ -74,18 +75,21 @@
     log::info!(
         "peers: fetched peer={peer} checked={} config={} places={}",
         configuration.is_checked,
-        configuration.catalogue.as_ref().map_or(0, |c| c.version.0),
+        configuration
+            .catalogue
+            .as_ref()
+            .map_or(Version(0), |c| c.version),
         configuration.evacuations.version
     );
     // The list of an unchecked peer may be older than that of this process.
     let catalogue = configuration
         .catalogue
-        .map(|c| Message::Catalogue(Arc::new(c)));
+        .map(|c| Update::Catalogue(Arc::new(c)));
     let evacuations = configuration
         .is_checked
-        .then_some(Message::Evacuations(configuration.evacuations));
-    for message in catalogue.into_iter().chain(evacuations) {
-        if messages.send(message).await.is_err() {
+        .then_some(Update::Evacuations(configuration.evacuations));
+    for update in catalogue.into_iter().chain(evacuations) {
+        if messages.send(Message::Update(update)).await.is_err() {
             return false;
         }
     }
