--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -88,7 +88,9 @@
             let known = opening.offer == Some(offer);
             opening.offer = Some(offer);
             if !known {
-                self.await_request(now, key);
+                if self.demand_of(key).is_some() {
+                    self.await_request(now, key);
+                }
                 let taken = Frame::Offer { key, offer };
                 actions.push(send(opening.open.balancer, taken, Bytes::new()));
             }
