Look at the wait queue again when a target takes flows after a return

Cause: after a target had returned a packet, its queue waited for the next event. Without a flow in flight the next one was the expiry of a waiting request, up to its limit later, while the target idled.

Change: the end of the 50 ms is among the times at which the agent is due.

--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -53,6 +53,8 @@
     pub places: Places,
     pub pace: Pace,
     pub shedding: Shedding,
+    /// When the queue of a target that returned a packet goes on.
+    pub retry_at: Option<Instant>,
 }
 
 impl Default for Admission {
@@ -62,6 +64,7 @@
             places: Places::default(),
             pace: Pace::full(1),
             shedding: Shedding::new(),
+            retry_at: None,
         }
     }
 }
@@ -183,12 +186,16 @@
     /// Starts waiting flows while the target has places. When the target takes no flows any more,
     /// all of them go to other agents.
     pub(super) fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.admission.retry_at = None;
         if self.admission.queue.is_empty() {
             return;
         }
         match self.refusal_reason(now) {
             // The target returned a packet, and takes others within moments.
-            Some(Reason::Returned) => return,
+            Some(Reason::Returned) => {
+                self.admission.retry_at = Some(self.target_state.full_until());
+                return;
+            }
             Some(reason) => {
                 for waiting in self.admission.queue.drain() {
                     let Queued {
@@ -235,7 +242,8 @@
         let expiry = self.admission.queue.next_expiry();
         let request = self.pending_requests.front();
         let request = request.map(|&(at, _)| at + REQUEST_TIMEOUT);
-        expiry.into_iter().chain(request).min()
+        let retry = self.admission.retry_at;
+        [expiry, request, retry].into_iter().flatten().min()
     }
 
     /// Gives up the places of callers that did not answer the offers of the target.
