Count the wait at the target when a request is queued

Cause: a target may have more requests than slots, so a started request waits there too. The wait queue left this out of the expected answer: of 120 flows at once at 2 slots of 20 ms, the last one started was answered 820 ms after its arrival, with a limit of 800 ms.

Change: the time after which a waiting request is rejected is earlier by the wait for the requests at the target beyond its slots. The goal is as before.

--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -138,6 +138,7 @@
             account_of(key),
             self.admission.places.estimate(self.slots()),
         );
+        let wait_at_target = self.wait_at_target();
         let Admission {
             queue, shedding, ..
         } = &mut self.admission;
@@ -156,7 +157,7 @@
             account,
             priority: demand.priority,
             goal_at: now + demand.goal.saturating_sub(age),
-            expires_at: now + demand.limit.saturating_sub(age),
+            expires_at: now + demand.limit.saturating_sub(age + wait_at_target),
             item: queued,
         };
         let rejected = queue.offer(now, request, estimate);
@@ -304,6 +305,14 @@
         }
     }
 
+    /// Time that a started request waits at the target for those that are there beyond its slots.
+    fn wait_at_target(&self) -> Duration {
+        let slots = usize::from(self.slots());
+        let excess = self.flows.running().saturating_sub(slots);
+        let service_time = self.admission.places.service_time();
+        service_time.mul_f64(excess as f64 / slots as f64)
+    }
+
     /// Expected time until a further request is answered, in units of 100 µs.
     fn completion_cost(&self, demand: Demand, key: FlowKey) -> u16 {
         let (places, queue) = (&self.admission.places, &self.admission.queue);
