Test the admission of flows under overload

Cause: the admission of flows of a route with a demand had no tests.

Change: tests of single decisions of agents and balancers, and of a small deployment in virtual time: 12 targets of 2 slots and 15 ms, for 3 s with priority 2 at 1.35 times and priority 1 at 0.1 times the capacity, callers that repeat rejected requests twice at most. Simulated targets of the common test world may now need time for a request and turn away those beyond 2 running and 8 waiting.

--- a/crates/flow/tests/world/mod.rs
+++ b/crates/flow/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test uses a part of the world")]
 
 mod lists;
+mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -19,6 +20,7 @@
 use monsoon_model::{DataCentreId, Duration, Instant, Version};
 
 use lists::Lists;
+pub use work::Work;
 
 pub const HEARTBEAT_LEASE: Duration = Duration::from_millis(1_800);
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -186,6 +188,17 @@
     }
 }
 
+/// Answer of a target whose offer had the given sequence number.
+pub fn answer(key: FlowKey, offer: u32) -> PacketInfo {
+    PacketInfo {
+        kind: PacketKind::Data,
+        sequence: offer + 1,
+        ack: 111,
+        bytes: 20,
+        ..opening(key, 0)
+    }
+}
+
 /// What happened to a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -205,6 +218,8 @@
     FromTarget(u8, Bytes),
     AtCaller(FlowKey, Bytes),
     Reset(FlowKey),
+    /// The target of this agent has processed a request of the flow.
+    Done(u8, FlowKey),
 }
 
 /// Simulated target, which takes every flow and returns packets of flows that it does not know.
@@ -214,6 +229,8 @@
     pub is_up: bool,
     pub flows: BTreeMap<FlowKey, u32>,
     pub heartbeats: u64,
+    /// Requests at a target that needs time for them; `None` if it answers at once.
+    pub work: Option<Work>,
 }
 
 #[derive(Debug)]
@@ -221,6 +238,7 @@
     pub now: Instant,
     pub seed: u64,
     pub loss_percent: u64,
+    catalogue: Catalogue,
     pub balancers: BTreeMap<u8, Balancer>,
     pub agents: BTreeMap<u8, Agent>,
     pub targets: BTreeMap<u8, Target>,
@@ -246,20 +264,38 @@
 
 impl World {
     pub fn new(seed: u64, balancers: u8, agents: u8) -> Self {
-        Self::start(seed, balancers, agents, None)
+        Self::start(seed, balancers, agents, None, catalogue(1))
     }
 
     /// World in which balancers know only the agents that they were told of.
     pub fn with_lists(seed: u64, balancers: u8, agents: u8) -> Self {
-        Self::start(seed, balancers, agents, Some(Lists::default()))
+        Self::start(
+            seed,
+            balancers,
+            agents,
+            Some(Lists::default()),
+            catalogue(1),
+        )
+    }
+
+    /// World with another configuration.
+    pub fn with_catalogue(seed: u64, balancers: u8, agents: u8, catalogue: Catalogue) -> Self {
+        Self::start(seed, balancers, agents, None, catalogue)
     }
 
-    fn start(seed: u64, balancers: u8, agents: u8, lists: Option<Lists>) -> Self {
+    fn start(
+        seed: u64,
+        balancers: u8,
+        agents: u8,
+        lists: Option<Lists>,
+        catalogue: Catalogue,
+    ) -> Self {
         let now = Instant::from_secs(100);
         let mut world = Self {
             now,
             seed,
             loss_percent: 0,
+            catalogue,
             balancers: BTreeMap::new(),
             agents: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -296,7 +332,7 @@
     }
 
     fn configure(&self, agent: &mut Agent) {
-        agent.set_catalogue(Arc::new(catalogue(1)));
+        agent.set_catalogue(Arc::new(self.catalogue.clone()));
         agent.set_evacuations(self.now, &Evacuations::default());
         agent.set_config_checked();
     }
@@ -307,7 +343,7 @@
     }
 
     pub fn start_balancer(&mut self, number: u8) {
-        let balancer = ready_balancer(self.now, number);
+        let balancer = ready_balancer_with(self.now, number, self.catalogue.clone());
         self.balancers.insert(number, balancer);
         if let Some(mut lists) = self.lists.take() {
             // An agent whose balancers are gone notices it within two seconds.
@@ -555,6 +591,9 @@
             if let Some(agent) = self.agents.get_mut(number) {
                 let mut heartbeat = heartbeat_of(&target.id.to_string(), target.heartbeats);
                 heartbeat.started_ms = target.id;
+                if let Some(work) = &target.work {
+                    heartbeat.slots = work.slots;
+                }
                 agent.receive_heartbeat(self.now, heartbeat);
             }
         }
@@ -611,6 +650,7 @@
                 }
             }
             Event::Reset(key) => self.seen.entry(key).or_default().push(Seen::Reset),
+            Event::Done(number, key) => self.finish_request(number, key),
         }
     }
 
@@ -629,13 +669,13 @@
                 offer(key, sequence)
             }
             _ => match target.flows.get(&key) {
-                Some(&sequence) if info.ack.wrapping_sub(sequence) < 1 << 16 => PacketInfo {
-                    kind: PacketKind::Data,
-                    sequence: sequence + 1,
-                    ack: 111,
-                    bytes: 20,
-                    ..opening(key, 0)
-                },
+                Some(&sequence) if info.ack.wrapping_sub(sequence) < 1 << 16 => {
+                    if target.work.is_some() {
+                        self.begin_request(number, key);
+                        return;
+                    }
+                    answer(key, sequence)
+                }
                 _ => PacketInfo {
                     is_returned: true,
                     ..info
