Wake the wait queue when the target or the configuration changes

A waiting packet was looked at only with the next packet, the next timeout or the expiry once a second. After the target had returned its packets or had ended, nothing arrived any more, so that the queue stopped for up to a second while the target idled. While the target returned packets, expired requests stayed in the queue as well.

Changes of the target, of the configuration and of the evacuations now make the next tick due at once, and a returned packet makes it due when the target gets packets again. Requests expire also while the target returns packets.

A property test compares the kept counts of places with the flow table and checks that a target never idles for more than 100 ms beside a waiting packet.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -71,6 +71,22 @@
     pub slots: u16,
 }
 
+/// Number of flows that hold a place, as kept and as counted from the flow table.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlaceCounts {
+    /// Flows with a place, as kept.
+    pub in_flight: usize,
+    /// Requests at the target, as kept.
+    pub running: usize,
+    /// Flows with a place in the table.
+    pub counted_in_flight: usize,
+    /// Requests at the target in the table.
+    pub counted_running: usize,
+    /// Opening packets in the wait queue.
+    pub waiting: usize,
+}
+
 /// Fields of a lifetime's first heartbeat that tell the age of the target.
 #[derive(Clone, Copy, Debug)]
 struct FirstHeartbeat {
@@ -143,6 +159,7 @@
     /// Applies a catalogue. One older than the present is ignored.
     pub fn set_catalogue(&mut self, catalogue: Arc<Catalogue>) {
         if catalogue.version >= self.versions.document {
+            self.recheck_waiting();
             self.versions.document = catalogue.version;
             self.catalogue = Some(catalogue);
         }
@@ -154,6 +171,7 @@
         if evacuations.version < self.versions.evacuations {
             return;
         }
+        self.recheck_waiting();
         self.versions.evacuations = evacuations.version;
         let is_evacuated = evacuations
             .data_centres
@@ -175,6 +193,7 @@
     pub fn resume(&mut self) {
         self.config_checked = false;
         self.target_state.expire_heartbeat();
+        self.recheck_waiting();
     }
 
     /// Handles a heartbeat of the target. Returns what changed, for the log.
@@ -186,6 +205,7 @@
         if !self.is_of_target(&heartbeat) {
             return Some("not of this target");
         }
+        self.recheck_waiting();
         let readiness = heartbeat.readiness;
         let before = self
             .target_state
@@ -247,6 +267,7 @@
     pub fn set_target_absent(&mut self) {
         self.has_unknown = false;
         self.target_state.set_absent();
+        self.recheck_waiting();
         self.flows.end_all();
     }
 
@@ -264,6 +285,7 @@
     pub fn set_target_ended(&mut self, id: &str) -> bool {
         let has_ended = self.target_state.set_ended(id);
         if has_ended {
+            self.recheck_waiting();
             self.flows.end_all();
         }
         has_ended
@@ -336,6 +358,19 @@
         }
     }
 
+    /// Counts that must agree with the flow table, for tests.
+    #[doc(hidden)]
+    pub fn place_counts(&self) -> PlaceCounts {
+        let (in_flight, running) = self.flows.counted();
+        PlaceCounts {
+            in_flight: self.flows.in_flight(),
+            running: self.flows.running(),
+            counted_in_flight: in_flight,
+            counted_running: running,
+            waiting: self.admission.queue.len(),
+        }
+    }
+
     /// Passes on opening packets that the target did not answer, and removes expired flows.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -53,6 +53,8 @@
     pub places: Places,
     pub pace: Pace,
     pub shedding: Shedding,
+    /// When waiting flows have to be looked at although no packet arrives; zero for at once.
+    pub recheck_at: Option<Instant>,
 }
 
 impl Default for Admission {
@@ -62,6 +64,7 @@
             places: Places::default(),
             pace: Pace::full(1),
             shedding: Shedding::new(),
+            recheck_at: None,
         }
     }
 }
@@ -183,27 +186,30 @@
     /// Starts waiting flows while the target has places. When the target takes no flows any more,
     /// all of them go to other agents.
     pub(super) fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.admission.recheck_at = None;
         if self.admission.queue.is_empty() {
             return;
         }
-        match self.refusal_reason(now) {
-            // The target returned a packet, and takes others within moments.
-            Some(Reason::Returned) => return,
-            Some(reason) => {
-                for waiting in self.admission.queue.drain() {
-                    let Queued {
-                        open, packet, info, ..
-                    } = waiting.item;
-                    pass_on(info.key, open, packet, reason, actions);
-                }
-                return;
+        let refusal = self.refusal_reason(now);
+        // A target that returned a packet takes others within moments.
+        let is_returning = refusal == Some(Reason::Returned);
+        if let Some(reason) = refusal.filter(|_| !is_returning) {
+            for waiting in self.admission.queue.drain() {
+                let Queued {
+                    open, packet, info, ..
+                } = waiting.item;
+                pass_on(info.key, open, packet, reason, actions);
             }
-            None => {}
+            return;
         }
         let estimate = self.admission.places.estimate(self.slots());
         for rejected in self.admission.queue.expire(now, estimate) {
             reject(rejected, actions);
         }
+        if is_returning {
+            self.admission.recheck_at = Some(self.target_state.full_until());
+            return;
+        }
         while self.has_place(now) {
             let Some(waiting) = self.admission.queue.pop(now, estimate) else {
                 return;
@@ -230,12 +236,22 @@
         }
     }
 
+    /// Lets the next tick look at the waiting flows at once: after a change of the target or the
+    /// configuration, no packet may arrive that would do so.
+    pub(super) fn recheck_waiting(&mut self) {
+        self.admission.recheck_at = Some(Instant::ZERO);
+    }
+
     /// When waiting flows have to be looked at again.
     pub(super) fn next_admission(&self) -> Option<Instant> {
-        let expiry = self.admission.queue.next_expiry();
+        let Admission {
+            queue, recheck_at, ..
+        } = &self.admission;
+        let recheck = recheck_at.filter(|_| !queue.is_empty());
+        let expiry = queue.next_expiry();
         let request = self.pending_requests.front();
         let request = request.map(|&(at, _)| at + REQUEST_TIMEOUT);
-        expiry.into_iter().chain(request).min()
+        [recheck, expiry, request].into_iter().flatten().min()
     }
 
     /// Gives up the places of callers that did not answer the offers of the target.
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -185,11 +185,15 @@
         self.running -= usize::from(is_running(old));
     }
 
-    /// Counts the flows in flight anew.
-    fn recount(&mut self) {
+    /// Flows in flight and requests at the target, counted from the table.
+    pub(super) fn counted(&self) -> (usize, usize) {
         let flows = self.entries.values();
-        self.in_flight = flows.clone().filter(|flow| is_in_flight(flow)).count();
-        self.running = flows.filter(|flow| is_running(flow)).count();
+        let in_flight = flows.clone().filter(|flow| is_in_flight(flow)).count();
+        (in_flight, flows.filter(|flow| is_running(flow)).count())
+    }
+
+    fn recount(&mut self) {
+        (self.in_flight, self.running) = self.counted();
     }
 
     /// Records that no request is expected on a flow any more if it is still opening.
--- a/crates/flow/src/target_state.rs
+++ b/crates/flow/src/target_state.rs
@@ -189,6 +189,11 @@
         self.full_until = now + FULL_FOR;
     }
 
+    /// Until when the target gets no opening packet because it returned one.
+    pub fn full_until(&self) -> Instant {
+        self.full_until
+    }
+
     /// Number of lifetimes seen; zero before the first heartbeat.
     pub fn lifetimes(&self) -> u32 {
         self.lifetimes
--- /dev/null
+++ b/crates/flow/tests/places.rs
@@ -0,0 +1,315 @@
+//! Places at a target and its wait queue in unusual sequences of frames, packets and timeouts.
+
+mod world;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use monsoon_flow::{
+    Action, Agent, Catalogue, Demand, Evacuations, Fallback, FlowKey, Frame, Open, PacketInfo,
+    PacketKind, Readiness, Reason, ServiceTag,
+};
+use monsoon_model::hash::mix;
+use monsoon_model::{Duration, Instant, Version, Versions};
+use quickcheck::QuickCheck;
+use world::{
+    agent_at, agent_settings, balancer_at, caller, catalogue, catalogue_to, data, heartbeat_of,
+    offer, opening, other_tag, tag,
+};
+
+const START: Instant = Instant::from_secs(100);
+/// Longest time that a waiting packet may stay without a look at it while the target idles.
+const MAX_IDLE: Duration = Duration::from_millis(100);
+
+fn with_demand(mut catalogue: Catalogue) -> Arc<Catalogue> {
+    for route in catalogue.routes.values_mut() {
+        route.demand = Some(Demand {
+            goal: Duration::from_millis(200),
+            limit: Duration::from_millis(900),
+            priority: 1,
+        });
+    }
+    for service in catalogue.services.values_mut() {
+        service.cold_rate = Some(20.0);
+    }
+    Arc::new(catalogue)
+}
+
+/// Agent with a checked configuration, a demand and a ready target.
+fn agent() -> Agent {
+    let mut agent = Agent::new(START, agent_settings(1, true));
+    agent.set_catalogue(with_demand(catalogue(1)));
+    agent.set_evacuations(START, &Evacuations::default());
+    agent.set_config_checked();
+    agent.receive_heartbeat(START, heartbeat_of("i", 1));
+    agent
+}
+
+fn open(hops: Vec<u8>, fallback: Option<Fallback>) -> Frame {
+    Frame::Open(Open {
+        balancer: balancer_at(1),
+        service: tag(),
+        versions: Versions {
+            document: Version(1),
+            evacuations: Version(0),
+        },
+        hops: hops.into_iter().map(agent_at).collect(),
+        fallback,
+    })
+}
+
+fn send_open(agent: &mut Agent, now: Instant, info: PacketInfo) -> Vec<Action> {
+    let packet = Bytes::copy_from_slice(&info.sequence.to_le_bytes());
+    agent.handle_frame(now, balancer_at(1), open(vec![], None), packet, Some(info))
+}
+
+/// Opens flows until one waits. Returns the number of flows that were started.
+fn fill(agent: &mut Agent, now: Instant) -> u16 {
+    for number in 0..1_000 {
+        send_open(agent, now, opening(caller(number), 0));
+        if agent.place_counts().waiting > 0 {
+            return number;
+        }
+    }
+    panic!("no flow waits: {:?}", agent.place_counts());
+}
+
+fn deliveries(actions: &[Action]) -> usize {
+    let is_delivery = |action: &&Action| matches!(action, Action::ToTarget(_));
+    actions.iter().filter(is_delivery).count()
+}
+
+/// State of a random sequence.
+struct Sequence {
+    agent: Agent,
+    now: Instant,
+    seed: u64,
+    heartbeat: u64,
+    lifetime: u64,
+    version: u64,
+}
+
+impl Sequence {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.seed = mix(self.seed, 3);
+        (self.seed >> 8) % bound
+    }
+
+    fn key(&mut self) -> FlowKey {
+        caller(self.below(24) as u16)
+    }
+
+    fn beat(&mut self, readiness: Readiness) {
+        self.heartbeat += 1;
+        let mut heartbeat = heartbeat_of(&self.lifetime.to_string(), self.heartbeat);
+        heartbeat.started_ms = self.lifetime;
+        heartbeat.readiness = readiness;
+        heartbeat.cold_left = Duration::from_millis(self.below(2) * 500);
+        if self.below(20) == 0 {
+            heartbeat.service = other_tag();
+        }
+        self.agent.receive_heartbeat(self.now, heartbeat);
+    }
+
+    fn frame(&mut self, frame: Frame, info: PacketInfo) -> Vec<Action> {
+        let packet = Bytes::from_static(b"p");
+        let info = Some(info);
+        self.agent
+            .handle_frame(self.now, balancer_at(1), frame, packet, info)
+    }
+
+    fn open(&mut self) {
+        let mut info = opening(self.key(), self.below(3) as u32);
+        info.sequence = 100 * (1 + self.below(8) / 7) as u32;
+        let hops = if self.below(4) == 0 { vec![2] } else { vec![] };
+        let fallback = (self.below(4) == 0).then(|| Fallback {
+            agent: agent_at(1 + self.below(2) as u8),
+            load: [0, 400, u16::MAX][self.below(3) as usize],
+        });
+        self.frame(open(hops, fallback), info);
+    }
+
+    fn receive_from_target(&mut self) {
+        let key = self.key();
+        let ack = 1_000;
+        let mut info = match self.below(6) {
+            0..=2 => offer(key, ack),
+            3 => PacketInfo {
+                sequence: ack + 1,
+                bytes: 20,
+                ..data(key, 111)
+            },
+            4 => opening(key, 0),
+            _ => data(key, ack + 1),
+        };
+        info.is_returned = matches!(info.kind, PacketKind::Open { .. }) || self.below(8) == 0;
+        info.closes = self.below(8) == 0;
+        if self.below(12) == 0 {
+            info.kind = PacketKind::Reset;
+        }
+        let packet = Bytes::from_static(b"t");
+        self.agent.handle_target_packet(self.now, packet, &info);
+    }
+
+    fn receive_from_caller(&mut self) {
+        let mut info = data(self.key(), 1_001);
+        info.sequence += 10 * self.below(4) as u32;
+        info.closes = self.below(8) == 0;
+        if self.below(12) == 0 {
+            info.kind = PacketKind::Reset;
+        }
+        self.frame(Frame::Data, info);
+    }
+
+    fn change(&mut self) {
+        match self.below(12) {
+            0..=4 => self.beat(Readiness::Ready),
+            5 => self.beat(Readiness::Draining),
+            6 => {
+                (self.lifetime, self.heartbeat) = (self.lifetime + 1, 0);
+                self.beat(Readiness::Ready);
+            }
+            7 => self.agent.set_target_absent(),
+            8 => {
+                self.agent.set_target_ended(&self.lifetime.to_string());
+            }
+            9 => {
+                self.version += 1;
+                let mut evacuations = Evacuations {
+                    version: Version(self.version),
+                    ..Evacuations::default()
+                };
+                if self.below(2) == 0 {
+                    evacuations.data_centres.insert("a".to_owned());
+                }
+                self.agent.set_evacuations(self.now, &evacuations);
+            }
+            10 => {
+                self.version += 1;
+                let service: ServiceTag = [tag(), tag(), other_tag()][self.below(3) as usize];
+                let catalogue = with_demand(catalogue_to(self.version, service));
+                self.agent.set_catalogue(catalogue);
+            }
+            _ => {
+                self.agent.resume();
+                if self.below(2) == 0 {
+                    self.agent.set_config_checked();
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        match self.below(20) {
+            0..=7 => self.open(),
+            8..=11 => self.receive_from_target(),
+            12..=14 => self.receive_from_caller(),
+            15 if self.below(3) == 0 => self.change(),
+            16 => {
+                self.agent.set_config_checked();
+                self.beat(Readiness::Ready);
+            }
+            17 if self.below(10) == 0 => self.pass(Duration::from_secs(3)),
+            17..=18 => {
+                let span = Duration::from_millis(self.below(120));
+                self.pass(span);
+            }
+            _ => {
+                let due = self.agent.next_tick();
+                self.pass(due.since(self.now));
+            }
+        }
+    }
+
+    fn pass(&mut self, span: Duration) {
+        self.now += span;
+        self.agent.tick(self.now);
+        let next = self.agent.next_tick();
+        assert!(next > self.now, "tick is due again: {next:?}");
+    }
+
+    fn check(&self) {
+        let counts = self.agent.place_counts();
+        assert_eq!(counts.in_flight, counts.counted_in_flight);
+        assert_eq!(counts.running, counts.counted_running);
+        if counts.waiting > 0 && counts.in_flight == 0 {
+            let due = self.agent.next_tick().since(self.now);
+            assert!(due <= MAX_IDLE, "target idles for {due:?}: {counts:?}");
+        }
+    }
+}
+
+fn stays_consistent(seed: u64) -> bool {
+    let mut sequence = Sequence {
+        agent: agent(),
+        now: START,
+        seed,
+        heartbeat: 1,
+        lifetime: 1,
+        version: 1,
+    };
+    let mut waited = false;
+    for _ in 0..400 {
+        sequence.step();
+        sequence.check();
+        waited |= sequence.agent.place_counts().waiting > 0;
+    }
+    waited
+}
+
+/// Guards against places that are counted twice or never released, against a waiting packet that no
+/// timer wakes while the target idles, and against a timer that is due forever.
+#[test]
+fn random_sequences_neither_leak_places_nor_stop_the_queue() {
+    QuickCheck::new()
+        .rng(quickcheck::Gen::from_size_and_seed(100, 1))
+        .tests(300)
+        .quickcheck(
+            (|seed| {
+                stays_consistent(seed);
+            }) as fn(u64),
+        );
+    let waited = (0..20).filter(|&seed| stays_consistent(seed)).count();
+    assert!(waited > 10, "flows waited in {waited} of 20 sequences");
+}
+
+/// Guards against a waiting packet that idles for up to a second after the target returned another
+/// one, and against a tick that is due all that time and does nothing.
+#[test]
+fn waiting_flows_start_when_the_target_takes_packets_again() {
+    let mut agent = agent();
+    let started = fill(&mut agent, START);
+    let returned_at = START + Duration::from_millis(10);
+    for number in 0..started {
+        let mut returned = opening(caller(number), 0);
+        returned.is_returned = true;
+        agent.handle_target_packet(returned_at, Bytes::new(), &returned);
+    }
+    let counts = agent.place_counts();
+    assert_eq!((counts.in_flight, counts.waiting), (0, 1), "{counts:?}");
+    let mut now = returned_at;
+    let mut delivered = 0;
+    while now < returned_at + Duration::from_millis(50) {
+        now = agent.next_tick();
+        delivered += deliveries(&agent.tick(now));
+    }
+    assert_eq!(delivered, 1);
+    assert_eq!(now, returned_at + Duration::from_millis(50));
+}
+
+/// Guards against packets that wait for a target that has ended: nothing arrives from it that
+/// would start or pass on the queue.
+#[test]
+fn waiting_flows_leave_an_ended_target_at_once() {
+    let mut agent = agent();
+    fill(&mut agent, START);
+    agent.set_target_ended("i");
+    let due = agent.next_tick();
+    assert!(due <= START, "{due:?}");
+    let actions = agent.tick(START);
+    let reason = Reason::Leaving;
+    let refused = actions.iter().any(|action| {
+        matches!(action, Action::Send { frame: Frame::Refused { reason: r }, .. } if *r == reason)
+    });
+    assert!(refused, "{actions:?}");
+}
