Apply timeouts at the agent only to the flow that they were set for

The timeouts of the target's offer and of the caller's first request were kept by addresses alone. After the end of a flow, they applied to the next flow between the same addresses: its opening packet was passed on before its time, so that it could open at two targets, and its place was given up while the target still waited for the request.

The timeouts now compare the time of delivery. Both tests failed before: the packet was refused 10 ms after its delivery, and the place was free after 20 ms.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -18,7 +18,7 @@
 use crate::health::Health;
 use crate::target_state::{Heartbeat, TargetLimits, TargetState};
 use crate::{Action, Catalogue, Evacuations, FlowKey, Presence, Reason, ServiceTag};
-use admission::Admission;
+use admission::{Admission, PendingRequest};
 use flows::{Flow, Flows};
 use inbound::pass_on;
 
@@ -116,8 +116,8 @@
     first_heartbeat: Option<FirstHeartbeat>,
     /// Opening packets that the target has not answered, with the times of their delivery.
     pending_opens: VecDeque<(Instant, FlowKey)>,
-    /// Flows whose first request is awaited, with the times of the offers.
-    pending_requests: VecDeque<(Instant, FlowKey)>,
+    /// Flows whose first request is awaited, in order of their offers.
+    pending_requests: VecDeque<PendingRequest>,
     admission: Admission,
     next_expiry: Instant,
 }
@@ -379,7 +379,7 @@
                 break;
             }
             self.pending_opens.pop_front();
-            self.offer_timed_out(now, key, &mut actions);
+            self.offer_timed_out(now, at, key, &mut actions);
         }
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
@@ -430,9 +430,18 @@
         self.pending_opens.push_back((now, key));
     }
 
-    fn offer_timed_out(&mut self, now: Instant, key: FlowKey, actions: &mut Vec<Action>) {
+    /// Handles that the target did not answer the opening packet that was delivered at `at`. The
+    /// flow may have been taken again since.
+    fn offer_timed_out(
+        &mut self,
+        now: Instant,
+        at: Instant,
+        key: FlowKey,
+        actions: &mut Vec<Action>,
+    ) {
         if let Some(Flow::Opening(opening)) = self.flows.get(key)
             && opening.offer.is_none()
+            && opening.delivered_at == at
         {
             let (open, packet) = (opening.open.clone(), opening.packet.clone());
             self.flows.remove(key);
--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -46,6 +46,16 @@
     arrived_at: Instant,
 }
 
+/// Flow whose first request is awaited.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingRequest {
+    offered_at: Instant,
+    key: FlowKey,
+    /// When its opening packet was delivered. A later flow between the same addresses has another
+    /// time.
+    delivered_at: Instant,
+}
+
 /// Wait queue of a target and what is learned about its requests.
 #[derive(Debug)]
 pub(super) struct Admission {
@@ -250,18 +260,18 @@
         let recheck = recheck_at.filter(|_| !queue.is_empty());
         let expiry = queue.next_expiry();
         let request = self.pending_requests.front();
-        let request = request.map(|&(at, _)| at + REQUEST_TIMEOUT);
+        let request = request.map(|request| request.offered_at + REQUEST_TIMEOUT);
         [recheck, expiry, request].into_iter().flatten().min()
     }
 
     /// Gives up the places of callers that did not answer the offers of the target.
     pub(super) fn expire_pending_requests(&mut self, now: Instant) {
-        while let Some(&(at, key)) = self.pending_requests.front() {
-            if now.since(at) < REQUEST_TIMEOUT {
+        while let Some(&request) = self.pending_requests.front() {
+            if now.since(request.offered_at) < REQUEST_TIMEOUT {
                 return;
             }
             self.pending_requests.pop_front();
-            self.flows.release_place(key);
+            self.flows.release_place(request.key, request.delivered_at);
         }
     }
 
@@ -362,12 +372,17 @@
 const MAX_PENDING_REQUESTS: usize = 4_096;
 
 impl Agent {
-    /// Begins to wait for the first request of a flow.
-    pub(super) fn await_request(&mut self, now: Instant, key: FlowKey) {
+    /// Begins to wait for the first request of a flow whose opening packet was delivered at
+    /// `delivered_at`.
+    pub(super) fn await_request(&mut self, now: Instant, key: FlowKey, delivered_at: Instant) {
         if self.pending_requests.len() >= MAX_PENDING_REQUESTS {
             self.pending_requests.pop_front();
         }
-        self.pending_requests.push_back((now, key));
+        self.pending_requests.push_back(PendingRequest {
+            offered_at: now,
+            key,
+            delivered_at,
+        });
     }
 
     /// Records that a first request arrived `since` the delivery of its opening packet.
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -196,9 +196,11 @@
         (self.in_flight, self.running) = self.counted();
     }
 
-    /// Records that no request is expected on a flow any more if it is still opening.
-    pub(super) fn release_place(&mut self, key: FlowKey) {
+    /// Records that no request is expected any more on the flow that was delivered at
+    /// `delivered_at`, if it is still opening.
+    pub(super) fn release_place(&mut self, key: FlowKey, delivered_at: Instant) {
         if let Some(Flow::Opening(opening)) = self.entries.get_mut(&key)
+            && opening.delivered_at == delivered_at
             && std::mem::take(&mut opening.is_pending)
         {
             self.in_flight -= 1;
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -88,7 +88,7 @@
             let known = opening.offer == Some(offer);
             opening.offer = Some(offer);
             if !known {
-                self.await_request(now, key);
+                self.await_request(now, key, opening.delivered_at);
                 let taken = Frame::Offer { key, offer };
                 actions.push(send(opening.open.balancer, taken, Bytes::new()));
             }
--- a/crates/flow/tests/places.rs
+++ b/crates/flow/tests/places.rs
@@ -79,6 +79,58 @@
     actions.iter().filter(is_delivery).count()
 }
 
+fn is_refused(actions: &[Action], expected: Reason) -> bool {
+    actions.iter().any(|action| {
+        matches!(action, Action::Send { frame: Frame::Refused { reason }, .. } if *reason == expected)
+    })
+}
+
+/// Guards against an opening packet that is passed on to another target before its time, so that
+/// the flow opens at both: the timeout of an ended flow applied to the next one between the same
+/// addresses.
+#[test]
+fn the_timeouts_of_a_former_flow_do_not_apply_to_the_next_one() {
+    let mut agent = agent();
+    let key = caller(1);
+    send_open(&mut agent, START, opening(key, 0));
+    let reset = PacketInfo {
+        kind: PacketKind::Reset,
+        ..offer(key, 1_000)
+    };
+    agent.handle_target_packet(START, Bytes::new(), &reset);
+    let next_at = START + Duration::from_millis(40);
+    let next = PacketInfo {
+        sequence: 200,
+        ..opening(key, 0)
+    };
+    send_open(&mut agent, next_at, next);
+    let actions = agent.tick(START + Duration::from_millis(50));
+    assert!(!is_refused(&actions, Reason::Unresponsive), "{actions:?}");
+    let actions = agent.tick(next_at + Duration::from_millis(50));
+    assert!(is_refused(&actions, Reason::Unresponsive), "{actions:?}");
+}
+
+/// Guards against more requests at the target than it has places: the place of a flow was given up
+/// when an earlier flow between the same addresses had not been answered.
+#[test]
+fn a_place_is_kept_until_the_time_of_its_own_flow() {
+    let mut agent = agent();
+    let key = caller(1);
+    let at = |ms| START + Duration::from_millis(ms);
+    for (sequence, ms) in [(100, 0), (200, 80)] {
+        let info = PacketInfo {
+            sequence,
+            ..opening(key, 0)
+        };
+        send_open(&mut agent, at(ms), info);
+        agent.handle_target_packet(at(ms), Bytes::new(), &offer(key, sequence * 10));
+    }
+    agent.tick(at(100));
+    assert_eq!(agent.place_counts().in_flight, 1);
+    agent.tick(at(180));
+    assert_eq!(agent.place_counts().in_flight, 0);
+}
+
 /// State of a random sequence.
 struct Sequence {
     agent: Agent,
@@ -307,9 +359,5 @@
     let due = agent.next_tick();
     assert!(due <= START, "{due:?}");
     let actions = agent.tick(START);
-    let reason = Reason::Leaving;
-    let refused = actions.iter().any(|action| {
-        matches!(action, Action::Send { frame: Frame::Refused { reason: r }, .. } if *r == reason)
-    });
-    assert!(refused, "{actions:?}");
+    assert!(is_refused(&actions, Reason::Leaving), "{actions:?}");
 }
