Keep one waiting packet per pair of addresses at the agent

A caller that gave a flow up and opened another from the same port had two packets in the wait queue. The former could be started after the present flow had opened, and replaced it in the flow table, so that packets of the open flow were no longer delivered.

A new opening packet now replaces a waiting one of the same addresses. An index by key finds it.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -85,6 +85,8 @@
     pub counted_running: usize,
     /// Opening packets in the wait queue.
     pub waiting: usize,
+    /// Flows of these packets.
+    pub waiting_keys: usize,
 }
 
 /// Fields of a lifetime's first heartbeat that tell the age of the target.
@@ -368,6 +370,7 @@
             counted_in_flight: in_flight,
             counted_running: running,
             waiting: self.admission.queue.len(),
+            waiting_keys: self.admission.sequences.len(),
         }
     }
 
--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -5,6 +5,8 @@
 //! while all places of its target are in use. A request that cannot be answered in time is rejected
 //! before it reaches the target, so that it has certainly not run.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 use monsoon_admission::{AccountKey, Pace, Rejected, Shedding, WaitQueue, Waiting};
 use monsoon_model::{Duration, Instant};
@@ -60,6 +62,9 @@
 #[derive(Debug)]
 pub(super) struct Admission {
     pub queue: WaitQueue<Queued>,
+    /// Callers' first sequence numbers of the waiting flows, of which each key has one. A search in
+    /// the queue takes 4 µs at 1,000 waiting flows, for each opening packet.
+    pub sequences: BTreeMap<FlowKey, u32>,
     pub places: Places,
     pub pace: Pace,
     pub shedding: Shedding,
@@ -71,6 +76,7 @@
     fn default() -> Self {
         Self {
             queue: WaitQueue::new(),
+            sequences: BTreeMap::new(),
             places: Places::default(),
             pace: Pace::full(1),
             shedding: Shedding::new(),
@@ -130,10 +136,7 @@
         info: &PacketInfo,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let is_same = |waiting: &Waiting<Queued>| {
-            waiting.item.info.key == info.key && waiting.item.info.sequence == info.sequence
-        };
-        let is_waiting = self.admission.queue.find(is_same).is_some();
+        let is_waiting = self.admission.sequences.get(&info.key) == Some(&info.sequence);
         if is_waiting {
             let key = info.key;
             actions.push(send(open.balancer, Frame::Queued { key }, Bytes::new()));
@@ -141,6 +144,15 @@
         is_waiting
     }
 
+    /// Drops a waiting packet of an earlier flow between the same addresses, whose caller has given
+    /// it up. Started later, it would replace the present flow in the flow table.
+    pub(super) fn drop_former(&mut self, key: FlowKey) {
+        if self.admission.sequences.remove(&key).is_some() {
+            let is_former = |waiting: &Waiting<Queued>| waiting.item.info.key == key;
+            self.admission.queue.remove(is_former);
+        }
+    }
+
     fn enqueue(&mut self, now: Instant, demand: Demand, queued: Queued, actions: &mut Vec<Action>) {
         let (key, balancer) = (queued.info.key, queued.open.balancer);
         let (sequence, waiting) = (queued.info.sequence, self.admission.queue.len());
@@ -149,7 +161,10 @@
             self.admission.places.estimate(self.slots()),
         );
         let Admission {
-            queue, shedding, ..
+            queue,
+            sequences,
+            shedding,
+            ..
         } = &mut self.admission;
         let wait = if queue.is_empty() {
             Duration::ZERO
@@ -169,15 +184,15 @@
             expires_at: now + demand.limit.saturating_sub(age),
             item: queued,
         };
-        let rejected = queue.offer(now, request, estimate);
-        let is_own = |item: &Queued| item.info.key == key && item.info.sequence == sequence;
-        if !rejected.iter().any(|rejected| is_own(&rejected.item)) {
+        sequences.insert(key, sequence);
+        for rejected in queue.offer(now, request, estimate) {
+            sequences.remove(&rejected.item.info.key);
+            reject(rejected, actions);
+        }
+        if sequences.contains_key(&key) {
             actions.push(log(key, "queued", format!("waiting={waiting}")));
             actions.push(send(balancer, Frame::Queued { key }, Bytes::new()));
         }
-        for rejected in rejected {
-            reject(rejected, actions);
-        }
     }
 
     /// Delivers an opening packet to the target, if the rate of a cold target allows it.
@@ -204,6 +219,7 @@
         // A target that returned a packet takes others within moments.
         let is_returning = refusal == Some(Reason::Returned);
         if let Some(reason) = refusal.filter(|_| !is_returning) {
+            self.admission.sequences.clear();
             for waiting in self.admission.queue.drain() {
                 let Queued {
                     open, packet, info, ..
@@ -214,6 +230,7 @@
         }
         let estimate = self.admission.places.estimate(self.slots());
         for rejected in self.admission.queue.expire(now, estimate) {
+            self.admission.sequences.remove(&rejected.item.info.key);
             reject(rejected, actions);
         }
         if is_returning {
@@ -230,6 +247,7 @@
                 info,
                 arrived_at,
             } = waiting.item;
+            self.admission.sequences.remove(&info.key);
             // The configuration may have changed while the packet waited.
             match self
                 .check_open(now, &open, info.key)
--- a/crates/flow/src/agent/inbound.rs
+++ b/crates/flow/src/agent/inbound.rs
@@ -64,6 +64,7 @@
         if self.is_waiting(&open, &info, actions) {
             return;
         }
+        self.drop_former(key);
         if let Err(reason) = self.check_open(now, &open, key) {
             pass_on(key, open, packet, reason, actions);
             return;
--- a/crates/flow/tests/places.rs
+++ b/crates/flow/tests/places.rs
@@ -131,6 +131,28 @@
     assert_eq!(agent.place_counts().in_flight, 0);
 }
 
+/// Guards against a waiting packet of a flow that its caller has given up: started after the next
+/// flow between the same addresses had opened, it replaced that flow in the table, and the packets
+/// of the open flow were no longer delivered.
+#[test]
+fn a_new_flow_replaces_a_waiting_one_between_the_same_addresses() {
+    let mut agent = agent();
+    let key = caller(fill(&mut agent, START));
+    let next = PacketInfo {
+        sequence: 200,
+        ..opening(key, 0)
+    };
+    send_open(&mut agent, START, next);
+    assert_eq!(agent.place_counts().waiting, 1);
+    let reset = PacketInfo {
+        kind: PacketKind::Reset,
+        ..offer(caller(0), 1_000)
+    };
+    let actions = agent.handle_target_packet(START, Bytes::new(), &reset);
+    let packet = Action::ToTarget(Bytes::copy_from_slice(&200_u32.to_le_bytes()));
+    assert!(actions.contains(&packet), "{actions:?}");
+}
+
 /// State of a random sequence.
 struct Sequence {
     agent: Agent,
@@ -284,6 +306,7 @@
         let counts = self.agent.place_counts();
         assert_eq!(counts.in_flight, counts.counted_in_flight);
         assert_eq!(counts.running, counts.counted_running);
+        assert_eq!(counts.waiting, counts.waiting_keys);
         if counts.waiting > 0 && counts.in_flight == 0 {
             let due = self.agent.next_tick().since(self.now);
             assert!(due <= MAX_IDLE, "target idles for {due:?}: {counts:?}");
