Recognise retransmissions of flows that opened after the offer timeout

A target that answered an opening packet after the agent had passed it on got the flow without the caller's first sequence number. A retransmission of the opening packet then counted as a new flow, replaced the open one in the table, and the caller's next packets were answered with NotOwned.

The offer acknowledges the caller's first sequence number, from which it is now taken. The test failed before: the request was not delivered.

--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -41,7 +41,7 @@
 /// Flow whose caller has accepted the offer of the target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OpenFlow {
-    /// Caller's first sequence number, unknown after a restart of the agent.
+    /// Caller's first sequence number, unknown if this process did not see the offer.
     pub caller_start: Option<u32>,
     /// First sequence number of the target, unknown after a restart of the agent.
     pub offer: Option<u32>,
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -182,7 +182,8 @@
     /// Adds a flow that opened at the target without this process.
     fn adopt(&mut self, now: Instant, info: &PacketInfo, offer: Option<u32>) {
         let open_flow = OpenFlow {
-            caller_start: None,
+            // An offer acknowledges the opening packet.
+            caller_start: offer.map(|_| info.ack.wrapping_sub(1)),
             offer,
             offered_at: now,
             sent_end: info.sequence.wrapping_add(u32::from(info.bytes)),
--- a/crates/flow/tests/places.rs
+++ b/crates/flow/tests/places.rs
@@ -153,6 +153,28 @@
     assert!(actions.contains(&packet), "{actions:?}");
 }
 
+/// Guards against a retransmitted opening packet that replaces an open flow in the table: the target
+/// offered to take the flow after the agent had passed the packet on.
+#[test]
+fn a_retransmission_of_a_flow_that_opened_late_goes_to_its_target() {
+    let mut agent = agent();
+    let key = caller(1);
+    send_open(&mut agent, START, opening(key, 0));
+    let late = START + Duration::from_millis(60);
+    assert!(is_refused(&agent.tick(late), Reason::Unresponsive));
+    agent.handle_target_packet(late, Bytes::new(), &offer(key, 1_000));
+    send_open(&mut agent, late, opening(key, 1));
+    let request = data(key, 1_001);
+    let actions = agent.handle_frame(
+        late,
+        balancer_at(1),
+        Frame::Data,
+        Bytes::new(),
+        Some(request),
+    );
+    assert_eq!(deliveries(&actions), 1, "{actions:?}");
+}
+
 /// State of a random sequence.
 struct Sequence {
     agent: Agent,
