Reset an overloaded flow only when all its attempts are refused

A flow was reset with the first refusal for overload, also while an earlier attempt was still under way or while the packet waited at another agent. That attempt could open the flow at the same moment, and the reset then ended an open flow.

The balancer now counts the attempts that were not refused, and the last refusal decides. While a packet waits at an agent, refusals of others do not end it. Both tests failed before with a reset.

--- a/crates/flow/src/balancer.rs
+++ b/crates/flow/src/balancer.rs
@@ -94,6 +94,8 @@
     offers: Vec<(SocketAddrV4, u32)>,
     /// Agent in whose wait queue the packet is.
     queued_at: Option<SocketAddrV4>,
+    /// Attempts that were not refused. While there are any, the flow may open.
+    open_attempts: u32,
     /// Attempts that ended because no candidate could answer in time.
     overloads: u32,
     /// Number of the last retransmission.
--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -12,7 +12,7 @@
 
 /// Attempts to place a flow that may end at overloaded targets. The targets of a service are about
 /// equally loaded under overload, so that further ones cost more than they find.
-const MAX_OVERLOADS: u32 = 2;
+pub(super) const MAX_OVERLOADS: u32 = 2;
 
 impl Balancer {
     /// Handles a frame of an agent. `info` describes the packet that follows the frame.
@@ -32,7 +32,7 @@
             (Frame::Offer { key, offer }, _) => self.record_offer(from, key, offer),
             (Frame::Queued { key }, _) => self.record_queued(from, key),
             (Frame::Refused { reason }, Some(info)) => {
-                self.handle_refusal(now, &info, reason, &mut actions);
+                self.handle_refusal(now, from, &info, reason, &mut actions);
             }
             (Frame::NotOwned, Some(info)) => self.not_owned(now, from, packet, &info, &mut actions),
             (Frame::OwnerReplies(replies), _) => {
@@ -65,24 +65,39 @@
     fn handle_refusal(
         &mut self,
         now: Instant,
+        from: SocketAddrV4,
         info: &PacketInfo,
         reason: Reason,
         actions: &mut Vec<Action>,
     ) {
-        let Some(Flow::Opening(opening)) = self.flows.get(&info.key) else {
+        let Some(Flow::Opening(opening)) = self.flows.get_mut(&info.key) else {
             return;
         };
         if !opening.offers.is_empty() || opening.info.sequence != info.sequence {
             return;
         }
+        opening.open_attempts = opening.open_attempts.saturating_sub(1);
+        if opening.queued_at.is_some_and(|agent| agent != from) {
+            // Another attempt was refused; the agent that has the packet decides.
+            opening.refused_by.insert(from);
+            return;
+        }
         let mut opening = opening.clone();
         opening.refused_by.extend(opening.last_candidates.drain(..));
         opening.queued_at = None;
         actions.push(log(info.key, "refused", format!("reason=\"{reason}\"")));
         opening.overloads += u32::from(reason == Reason::Overloaded);
         // Every agent sheds the same accounts.
-        if reason == Reason::Shed || opening.overloads >= MAX_OVERLOADS {
-            self.reject(info.key, &opening, "overloaded", actions);
+        if reason == Reason::Shed {
+            opening.overloads = MAX_OVERLOADS;
+        }
+        if opening.overloads >= MAX_OVERLOADS {
+            if opening.open_attempts == 0 {
+                self.reject(info.key, &opening, "overloaded", actions);
+            } else {
+                // The flow may still open through another attempt, whose end decides.
+                self.insert_flow(info.key, Flow::Opening(opening));
+            }
             return;
         }
         self.place(now, info.key, opening, actions);
--- a/crates/flow/src/balancer/open.rs
+++ b/crates/flow/src/balancer/open.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use monsoon_model::Instant;
 
+use super::frames::MAX_OVERLOADS;
 use super::{Balancer, Flow, Opening};
 use crate::action::{log, reset, send};
 use crate::ranking::{MAX_HOPS, rank_candidates};
@@ -57,6 +58,7 @@
                 received_at: now,
                 offers: Vec::new(),
                 queued_at: None,
+                open_attempts: 0,
                 overloads: 0,
                 copy,
                 saw_all: copy == 0,
@@ -154,6 +156,7 @@
             ),
         ));
         opening.last_candidates.clone_from(&order);
+        opening.open_attempts += 1;
         let hops = order.split_off(1);
         let packet = opening.packet.clone();
         actions.push(self.send_open(first, opening.service, hops, packet));
@@ -213,7 +216,8 @@
         let Some(Flow::Opening(opening)) = self.flows.get(&key) else {
             return;
         };
-        if opening.placed_at != at || !opening.offers.is_empty() || opening.queued_at.is_some() {
+        let is_decided = opening.queued_at.is_some() || opening.overloads >= MAX_OVERLOADS;
+        if opening.placed_at != at || !opening.offers.is_empty() || is_decided {
             return;
         }
         let opening = opening.clone();
@@ -243,6 +247,7 @@
         if let Some(Flow::Opening(opening)) = self.flows.get_mut(&key) {
             opening.sent_to.insert(first);
             opening.last_candidates = rest;
+            opening.open_attempts += 1;
             opening.placed_at = now;
         }
         self.pending_opens.push_back((now, key));
--- a/crates/flow/tests/places.rs
+++ b/crates/flow/tests/places.rs
@@ -6,15 +6,15 @@
 
 use bytes::Bytes;
 use monsoon_flow::{
-    Action, Agent, Catalogue, Demand, Evacuations, Fallback, FlowKey, Frame, Open, PacketInfo,
-    PacketKind, Readiness, Reason, ServiceTag,
+    Action, Agent, Balancer, Catalogue, Demand, Evacuations, Fallback, FlowKey, Frame, Open,
+    PacketInfo, PacketKind, Readiness, Reason, ServiceTag,
 };
 use monsoon_model::hash::mix;
 use monsoon_model::{Duration, Instant, Version, Versions};
 use quickcheck::QuickCheck;
 use world::{
     agent_at, agent_settings, balancer_at, caller, catalogue, catalogue_to, data, heartbeat_of,
-    offer, opening, other_tag, tag,
+    offer, opening, other_tag, ready_balancer, tag, views,
 };
 
 const START: Instant = Instant::from_secs(100);
@@ -406,3 +406,63 @@
     let actions = agent.tick(START);
     assert!(is_refused(&actions, Reason::Leaving), "{actions:?}");
 }
+
+/// Balancer that has sent the opening packet of flow 1 to two chains of agents: the first did not
+/// answer in time. Returns the first agents of both.
+fn placed_twice() -> (Balancer, [std::net::SocketAddrV4; 2]) {
+    let mut balancer = ready_balancer(START, 1);
+    balancer.set_targets(START, views(1..=8));
+    let first = balancer.handle_caller_packet(START, Bytes::new(), &opening(caller(1), 0));
+    let second = balancer.tick(START + Duration::from_millis(90));
+    let receiver = |actions: &[Action]| {
+        let to = |action: &Action| match action {
+            Action::Send { to, .. } => Some(*to),
+            _ => None,
+        };
+        actions.iter().find_map(to).expect("packet is sent")
+    };
+    let agents = [receiver(&first), receiver(&second)];
+    (balancer, agents)
+}
+
+fn refuse(balancer: &mut Balancer, from: std::net::SocketAddrV4, info: PacketInfo) -> Vec<Action> {
+    let now = START + Duration::from_millis(100);
+    let reason = Reason::Shed;
+    balancer.handle_frame(
+        now,
+        from,
+        Frame::Refused { reason },
+        Bytes::new(),
+        Some(info),
+    )
+}
+
+fn is_reset(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Reset(_)))
+}
+
+/// Guards against a reset of a flow that another attempt may open at this moment: only one of two
+/// attempts was refused.
+#[test]
+fn a_flow_is_reset_only_when_all_attempts_are_refused() {
+    let (mut balancer, [first, second]) = placed_twice();
+    let info = opening(caller(1), 0);
+    let actions = refuse(&mut balancer, second, info);
+    assert!(!is_reset(&actions), "{actions:?}");
+    let actions = refuse(&mut balancer, first, info);
+    assert!(is_reset(&actions), "{actions:?}");
+}
+
+/// Guards against the reset of a flow that waits at an agent, by the late refusal of an earlier
+/// attempt.
+#[test]
+fn only_the_agent_that_has_a_waiting_packet_refuses_it() {
+    let (mut balancer, [first, second]) = placed_twice();
+    let info = opening(caller(1), 0);
+    let queued = Frame::Queued { key: info.key };
+    balancer.handle_frame(START, second, queued, Bytes::new(), None);
+    let actions = refuse(&mut balancer, first, info);
+    assert_eq!(actions, []);
+    let actions = refuse(&mut balancer, second, info);
+    assert!(is_reset(&actions), "{actions:?}");
+}
