--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -12,7 +12,6 @@
 use monsoon_model::{Duration, Instant};
 
 use super::Agent;
-use super::flows::{Flow, Opening};
 use super::inbound::{pass_on, pass_on_busy, pass_on_failing};
 use super::places::Places;
 use crate::action::{log, send};
@@ -38,6 +37,8 @@
 /// Time between the start of a request and its answer at the caller that does not depend on the
 /// load: the handshake and the way of the answer.
 const TRANSIT_TIME: Duration = Duration::from_millis(15);
+/// Limit of flows whose first request is awaited. At the limit the oldest is no longer watched.
+const MAX_PENDING_REQUESTS: usize = 4_096;
 
 /// Opening packet that waits for a place at the target.
 #[derive(Clone, Debug)]
@@ -319,6 +320,7 @@
         self.admission.queue.is_empty() && self.flows.in_flight() < limit
     }
 
+    /// Whether the target may get one more flow, which may wait there for a slot.
     fn has_place(&self, now: Instant) -> bool {
         self.flows.has_room() && self.flows.in_flight() < self.place_limit(now)
     }
@@ -386,9 +388,6 @@
     RETRANSMISSION_AGES[usize::try_from(copy).map_or(last, |copy| copy.min(last))]
 }
 
-/// Limit of flows whose first request is awaited. At the limit the oldest is no longer watched.
-const MAX_PENDING_REQUESTS: usize = 4_096;
-
 impl Agent {
     /// Begins to wait for the first request of a flow whose opening packet was delivered at
     /// `delivered_at`.
@@ -408,17 +407,3 @@
         self.admission.places.record_handshake(since);
     }
 }
-
-impl Flow {
-    /// Opening of a flow whose packet is delivered now.
-    pub(super) fn opening(now: Instant, open: Open, packet: Bytes, sequence: u32) -> Self {
-        Self::Opening(Opening {
-            open,
-            packet,
-            sequence,
-            offer: None,
-            delivered_at: now,
-            is_pending: true,
-        })
-    }
-}
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -85,6 +85,20 @@
     Ended { at: Instant, last: OpenFlow },
 }
 
+impl Flow {
+    /// Opening of a flow whose packet is delivered now.
+    pub(super) fn opening(now: Instant, open: Open, packet: Bytes, sequence: u32) -> Self {
+        Self::Opening(Opening {
+            open,
+            packet,
+            sequence,
+            offer: None,
+            delivered_at: now,
+            is_pending: true,
+        })
+    }
+}
+
 impl Opening {
     /// The flow after the caller accepts the offer.
     pub(super) fn to_open_flow(&self) -> OpenFlow {
