--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -18,7 +18,7 @@
 use crate::health::Health;
 use crate::target_state::{Heartbeat, TargetLimits, TargetState};
 use crate::{Action, Catalogue, Evacuations, FlowKey, Presence, Reason, ServiceTag};
-use admission::Admission;
+use admission::{Admission, PendingRequest};
 use flows::{Flow, Flows};
 use inbound::pass_on;
 
@@ -71,6 +71,24 @@
     pub slots: u16,
 }
 
+/// Number of flows that hold a place, as kept and as counted from the flow table.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlaceCounts {
+    /// Flows with a place, as kept.
+    pub in_flight: usize,
+    /// Requests at the target, as kept.
+    pub running: usize,
+    /// Flows with a place in the table.
+    pub counted_in_flight: usize,
+    /// Requests at the target in the table.
+    pub counted_running: usize,
+    /// Opening packets in the wait queue.
+    pub waiting: usize,
+    /// Flows of these packets.
+    pub waiting_keys: usize,
+}
+
 /// Fields of a lifetime's first heartbeat that tell the age of the target.
 #[derive(Clone, Copy, Debug)]
 struct FirstHeartbeat {
@@ -100,8 +118,8 @@
     first_heartbeat: Option<FirstHeartbeat>,
     /// Opening packets that the target has not answered, with the times of their delivery.
     pending_opens: VecDeque<(Instant, FlowKey)>,
-    /// Flows whose first request is awaited, with the times of the offers.
-    pending_requests: VecDeque<(Instant, FlowKey)>,
+    /// Flows whose first request is awaited, in order of their offers.
+    pending_requests: VecDeque<PendingRequest>,
     admission: Admission,
     next_expiry: Instant,
 }
@@ -143,6 +161,7 @@
     /// Applies a catalogue. One older than the present is ignored.
     pub fn set_catalogue(&mut self, catalogue: Arc<Catalogue>) {
         if catalogue.version >= self.versions.document {
+            self.recheck_waiting();
             self.versions.document = catalogue.version;
             self.catalogue = Some(catalogue);
         }
@@ -154,6 +173,7 @@
         if evacuations.version < self.versions.evacuations {
             return;
         }
+        self.recheck_waiting();
         self.versions.evacuations = evacuations.version;
         let is_evacuated = evacuations
             .data_centres
@@ -175,6 +195,7 @@
     pub fn resume(&mut self) {
         self.config_checked = false;
         self.target_state.expire_heartbeat();
+        self.recheck_waiting();
     }
 
     /// Handles a heartbeat of the target. Returns what changed, for the log.
@@ -186,6 +207,7 @@
         if !self.is_of_target(&heartbeat) {
             return Some("not of this target");
         }
+        self.recheck_waiting();
         let readiness = heartbeat.readiness;
         let before = self
             .target_state
@@ -247,6 +269,7 @@
     pub fn set_target_absent(&mut self) {
         self.has_unknown = false;
         self.target_state.set_absent();
+        self.recheck_waiting();
         self.flows.end_all();
     }
 
@@ -264,6 +287,7 @@
     pub fn set_target_ended(&mut self, id: &str) -> bool {
         let has_ended = self.target_state.set_ended(id);
         if has_ended {
+            self.recheck_waiting();
             self.flows.end_all();
         }
         has_ended
@@ -336,6 +360,20 @@
         }
     }
 
+    /// Counts that must agree with the flow table, for tests.
+    #[doc(hidden)]
+    pub fn place_counts(&self) -> PlaceCounts {
+        let (in_flight, running) = self.flows.counted();
+        PlaceCounts {
+            in_flight: self.flows.in_flight(),
+            running: self.flows.running(),
+            counted_in_flight: in_flight,
+            counted_running: running,
+            waiting: self.admission.queue.len(),
+            waiting_keys: self.admission.sequences.len(),
+        }
+    }
+
     /// Passes on opening packets that the target did not answer, and removes expired flows.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -344,7 +382,7 @@
                 break;
             }
             self.pending_opens.pop_front();
-            self.offer_timed_out(now, key, &mut actions);
+            self.offer_timed_out(now, at, key, &mut actions);
         }
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
@@ -395,9 +433,18 @@
         self.pending_opens.push_back((now, key));
     }
 
-    fn offer_timed_out(&mut self, now: Instant, key: FlowKey, actions: &mut Vec<Action>) {
+    /// Handles that the target did not answer the opening packet that was delivered at `at`. The
+    /// flow may have been taken again since.
+    fn offer_timed_out(
+        &mut self,
+        now: Instant,
+        at: Instant,
+        key: FlowKey,
+        actions: &mut Vec<Action>,
+    ) {
         if let Some(Flow::Opening(opening)) = self.flows.get(key)
             && opening.offer.is_none()
+            && opening.delivered_at == at
         {
             let (open, packet) = (opening.open.clone(), opening.packet.clone());
             self.flows.remove(key);
--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -5,12 +5,13 @@
 //! while all places of its target are in use. A request that cannot be answered in time is rejected
 //! before it reaches the target, so that it has certainly not run.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 use monsoon_admission::{AccountKey, Pace, Rejected, Shedding, WaitQueue, Waiting};
 use monsoon_model::{Duration, Instant};
 
 use super::Agent;
-use super::flows::{Flow, Opening};
 use super::inbound::{pass_on, pass_on_busy, pass_on_failing};
 use super::places::Places;
 use crate::action::{log, send};
@@ -36,6 +37,8 @@
 /// Time between the start of a request and its answer at the caller that does not depend on the
 /// load: the handshake and the way of the answer.
 const TRANSIT_TIME: Duration = Duration::from_millis(15);
+/// Limit of flows whose first request is awaited. At the limit the oldest is no longer watched.
+const MAX_PENDING_REQUESTS: usize = 4_096;
 
 /// Opening packet that waits for a place at the target.
 #[derive(Clone, Debug)]
@@ -46,25 +49,39 @@
     arrived_at: Instant,
 }
 
+/// Flow whose first request is awaited.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingRequest {
+    offered_at: Instant,
+    key: FlowKey,
+    /// When its opening packet was delivered. A later flow between the same addresses has another
+    /// time.
+    delivered_at: Instant,
+}
+
 /// Wait queue of a target and what is learned about its requests.
 #[derive(Debug)]
 pub(super) struct Admission {
     pub queue: WaitQueue<Queued>,
+    /// Callers' first sequence numbers of the waiting flows, of which each key has one. A search in
+    /// the queue takes 4 µs at 1,000 waiting flows, for each opening packet.
+    pub sequences: BTreeMap<FlowKey, u32>,
     pub places: Places,
     pub pace: Pace,
     pub shedding: Shedding,
-    /// When the queue of a target that returned a packet goes on.
-    pub retry_at: Option<Instant>,
+    /// When waiting flows have to be looked at although no packet arrives; zero for at once.
+    pub recheck_at: Option<Instant>,
 }
 
 impl Default for Admission {
     fn default() -> Self {
         Self {
             queue: WaitQueue::new(),
+            sequences: BTreeMap::new(),
             places: Places::default(),
             pace: Pace::full(1),
             shedding: Shedding::new(),
-            retry_at: None,
+            recheck_at: None,
         }
     }
 }
@@ -120,10 +137,7 @@
         info: &PacketInfo,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let is_same = |waiting: &Waiting<Queued>| {
-            waiting.item.info.key == info.key && waiting.item.info.sequence == info.sequence
-        };
-        let is_waiting = self.admission.queue.find(is_same).is_some();
+        let is_waiting = self.admission.sequences.get(&info.key) == Some(&info.sequence);
         if is_waiting {
             let key = info.key;
             actions.push(send(open.balancer, Frame::Queued { key }, Bytes::new()));
@@ -131,6 +145,15 @@
         is_waiting
     }
 
+    /// Drops a waiting packet of an earlier flow between the same addresses, whose caller has given
+    /// it up. Started later, it would replace the present flow in the flow table.
+    pub(super) fn drop_former(&mut self, key: FlowKey) {
+        if self.admission.sequences.remove(&key).is_some() {
+            let is_former = |waiting: &Waiting<Queued>| waiting.item.info.key == key;
+            self.admission.queue.remove(is_former);
+        }
+    }
+
     fn enqueue(&mut self, now: Instant, demand: Demand, queued: Queued, actions: &mut Vec<Action>) {
         let (key, balancer) = (queued.info.key, queued.open.balancer);
         let (sequence, waiting) = (queued.info.sequence, self.admission.queue.len());
@@ -140,7 +163,10 @@
         );
         let wait_at_target = self.wait_at_target();
         let Admission {
-            queue, shedding, ..
+            queue,
+            sequences,
+            shedding,
+            ..
         } = &mut self.admission;
         let wait = if queue.is_empty() {
             Duration::ZERO
@@ -160,15 +186,15 @@
             expires_at: now + demand.limit.saturating_sub(age + wait_at_target),
             item: queued,
         };
-        let rejected = queue.offer(now, request, estimate);
-        let is_own = |item: &Queued| item.info.key == key && item.info.sequence == sequence;
-        if !rejected.iter().any(|rejected| is_own(&rejected.item)) {
+        sequences.insert(key, sequence);
+        for rejected in queue.offer(now, request, estimate) {
+            sequences.remove(&rejected.item.info.key);
+            reject(rejected, actions);
+        }
+        if sequences.contains_key(&key) {
             actions.push(log(key, "queued", format!("waiting={waiting}")));
             actions.push(send(balancer, Frame::Queued { key }, Bytes::new()));
         }
-        for rejected in rejected {
-            reject(rejected, actions);
-        }
     }
 
     /// Delivers an opening packet to the target, if the rate of a cold target allows it.
@@ -187,31 +213,32 @@
     /// Starts waiting flows while the target has places. When the target takes no flows any more,
     /// all of them go to other agents.
     pub(super) fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        self.admission.retry_at = None;
+        self.admission.recheck_at = None;
         if self.admission.queue.is_empty() {
             return;
         }
-        match self.refusal_reason(now) {
-            // The target returned a packet, and takes others within moments.
-            Some(Reason::Returned) => {
-                self.admission.retry_at = Some(self.target_state.full_until());
-                return;
+        let refusal = self.refusal_reason(now);
+        // A target that returned a packet takes others within moments.
+        let is_returning = refusal == Some(Reason::Returned);
+        if let Some(reason) = refusal.filter(|_| !is_returning) {
+            self.admission.sequences.clear();
+            for waiting in self.admission.queue.drain() {
+                let Queued {
+                    open, packet, info, ..
+                } = waiting.item;
+                pass_on(info.key, open, packet, reason, actions);
             }
-            Some(reason) => {
-                for waiting in self.admission.queue.drain() {
-                    let Queued {
-                        open, packet, info, ..
-                    } = waiting.item;
-                    pass_on(info.key, open, packet, reason, actions);
-                }
-                return;
-            }
-            None => {}
+            return;
         }
         let estimate = self.admission.places.estimate(self.slots());
         for rejected in self.admission.queue.expire(now, estimate) {
+            self.admission.sequences.remove(&rejected.item.info.key);
             reject(rejected, actions);
         }
+        if is_returning {
+            self.admission.recheck_at = Some(self.target_state.full_until());
+            return;
+        }
         while self.has_place(now) {
             let Some(waiting) = self.admission.queue.pop(now, estimate) else {
                 return;
@@ -222,6 +249,7 @@
                 info,
                 arrived_at,
             } = waiting.item;
+            self.admission.sequences.remove(&info.key);
             // The configuration may have changed while the packet waited.
             match self
                 .check_open(now, &open, info.key)
@@ -238,23 +266,32 @@
         }
     }
 
+    /// Lets the next tick look at the waiting flows at once: after a change of the target or the
+    /// configuration, no packet may arrive that would do so.
+    pub(super) fn recheck_waiting(&mut self) {
+        self.admission.recheck_at = Some(Instant::ZERO);
+    }
+
     /// When waiting flows have to be looked at again.
     pub(super) fn next_admission(&self) -> Option<Instant> {
-        let expiry = self.admission.queue.next_expiry();
+        let Admission {
+            queue, recheck_at, ..
+        } = &self.admission;
+        let recheck = recheck_at.filter(|_| !queue.is_empty());
+        let expiry = queue.next_expiry();
         let request = self.pending_requests.front();
-        let request = request.map(|&(at, _)| at + REQUEST_TIMEOUT);
-        let retry = self.admission.retry_at;
-        [expiry, request, retry].into_iter().flatten().min()
+        let request = request.map(|request| request.offered_at + REQUEST_TIMEOUT);
+        [recheck, expiry, request].into_iter().flatten().min()
     }
 
     /// Gives up the places of callers that did not answer the offers of the target.
     pub(super) fn expire_pending_requests(&mut self, now: Instant) {
-        while let Some(&(at, key)) = self.pending_requests.front() {
-            if now.since(at) < REQUEST_TIMEOUT {
+        while let Some(&request) = self.pending_requests.front() {
+            if now.since(request.offered_at) < REQUEST_TIMEOUT {
                 return;
             }
             self.pending_requests.pop_front();
-            self.flows.release_place(key);
+            self.flows.release_place(request.key, request.delivered_at);
         }
     }
 
@@ -284,6 +321,7 @@
         self.admission.queue.is_empty() && self.flows.in_flight() < limit
     }
 
+    /// Whether the target may get one more flow, which may wait there for a slot.
     fn has_place(&self, now: Instant) -> bool {
         self.flows.has_room() && self.flows.in_flight() < self.place_limit(now)
     }
@@ -359,16 +397,18 @@
     RETRANSMISSION_AGES[usize::try_from(copy).map_or(last, |copy| copy.min(last))]
 }
 
-/// Limit of flows whose first request is awaited. At the limit the oldest is no longer watched.
-const MAX_PENDING_REQUESTS: usize = 4_096;
-
 impl Agent {
-    /// Begins to wait for the first request of a flow.
-    pub(super) fn await_request(&mut self, now: Instant, key: FlowKey) {
+    /// Begins to wait for the first request of a flow whose opening packet was delivered at
+    /// `delivered_at`.
+    pub(super) fn await_request(&mut self, now: Instant, key: FlowKey, delivered_at: Instant) {
         if self.pending_requests.len() >= MAX_PENDING_REQUESTS {
             self.pending_requests.pop_front();
         }
-        self.pending_requests.push_back((now, key));
+        self.pending_requests.push_back(PendingRequest {
+            offered_at: now,
+            key,
+            delivered_at,
+        });
     }
 
     /// Records that a first request arrived `since` the delivery of its opening packet.
@@ -376,17 +416,3 @@
         self.admission.places.record_handshake(since);
     }
 }
-
-impl Flow {
-    /// Opening of a flow whose packet is delivered now.
-    pub(super) fn opening(now: Instant, open: Open, packet: Bytes, sequence: u32) -> Self {
-        Self::Opening(Opening {
-            open,
-            packet,
-            sequence,
-            offer: None,
-            delivered_at: now,
-            is_pending: true,
-        })
-    }
-}
--- a/crates/flow/src/agent/flows.rs
+++ b/crates/flow/src/agent/flows.rs
@@ -41,7 +41,7 @@
 /// Flow whose caller has accepted the offer of the target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OpenFlow {
-    /// Caller's first sequence number, unknown after a restart of the agent.
+    /// Caller's first sequence number, unknown if this process did not see the offer.
     pub caller_start: Option<u32>,
     /// First sequence number of the target, unknown after a restart of the agent.
     pub offer: Option<u32>,
@@ -85,6 +85,20 @@
     Ended { at: Instant, last: OpenFlow },
 }
 
+impl Flow {
+    /// Opening of a flow whose packet is delivered now.
+    pub(super) fn opening(now: Instant, open: Open, packet: Bytes, sequence: u32) -> Self {
+        Self::Opening(Opening {
+            open,
+            packet,
+            sequence,
+            offer: None,
+            delivered_at: now,
+            is_pending: true,
+        })
+    }
+}
+
 impl Opening {
     /// The flow after the caller accepts the offer.
     pub(super) fn to_open_flow(&self) -> OpenFlow {
@@ -185,16 +199,22 @@
         self.running -= usize::from(is_running(old));
     }
 
-    /// Counts the flows in flight anew.
-    fn recount(&mut self) {
+    /// Flows in flight and requests at the target, counted from the table.
+    pub(super) fn counted(&self) -> (usize, usize) {
         let flows = self.entries.values();
-        self.in_flight = flows.clone().filter(|flow| is_in_flight(flow)).count();
-        self.running = flows.filter(|flow| is_running(flow)).count();
+        let in_flight = flows.clone().filter(|flow| is_in_flight(flow)).count();
+        (in_flight, flows.filter(|flow| is_running(flow)).count())
+    }
+
+    fn recount(&mut self) {
+        (self.in_flight, self.running) = self.counted();
     }
 
-    /// Records that no request is expected on a flow any more if it is still opening.
-    pub(super) fn release_place(&mut self, key: FlowKey) {
+    /// Records that no request is expected any more on the flow that was delivered at
+    /// `delivered_at`, if it is still opening.
+    pub(super) fn release_place(&mut self, key: FlowKey, delivered_at: Instant) {
         if let Some(Flow::Opening(opening)) = self.entries.get_mut(&key)
+            && opening.delivered_at == delivered_at
             && std::mem::take(&mut opening.is_pending)
         {
             self.in_flight -= 1;
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -89,7 +89,7 @@
             opening.offer = Some(offer);
             if !known {
                 if self.demand_of(key).is_some() {
-                    self.await_request(now, key);
+                    self.await_request(now, key, opening.delivered_at);
                 }
                 let taken = Frame::Offer { key, offer };
                 actions.push(send(opening.open.balancer, taken, Bytes::new()));
@@ -184,7 +184,8 @@
     /// Adds a flow that opened at the target without this process.
     fn adopt(&mut self, now: Instant, info: &PacketInfo, offer: Option<u32>) {
         let open_flow = OpenFlow {
-            caller_start: None,
+            // An offer acknowledges the opening packet.
+            caller_start: offer.map(|_| info.ack.wrapping_sub(1)),
             offer,
             offered_at: now,
             sent_end: info.sequence.wrapping_add(u32::from(info.bytes)),
--- a/crates/flow/src/target_state.rs
+++ b/crates/flow/src/target_state.rs
@@ -189,7 +189,7 @@
         self.full_until = now + FULL_FOR;
     }
 
-    /// Until when a target that returned an opening packet gets no further one.
+    /// Until when the target gets no opening packet because it returned one.
     pub fn full_until(&self) -> Instant {
         self.full_until
     }
