Pause between reads of a registry of a former era

A balancer that read the registry of agents in a former era read it again at once. While the store, or one of its replicas, answers with a former era, this was a loop of priced calls without a pause. The read now treats such a response as a failure and retries it with the same delays.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -94,11 +94,24 @@
     }
 }
 
-/// Reads the registry of agents, with retries until the store answers.
-pub(crate) async fn read_registry(client: StoreClient, store: SocketAddr, messages: MessageSender) {
+/// Reads the registry of agents, with retries until the store answers. A response of an era before
+/// the `known` one is late and is retried as well, with the same delays.
+pub(crate) async fn read_registry(
+    client: StoreClient,
+    store: SocketAddr,
+    known: watch::Receiver<u64>,
+    messages: MessageSender,
+) {
     let mut delay = REGISTRY_RETRY_DELAY;
     loop {
-        match (client.read_agents)(store).await {
+        let read = (client.read_agents)(store).await;
+        let read = read.and_then(|registry| match registry.era {
+            Some(era) if era < *known.borrow() => Err(StoreError::Unavailable {
+                reason: format!("the response is of the former era {era}"),
+            }),
+            _ => Ok(registry),
+        });
+        match read {
             Ok(registry) => {
                 log::info!("registry: read agents={}", registry.agents.len());
                 // Sending fails only when the process ends.
@@ -136,3 +149,6 @@
     // Sending fails only when the process ends.
     let _ = messages.send(Message::RegistryWritten(result)).await;
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -389,6 +389,7 @@
         tokio::spawn(discovery::read_registry(
             client,
             store,
+            self.era.subscribe(),
             self.messages.clone(),
         ));
     }
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -135,4 +135,4 @@
 #[cfg(test)]
 mod restore_tests;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/relay/src/store_watch/tests.rs
+++ b/crates/relay/src/store_watch/tests.rs
@@ -15,7 +15,7 @@
     AgentRegistry, EvacuationEntry, ReadFrom, RejectedEntry, StoreClient, StoreError, StoreRead,
 };
 
-pub(super) const STORE: SocketAddr =
+pub(crate) const STORE: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
 
 fn unavailable<T>() -> Result<T, StoreError> {
@@ -25,7 +25,7 @@
 }
 
 /// Store that refuses every call.
-pub(super) const REFUSING: StoreClient = StoreClient {
+pub(crate) const REFUSING: StoreClient = StoreClient {
     read_catalogue: |_, _| Box::pin(async { unavailable() }),
     read_evacuations: |_, _| Box::pin(async { unavailable() }),
     list_balancers: |_| Box::pin(async { unavailable() }),
