Take a response without an era for one of the era known at its call

A whole list without the header counted as one of the era known at its arrival. When the store was restored while the list was under way, and a peer had shown the new era, a list of the former era ended evacuations in the new one, and the watch continued from a revision of the former era. The list now belongs to the era known at the call, so that it is late and is read again.

The extended test fails without the change (the watch continues from revision 50 of the former era) and passes with it; the 31 tests of monsoon-relay pass.

--- a/crates/relay/src/store_watch/restore_tests.rs
+++ b/crates/relay/src/store_watch/restore_tests.rs
@@ -5,13 +5,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use monsoon_flow::Catalogue;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use super::tests::{REFUSING, STORE, policy};
 use super::{ReadPolicy, watch_catalogue, watch_evacuations};
 use crate::message::{Message, Position, StoreObject};
-use crate::{ReadFrom, StoreClient, StoreRead};
+use crate::{ReadFrom, StoreClient, StoreError, StoreRead};
 
 /// Time of the restore after the start of a test.
 const RESTORE_AT: Duration = Duration::from_secs(3);
@@ -128,30 +129,50 @@
     assert_eq!((position.era, at), (2, RESTORE_AT));
 }
 
-/// Guards against a list of the former era that arrives late and is taken for the present one, and
-/// against one that is not read again soon.
+/// Guards against a list of the former era that arrives late and is taken for the present one, also
+/// when it lacks the header, and against one that is not read again soon.
 #[tokio::test(start_paused = true)]
 async fn a_late_list_of_a_former_era_is_read_again() {
     static CALLS: AtomicU64 = AtomicU64::new(0);
-    let client = StoreClient {
+    static HEADERLESS_CALLS: AtomicU64 = AtomicU64::new(0);
+    let stated = StoreClient {
         read_catalogue: |_, from| {
             let call = CALLS.fetch_add(1, Ordering::Relaxed);
-            Box::pin(async move {
-                match call {
-                    0 => {
-                        tokio::time::sleep(RESTORE_AT).await;
-                        Ok(StoreRead::new(Some(1), 50))
-                    }
-                    1 => {
-                        assert_eq!(from, ReadFrom::List);
-                        Ok(StoreRead::new(Some(2), 40))
-                    }
-                    _ => std::future::pending().await,
-                }
-            })
+            Box::pin(late_list(call, from, Some(1)))
+        },
+        ..REFUSING
+    };
+    expect_second_list(stated).await;
+    let absent = StoreClient {
+        read_catalogue: |_, from| {
+            let call = HEADERLESS_CALLS.fetch_add(1, Ordering::Relaxed);
+            Box::pin(late_list(call, from, None))
         },
         ..REFUSING
     };
+    expect_second_list(absent).await;
+}
+
+/// Response to the call of this number: the first one arrives after the restore.
+async fn late_list(
+    call: u64,
+    from: ReadFrom,
+    era: Option<u64>,
+) -> Result<StoreRead<Catalogue>, StoreError> {
+    match call {
+        0 => {
+            tokio::time::sleep(RESTORE_AT).await;
+            Ok(StoreRead::new(era, 50))
+        }
+        1 => {
+            assert_eq!(from, ReadFrom::List);
+            Ok(StoreRead::new(Some(2), 40))
+        }
+        _ => std::future::pending().await,
+    }
+}
+
+async fn expect_second_list(client: StoreClient) {
     let (sender, mut messages) = mpsc::channel(8);
     let eras = watch::Sender::new(1);
     let policy = ReadPolicy {
--- a/crates/relay/src/store_watch/watch.rs
+++ b/crates/relay/src/store_watch/watch.rs
@@ -110,6 +110,7 @@
         let from = self.revision.map_or(self.list, changes);
         let watch = (self.revision.is_some() && !self.must_poll).then_some(wait);
         let era = self.revision.map(|_| self.era);
+        let known = *self.policy.era.borrow();
         let result = tokio::select! {
             result = read(from) => result,
             interruption = self.policy.interruption(watch, era) => match interruption {
@@ -128,7 +129,7 @@
             },
         };
         let was_poll = std::mem::take(&mut self.must_poll);
-        match result.and_then(|response| self.check_era(response)) {
+        match result.and_then(|response| self.check_era(response, known)) {
             Ok((response, era)) if self.revision.is_some() && era > self.era => {
                 log::info!(
                     "store: new era={era} object={:?} revision={}; reading all again",
@@ -158,11 +159,15 @@
     }
 
     /// Rejects a late response of a former era. Returns the era of the others; a response without
-    /// the header belongs to the era that is known.
-    fn check_era<T>(&mut self, response: StoreRead<T>) -> Result<(StoreRead<T>, u64), StoreError> {
-        let known = *self.policy.era.borrow();
+    /// the header belongs to the era that was `known` at the call, because the store may have been
+    /// restored since.
+    fn check_era<T>(
+        &mut self,
+        response: StoreRead<T>,
+        known: u64,
+    ) -> Result<(StoreRead<T>, u64), StoreError> {
         let era = response.era.unwrap_or(known);
-        if era < known {
+        if era < *self.policy.era.borrow() {
             self.read_all();
             return Err(StoreError::Unavailable {
                 reason: format!("the response is of the former era {era}"),
