Keep the era of the registry when the response to a write lacks it

After a write whose response had no header, the era of the registry counted as unknown. The next write, conditional on that revision, then counted as done in whatever era the store answered. The era of the condition is now kept.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -141,7 +141,8 @@
             return Err(StoreError::Conflict);
         }
         Ok(AgentRegistry {
-            era: written.era,
+            // Without the header, the write belongs to the era of its condition.
+            era: written.era.or(read_era),
             revision: Some(written.revision),
             agents,
         })
--- a/crates/relay/src/discovery/tests.rs
+++ b/crates/relay/src/discovery/tests.rs
@@ -5,9 +5,10 @@
 
 use tokio::sync::{mpsc, watch};
 
-use super::read_registry;
+use super::{read_registry, write_registry};
+use crate::message::Message;
 use crate::store_watch::tests::{REFUSING, STORE};
-use crate::{AgentRegistry, StoreClient};
+use crate::{AgentRegistry, StoreClient, StoreWrite};
 
 /// Guards against a balancer that reads the registry without a pause while the store answers with
 /// a former era, and against a registry of that era which is taken for the present one.
@@ -34,3 +35,31 @@
     let calls = CALLS.load(Ordering::Relaxed);
     assert!((10..=20).contains(&calls), "{calls} calls");
 }
+
+/// Guards against a conditional write that counts as done in a later era, because the response to
+/// the write before it lacked the header.
+#[tokio::test]
+async fn a_write_without_an_era_keeps_that_of_its_condition() {
+    let client = StoreClient {
+        write_agents: |_, _| {
+            Box::pin(async {
+                Ok(StoreWrite {
+                    era: None,
+                    revision: 9,
+                })
+            })
+        },
+        ..REFUSING
+    };
+    let (sender, mut messages) = mpsc::channel(8);
+    let registry = AgentRegistry {
+        era: Some(1),
+        revision: Some(7),
+        ..AgentRegistry::default()
+    };
+    write_registry(client, STORE, registry, sender).await;
+    let Some(Message::RegistryWritten(Ok(written))) = messages.recv().await else {
+        panic!("the write succeeds");
+    };
+    assert_eq!((written.era, written.revision), (Some(1), Some(9)));
+}
