Delay the first watch of an agent that is about to rely on its peers

After a restore each agent reads both lists, and then relies on its peers again. Between the two, it had already called the store for a watch of each object, which it gave up some milliseconds later. Agents now delay the first watch after a list by up to 100 ms, unless peers suffice before.

The new test fails without the delay (2 calls) and passes with it (1 call).

--- a/crates/relay/src/store_watch/policy.rs
+++ b/crates/relay/src/store_watch/policy.rs
@@ -89,6 +89,18 @@
         }
     }
 
+    /// Waits at most for `delay` until it is known whether a list of `era` has to be watched.
+    pub(super) async fn wait_to_watch(&mut self, delay: Duration, era: u64) {
+        let mut eras = self.era.subscribe();
+        tokio::select! {
+            () = sleep(delay) => {}
+            Ok(_) = self.peers_suffice.wait_for(|peers_suffice| *peers_suffice) => {}
+            // All has to be read again.
+            Ok(()) = self.generation.changed() => {}
+            Ok(_) = eras.wait_for(|known| *known > era) => {}
+        }
+    }
+
     /// Waits until a read may follow one that was called at `called_at` and failed.
     pub(super) async fn wait_to_retry(&mut self, called_at: Instant, delay: Duration) {
         let retry_at = called_at + delay.mul_f64(rand::random_range(0.5..1.0));
--- a/crates/relay/src/store_watch/tests.rs
+++ b/crates/relay/src/store_watch/tests.rs
@@ -160,6 +160,38 @@
     let _ = tokio::time::timeout(Duration::from_mins(1), watch).await;
 }
 
+/// Guards against an agent that watches the store after each list, although it relies on others once
+/// both objects were read. After a restore every agent reads the lists.
+#[tokio::test(start_paused = true)]
+async fn an_agent_does_not_watch_when_peers_suffice_after_a_list() {
+    static CALLS: AtomicU64 = AtomicU64::new(0);
+    let client = StoreClient {
+        read_catalogue: |_, from| {
+            CALLS.fetch_add(1, Ordering::Relaxed);
+            Box::pin(async move {
+                match from {
+                    ReadFrom::Changes { .. } => std::future::pending().await,
+                    _ => Ok(StoreRead::new(None, 1)),
+                }
+            })
+        },
+        ..REFUSING
+    };
+    let peers_suffice = watch::Sender::new(false);
+    let policy = ReadPolicy {
+        peers_suffice: peers_suffice.subscribe(),
+        starts_stale: true,
+        ..policy(true)
+    };
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        peers_suffice.send_replace(true);
+        std::future::pending::<()>().await;
+    });
+    watch_for_a_minute(client, policy).await;
+    assert_eq!(CALLS.load(Ordering::Relaxed), 1);
+}
+
 /// Load pattern: the store refuses a third of the processes for long. Guards against each of them
 /// calling it more than once a second although others tell it of changes, and against a process on
 /// its own that notices the return of the store late.
--- a/crates/relay/src/store_watch/watch.rs
+++ b/crates/relay/src/store_watch/watch.rs
@@ -17,6 +17,9 @@
 /// Delay after a change, so that changes in quick succession cost one call together. Short compared
 /// with the time in which a change has to be in force.
 const CHANGE_DELAY: Duration = Duration::from_millis(600);
+/// Longest delay from a whole list to the first watch of a process that usually relies on others.
+/// It relies on them again once both objects were read, so that the watch is a call for nothing.
+const FIRST_WATCH_DELAY: Duration = Duration::from_millis(100);
 
 /// State of a watch.
 struct Watch {
@@ -210,6 +213,9 @@
         for message in rejected.into_iter().chain(message).chain([read]) {
             self.send(message).await?;
         }
+        if is_full_list && self.policy.starts_stale {
+            self.policy.wait_to_watch(FIRST_WATCH_DELAY, era).await;
+        }
         if !is_full_list && (has_entries || !was_held) {
             let mut eras = self.policy.era.subscribe();
             tokio::select! {
