Repeat the last read after a restore while the store cannot be read

A process without the store ends a retained evacuation by what a peer has, and asked one peer once, 35 s after the restore. When that peer had ended, or was itself without the store and asked somebody else at the same moment, the data centre stayed evacuated here without limit, because peers do not announce the end of a retained evacuation by a new version. The read is now repeated every 5 s, up to four times, and random seeds are asked after the first peer.

--- a/crates/relay/src/process/configuration.rs
+++ b/crates/relay/src/process/configuration.rs
@@ -83,7 +83,13 @@
     /// Fetches the configuration of a random seed, for a process that cannot read the store and
     /// whose configuration is not checked.
     pub(super) fn fetch_from_seed(&mut self) {
-        if self.config_checked || self.settings.seeds.is_empty() {
+        if !self.config_checked {
+            self.fetch_from_random_seed();
+        }
+    }
+
+    pub(super) fn fetch_from_random_seed(&self) {
+        if self.settings.seeds.is_empty() {
             return;
         }
         let index = rand::random_range(0..self.settings.seeds.len());
--- a/crates/relay/src/process/era.rs
+++ b/crates/relay/src/process/era.rs
@@ -47,8 +47,11 @@
         }
         if self.restore.take_recheck(now) {
             self.read_all();
-            if let Some(peer) = self.era_peer {
+            // That peer may have ended since, so that it is asked only once.
+            if let Some(peer) = self.era_peer.take() {
                 self.fetch_from_peer(peer);
+            } else if self.freshness.is_failing.contains(&true) {
+                self.fetch_from_random_seed();
             }
         }
     }
--- a/crates/relay/src/restore.rs
+++ b/crates/relay/src/restore.rs
@@ -20,6 +20,10 @@
 /// Time for the last read, after which a process may rely on peers again.
 const RECHECK_TIME: Duration = Duration::from_secs(5);
 
+/// Further reads while the store cannot be read. The peer that was asked may itself have learned of
+/// the era from another one, and end an evacuation later than the first read here.
+const MAX_RECHECKS: u32 = 4;
+
 /// What to do with a configuration that was offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Choice {
@@ -81,6 +85,8 @@
     is_incomplete: bool,
     /// Time of the last read after a restore.
     recheck_at: Option<Instant>,
+    /// Reads that may follow it while the store cannot be read.
+    rechecks_left: u32,
     /// Time until which the store is read after a restore, at the longest.
     ends_at: Option<Instant>,
     /// Set that was last accepted, without the retained data centres.
@@ -117,6 +123,7 @@
         if is_restore {
             let recheck_at = now + REWRITE_WAIT + RECHECK_DELAY;
             self.recheck_at = Some(recheck_at);
+            self.rechecks_left = MAX_RECHECKS;
             self.ends_at = Some(recheck_at + RECHECK_TIME);
         }
         is_restore
@@ -146,13 +153,17 @@
             && (self.is_incomplete || !self.retained.is_empty() || self.is_read != [true; 2])
     }
 
-    /// Whether everything is due to be read for the last time after a restore.
+    /// Whether everything is due to be read for the last time after a restore. A process that
+    /// cannot read the store repeats it, because it depends on what its peers have ended.
     pub(crate) fn take_recheck(&mut self, now: Instant) -> bool {
-        let is_due = self.recheck_at.is_some_and(|at| now >= at);
-        if is_due {
-            self.recheck_at = None;
+        if self.recheck_at.is_none_or(|at| now < at) {
+            return false;
         }
-        is_due && (self.is_incomplete || self.is_read != [true; 2])
+        let is_read = self.is_read == [true; 2];
+        let is_repeated = !is_read && self.rechecks_left > 0;
+        self.recheck_at = is_repeated.then_some(now + RECHECK_DELAY);
+        self.rechecks_left = self.rechecks_left.saturating_sub(1);
+        self.is_incomplete || !is_read
     }
 
     /// Handles a set of evacuations. Returns whether the set in force or its version may have
--- a/crates/relay/src/restore/tests.rs
+++ b/crates/relay/src/restore/tests.rs
@@ -171,8 +171,15 @@
     assert_eq!(in_force(&restore), "brno");
     let recheck_at = START + REWRITE_WAIT + super::RECHECK_DELAY;
     assert!(restore.take_recheck(recheck_at));
+    // The peer depends on another one and has not ended it yet.
+    assert!(restore.offer(recheck_at, set(2, 40, "brno"), Source::Peer));
+    let recheck_at = recheck_at + super::RECHECK_DELAY;
+    assert!(restore.take_recheck(recheck_at));
     assert!(restore.offer(recheck_at, set(2, 40, ""), Source::Peer));
     assert_eq!(in_force(&restore), "");
+    let later = (0..20).map(|number| recheck_at + Duration::from_secs(5 * number));
+    let repeated = later.filter(|&at| restore.take_recheck(at)).count();
+    assert_eq!(repeated, 3, "the reads end");
 }
 
 /// Guards against an agent that relies on peers before it has read the store in the new era, and
