Spread the last read after a restore over 3 s

35 s after a restore whose copy lacked an evacuation, all processes read everything again, at the same instant within the time in which they had learned of the era. Each process now has a random additional delay of up to 3 s.

--- a/crates/relay/src/process/start.rs
+++ b/crates/relay/src/process/start.rs
@@ -113,7 +113,7 @@
             rejections: RejectionLog::default(),
             metrics: Metrics::default(),
             catalogue: None,
-            restore: Restore::default(),
+            restore: Restore::new(discovery::rewrite_delay().into()),
             config_checked: false,
             is_stopping: false,
             sockets,
--- a/crates/relay/src/restore.rs
+++ b/crates/relay/src/restore.rs
@@ -83,6 +83,9 @@
     retained: BTreeMap<String, Instant>,
     /// Whether the store's list of the present era lacked an evacuation.
     is_incomplete: bool,
+    /// Additional delay of the last read here. It differs between processes, so that they do not
+    /// all read the store at the same instant.
+    recheck_spread: Duration,
     /// Time of the last read after a restore.
     recheck_at: Option<Instant>,
     /// Reads that may follow it while the store cannot be read.
@@ -96,6 +99,14 @@
 }
 
 impl Restore {
+    /// State at the start, with an additional delay of the last read after each restore.
+    pub(crate) fn new(recheck_spread: Duration) -> Self {
+        Self {
+            recheck_spread,
+            ..Self::default()
+        }
+    }
+
     /// Present era.
     pub(crate) fn era(&self) -> u64 {
         self.era
@@ -121,7 +132,7 @@
             self.ends_at = None;
         }
         if is_restore {
-            let recheck_at = now + REWRITE_WAIT + RECHECK_DELAY;
+            let recheck_at = now + REWRITE_WAIT + RECHECK_DELAY + self.recheck_spread;
             self.recheck_at = Some(recheck_at);
             self.rechecks_left = MAX_RECHECKS;
             self.ends_at = Some(recheck_at + RECHECK_TIME);
--- a/crates/relay/src/restore/tests.rs
+++ b/crates/relay/src/restore/tests.rs
@@ -211,6 +211,21 @@
     assert!(!restore.needs_store(recheck_at + super::RECHECK_TIME));
 }
 
+/// Guards against a last read that all processes make at the same instant.
+#[test]
+fn the_last_read_has_a_delay_of_its_own() {
+    let spread = Duration::from_secs(2);
+    let mut restore = Restore::new(spread);
+    restore.observe(START, 1);
+    restore.offer(START, set(1, 90, "brno"), Source::List(95));
+    restore.observe(START, 2);
+    restore.offer(START, set(2, 0, ""), Source::List(41));
+    let earliest = START + REWRITE_WAIT + super::RECHECK_DELAY;
+    assert!(!restore.take_recheck(earliest));
+    let recheck_at = earliest + spread;
+    assert!(restore.needs_store(recheck_at) && restore.take_recheck(recheck_at));
+}
+
 /// Guards against a store without eras that is handled in another way than before.
 #[test]
 fn without_eras_the_list_of_the_store_takes_precedence() {
