End a retained evacuation by a change that a peer has shown before

A retained evacuation ends when its entry was written again and removed. When a peer's set of a later revision had been heard first, the changes counted as older: they ended the retention, but the set in force was not computed again, and nothing but the last read 35 s after the restore ended the evacuation. The set in force is now also computed again when a set is not accepted.

--- a/crates/relay/src/restore.rs
+++ b/crates/relay/src/restore.rs
@@ -221,7 +221,8 @@
             version = listed_at;
         }
         if version < present {
-            return false;
+            // The set is older than a peer's, but may show that an entry was written again.
+            return !self.end_retained().is_empty();
         }
         self.accepted = offered.data_centres;
         self.in_force = Evacuations {
@@ -238,6 +239,11 @@
             return BTreeSet::new();
         }
         self.retained.retain(|_, until| *until > now);
+        self.end_retained()
+    }
+
+    /// Ends the evacuations that are neither accepted nor retained any more, and returns them.
+    fn end_retained(&mut self) -> BTreeSet<String> {
         let data_centres = with_retained(&self.accepted, &self.retained);
         let ended = self.in_force.data_centres.difference(&data_centres);
         let ended = ended.cloned().collect();
--- a/crates/relay/src/restore/tests.rs
+++ b/crates/relay/src/restore/tests.rs
@@ -226,6 +226,23 @@
     assert!(restore.needs_store(recheck_at) && restore.take_recheck(recheck_at));
 }
 
+/// Guards against an evacuation that stays although its entry was written again and removed, because
+/// a peer's set of a later revision was heard before.
+#[test]
+fn a_change_that_a_peer_has_shown_before_ends_the_evacuation() {
+    let mut restore = before_restore("brno olomouc");
+    restore.observe(START, 2);
+    restore.offer(START, set(2, 40, "olomouc"), Source::List(41));
+    // The peer did not know the evacuation before the restore.
+    assert!(restore.offer(START, set(2, 50, "olomouc"), Source::Peer));
+    assert_eq!(in_force(&restore), "brno olomouc");
+    let changes = names("brno");
+    assert!(restore.offer(START, set(2, 43, "brno olomouc"), Source::Changes(&changes)));
+    assert_eq!(restore.evacuations(), &set(2, 50, "olomouc"));
+    assert!(!restore.offer(START, set(2, 48, "olomouc"), Source::Changes(&changes)));
+    assert_eq!(restore.evacuations(), &set(2, 50, "olomouc"));
+}
+
 /// Guards against a store without eras that is handled in another way than before.
 #[test]
 fn without_eras_the_list_of_the_store_takes_precedence() {
