--- a/crates/relay/src/restore.rs
+++ b/crates/relay/src/restore.rs
@@ -20,6 +20,10 @@
 /// Time for the last read, after which a process may rely on peers again.
 const RECHECK_TIME: Duration = Duration::from_secs(5);
 
+/// Further reads while the store cannot be read. The peer that was asked may itself have learned of
+/// the era from another one, and end an evacuation later than the first read here.
+const MAX_RECHECKS: u32 = 4;
+
 /// What to do with a configuration that was offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Choice {
@@ -79,8 +83,13 @@
     retained: BTreeMap<String, Instant>,
     /// Whether the store's list of the present era lacked an evacuation.
     is_incomplete: bool,
+    /// Additional delay of the last read here. It differs between processes, so that they do not
+    /// all read the store at the same instant.
+    recheck_spread: Duration,
     /// Time of the last read after a restore.
     recheck_at: Option<Instant>,
+    /// Reads that may follow it while the store cannot be read.
+    rechecks_left: u32,
     /// Time until which the store is read after a restore, at the longest.
     ends_at: Option<Instant>,
     /// Set that was last accepted, without the retained data centres.
@@ -90,6 +99,14 @@
 }
 
 impl Restore {
+    /// State at the start, with an additional delay of the last read after each restore.
+    pub(crate) fn new(recheck_spread: Duration) -> Self {
+        Self {
+            recheck_spread,
+            ..Self::default()
+        }
+    }
+
     /// Present era.
     pub(crate) fn era(&self) -> u64 {
         self.era
@@ -115,8 +132,9 @@
             self.ends_at = None;
         }
         if is_restore {
-            let recheck_at = now + REWRITE_WAIT + RECHECK_DELAY;
+            let recheck_at = now + REWRITE_WAIT + RECHECK_DELAY + self.recheck_spread;
             self.recheck_at = Some(recheck_at);
+            self.rechecks_left = MAX_RECHECKS;
             self.ends_at = Some(recheck_at + RECHECK_TIME);
         }
         is_restore
@@ -146,13 +164,17 @@
             && (self.is_incomplete || !self.retained.is_empty() || self.is_read != [true; 2])
     }
 
-    /// Whether everything is due to be read for the last time after a restore.
+    /// Whether everything is due to be read for the last time after a restore. A process that
+    /// cannot read the store repeats it, because it depends on what its peers have ended.
     pub(crate) fn take_recheck(&mut self, now: Instant) -> bool {
-        let is_due = self.recheck_at.is_some_and(|at| now >= at);
-        if is_due {
-            self.recheck_at = None;
+        if self.recheck_at.is_none_or(|at| now < at) {
+            return false;
         }
-        is_due && (self.is_incomplete || self.is_read != [true; 2])
+        let is_read = self.is_read == [true; 2];
+        let is_repeated = !is_read && self.rechecks_left > 0;
+        self.recheck_at = is_repeated.then_some(now + RECHECK_DELAY);
+        self.rechecks_left = self.rechecks_left.saturating_sub(1);
+        self.is_incomplete || !is_read
     }
 
     /// Handles a set of evacuations. Returns whether the set in force or its version may have
@@ -199,7 +221,8 @@
             version = listed_at;
         }
         if version < present {
-            return false;
+            // The set is older than a peer's, but may show that an entry was written again.
+            return !self.end_retained().is_empty();
         }
         self.accepted = offered.data_centres;
         self.in_force = Evacuations {
@@ -216,6 +239,11 @@
             return BTreeSet::new();
         }
         self.retained.retain(|_, until| *until > now);
+        self.end_retained()
+    }
+
+    /// Ends the evacuations that are neither accepted nor retained any more, and returns them.
+    fn end_retained(&mut self) -> BTreeSet<String> {
         let data_centres = with_retained(&self.accepted, &self.retained);
         let ended = self.in_force.data_centres.difference(&data_centres);
         let ended = ended.cloned().collect();
--- a/crates/relay/src/restore/tests.rs
+++ b/crates/relay/src/restore/tests.rs
@@ -171,8 +171,15 @@
     assert_eq!(in_force(&restore), "brno");
     let recheck_at = START + REWRITE_WAIT + super::RECHECK_DELAY;
     assert!(restore.take_recheck(recheck_at));
+    // The peer depends on another one and has not ended it yet.
+    assert!(restore.offer(recheck_at, set(2, 40, "brno"), Source::Peer));
+    let recheck_at = recheck_at + super::RECHECK_DELAY;
+    assert!(restore.take_recheck(recheck_at));
     assert!(restore.offer(recheck_at, set(2, 40, ""), Source::Peer));
     assert_eq!(in_force(&restore), "");
+    let later = (0..20).map(|number| recheck_at + Duration::from_secs(5 * number));
+    let repeated = later.filter(|&at| restore.take_recheck(at)).count();
+    assert_eq!(repeated, 3, "the reads end");
 }
 
 /// Guards against an agent that relies on peers before it has read the store in the new era, and
@@ -204,6 +211,38 @@
     assert!(!restore.needs_store(recheck_at + super::RECHECK_TIME));
 }
 
+/// Guards against a last read that all processes make at the same instant.
+#[test]
+fn the_last_read_has_a_delay_of_its_own() {
+    let spread = Duration::from_secs(2);
+    let mut restore = Restore::new(spread);
+    restore.observe(START, 1);
+    restore.offer(START, set(1, 90, "brno"), Source::List(95));
+    restore.observe(START, 2);
+    restore.offer(START, set(2, 0, ""), Source::List(41));
+    let earliest = START + REWRITE_WAIT + super::RECHECK_DELAY;
+    assert!(!restore.take_recheck(earliest));
+    let recheck_at = earliest + spread;
+    assert!(restore.needs_store(recheck_at) && restore.take_recheck(recheck_at));
+}
+
+/// Guards against an evacuation that stays although its entry was written again and removed, because
+/// a peer's set of a later revision was heard before.
+#[test]
+fn a_change_that_a_peer_has_shown_before_ends_the_evacuation() {
+    let mut restore = before_restore("brno olomouc");
+    restore.observe(START, 2);
+    restore.offer(START, set(2, 40, "olomouc"), Source::List(41));
+    // The peer did not know the evacuation before the restore.
+    assert!(restore.offer(START, set(2, 50, "olomouc"), Source::Peer));
+    assert_eq!(in_force(&restore), "brno olomouc");
+    let changes = names("brno");
+    assert!(restore.offer(START, set(2, 43, "brno olomouc"), Source::Changes(&changes)));
+    assert_eq!(restore.evacuations(), &set(2, 50, "olomouc"));
+    assert!(!restore.offer(START, set(2, 48, "olomouc"), Source::Changes(&changes)));
+    assert_eq!(restore.evacuations(), &set(2, 50, "olomouc"));
+}
+
 /// Guards against a store without eras that is handled in another way than before.
 #[test]
 fn without_eras_the_list_of_the_store_takes_precedence() {
--- a/crates/relay/src/store_watch/watch.rs
+++ b/crates/relay/src/store_watch/watch.rs
@@ -17,6 +17,9 @@
 /// Delay after a change, so that changes in quick succession cost one call together. Short compared
 /// with the time in which a change has to be in force.
 const CHANGE_DELAY: Duration = Duration::from_millis(600);
+/// Longest delay from a whole list to the first watch of a process that usually relies on others.
+/// It relies on them again once both objects were read, so that the watch is a call for nothing.
+const FIRST_WATCH_DELAY: Duration = Duration::from_millis(100);
 
 /// State of a watch.
 struct Watch {
@@ -110,6 +113,7 @@
         let from = self.revision.map_or(self.list, changes);
         let watch = (self.revision.is_some() && !self.must_poll).then_some(wait);
         let era = self.revision.map(|_| self.era);
+        let known = *self.policy.era.borrow();
         let result = tokio::select! {
             result = read(from) => result,
             interruption = self.policy.interruption(watch, era) => match interruption {
@@ -128,7 +132,7 @@
             },
         };
         let was_poll = std::mem::take(&mut self.must_poll);
-        match result.and_then(|response| self.check_era(response)) {
+        match result.and_then(|response| self.check_era(response, known)) {
             Ok((response, era)) if self.revision.is_some() && era > self.era => {
                 log::info!(
                     "store: new era={era} object={:?} revision={}; reading all again",
@@ -158,11 +162,15 @@
     }
 
     /// Rejects a late response of a former era. Returns the era of the others; a response without
-    /// the header belongs to the era that is known.
-    fn check_era<T>(&mut self, response: StoreRead<T>) -> Result<(StoreRead<T>, u64), StoreError> {
-        let known = *self.policy.era.borrow();
+    /// the header belongs to the era that was `known` at the call, because the store may have been
+    /// restored since.
+    fn check_era<T>(
+        &mut self,
+        response: StoreRead<T>,
+        known: u64,
+    ) -> Result<(StoreRead<T>, u64), StoreError> {
         let era = response.era.unwrap_or(known);
-        if era < known {
+        if era < *self.policy.era.borrow() {
             self.read_all();
             return Err(StoreError::Unavailable {
                 reason: format!("the response is of the former era {era}"),
@@ -205,6 +213,9 @@
         for message in rejected.into_iter().chain(message).chain([read]) {
             self.send(message).await?;
         }
+        if is_full_list && self.policy.starts_stale {
+            self.policy.wait_to_watch(FIRST_WATCH_DELAY, era).await;
+        }
         if !is_full_list && (has_entries || !was_held) {
             let mut eras = self.policy.era.subscribe();
             tokio::select! {
