Count rejected opening packets by reason, and state what the admission knows

Cause: the wait queue, shedding and pace of an agent could be seen only in single log lines. Waits and rejections had metrics, but nothing recorded them.

Change: an agent returns an action for each opening packet that its wait queue rejects or that is shed, with a fixed reason. The relay counts these and records the waits. AdmissionStats has the waiting requests, the learned service time, the places, the phase of the pace, the admitted share by priority and the five largest account shares. The admitted share is that of a request without a wait, so that it returns to 1 after an overload; accounts without recent starts are left out.

--- a/crates/admission/src/account_shares.rs
+++ b/crates/admission/src/account_shares.rs
@@ -139,6 +139,18 @@
         largest.map(|&(_, a)| (a, self.use_of(now, a))).collect()
     }
 
+    /// The `count` accounts with the largest shares of all recent starts, the largest first.
+    /// Accounts that are hardly used at `now` are left out.
+    pub fn largest(&self, now: Instant, count: usize) -> Vec<(AccountKey, f64)> {
+        let mut largest = self.top(now, count);
+        largest.retain(|&(_, starts)| starts >= FORGET_USE);
+        let total: f64 = self.entries.values().map(|e| e.use_at(now)).sum();
+        for (_, share) in &mut largest {
+            *share /= total;
+        }
+        largest
+    }
+
     /// Number of remembered accounts, at most [`MAX_ACCOUNTS`].
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/admission/src/pace.rs
+++ b/crates/admission/src/pace.rs
@@ -85,6 +85,9 @@
 }
 
 impl Pace {
+    /// Names of all phases.
+    pub const PHASES: [&str; 4] = ["full", "held", "capped", "rising"];
+
     /// Pace of a target that is known to run at full concurrency.
     pub fn full(slots: u16) -> Self {
         Self {
--- a/crates/admission/src/shedding.rs
+++ b/crates/admission/src/shedding.rs
@@ -82,6 +82,16 @@
     pub fn admitted(&self, priority: u8) -> f64 {
         self.levels.get(&priority).map_or(1.0, |l| l.admitted)
     }
+
+    /// Shares of the accounts that would be admitted at `now` without a wait, by priority. A share
+    /// rises to 1 after the last request that had to wait. Priorities without such a request are
+    /// left out.
+    pub fn levels(&self, now: Instant) -> impl Iterator<Item = (u8, f64)> {
+        self.levels.iter().map(move |(&priority, level)| {
+            let age = now.since(level.updated_at).as_secs_f64() / SMOOTHING_TIME.as_secs_f64();
+            (priority, 1.0 - (1.0 - level.admitted) * (-age).exp())
+        })
+    }
 }
 
 /// Share of the accounts that are admitted at a lasting wait of this length.
--- a/crates/admission/src/wait_queue/request.rs
+++ b/crates/admission/src/wait_queue/request.rs
@@ -67,6 +67,19 @@
     Late,
 }
 
+impl RejectReason {
+    /// Name in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Wait => "wait",
+            Self::Expired => "expired",
+            Self::Full => "full",
+            Self::Displaced => "displaced",
+            Self::Late => "late",
+        }
+    }
+}
+
 /// What is known of a target: mean time of a request and requests processed concurrently.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -39,6 +39,9 @@
     },
     /// Record for the metrics how long an opening packet waited for a place at the target.
     Waited(Duration),
+    /// Count for the metrics an opening packet that was rejected for this reason, because its
+    /// request cannot be answered in time or its client account is shed.
+    Rejected(&'static str),
     /// Log a decision on a flow.
     Log(Log),
 }
--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -8,6 +8,7 @@
 mod inbound;
 mod outbound;
 mod places;
+mod stats;
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
@@ -21,6 +22,7 @@
 use admission::Admission;
 use flows::{Flow, Flows};
 use inbound::pass_on;
+pub use stats::{AdmissionStats, AgentStats};
 
 /// Time within which a live target answers an opening packet. A handshake takes it less than a
 /// millisecond, even when all slots are busy.
@@ -58,19 +60,6 @@
     pub first_start: bool,
 }
 
-/// Metrics of an agent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct AgentStats {
-    /// Requests that the target is processing.
-    pub in_flight: usize,
-    /// Entries of the flow table, recently ended flows included.
-    pub flows: usize,
-    /// Failure rate of recent requests, in percent.
-    pub failing_percent: u8,
-    /// Number of requests that the target processes concurrently.
-    pub slots: u16,
-}
-
 /// Fields of a lifetime's first heartbeat that tell the age of the target.
 #[derive(Clone, Copy, Debug)]
 struct FirstHeartbeat {
@@ -326,16 +315,6 @@
         self.target_state.refusal_reason(now)
     }
 
-    /// Metrics for announcements and operators.
-    pub fn stats(&self, now: Instant) -> AgentStats {
-        AgentStats {
-            failing_percent: (self.health.failure_rate(now) * 100.0) as u8,
-            in_flight: self.flows.in_flight(),
-            flows: self.flows.len(),
-            slots: self.slots(),
-        }
-    }
-
     /// Passes on opening packets that the target did not answer, and removes expired flows.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -37,6 +37,9 @@
 /// load: the handshake and the way of the answer.
 const TRANSIT_TIME: Duration = Duration::from_millis(15);
 
+/// Reason of shed requests in metrics, beside the names of [`monsoon_admission::RejectReason`].
+const SHED: &str = "shed";
+
 /// Opening packet that waits for a place at the target.
 #[derive(Clone, Debug)]
 pub(super) struct Queued {
@@ -145,6 +148,7 @@
         };
         if !shedding.admits(now, demand.priority, account, wait, demand.goal) {
             let Queued { open, packet, .. } = queued;
+            actions.push(Action::Rejected(SHED));
             pass_on(key, open, packet, Reason::Shed, actions);
             return;
         }
@@ -319,6 +323,7 @@
     } = rejected.item;
     let inputs = format!("reason=\"{}\"", rejected.reason);
     actions.push(log(info.key, "rejected", inputs));
+    actions.push(Action::Rejected(rejected.reason.name()));
     pass_on(info.key, open, packet, Reason::Overloaded, actions);
 }
 
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -23,7 +23,7 @@
 mod window_limiter;
 
 pub use action::{Action, Log};
-pub use agent::{Agent, AgentStats, Settings as AgentSettings};
+pub use agent::{AdmissionStats, Agent, AgentStats, Settings as AgentSettings};
 pub use balancer::{
     Balancer, Candidate, Decision, DropReason, Explanation, Presence, RankReason, ResetReason,
     Settings as BalancerSettings, TargetView,
--- a/crates/flow/tests/world/mod.rs
+++ b/crates/flow/tests/world/mod.rs
@@ -663,7 +663,7 @@
                     let line = format!("{at} {by} {} {}", log.decision, log.inputs);
                     self.trace.entry(log.key).or_default().push(line);
                 }
-                Action::Answered { .. } | Action::Waited(_) => {}
+                Action::Answered { .. } | Action::Waited(_) | Action::Rejected(_) => {}
             }
         }
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -41,19 +41,11 @@
     }
 
     /// Records the time that a request spent in the wait queue.
-    #[cfg_attr(
-        not(test),
-        expect(dead_code, reason = "called once the agent has a wait queue")
-    )]
     pub(crate) fn record_wait(&mut self, took: Duration) {
         self.waits.record_latency("", "", took);
     }
 
     /// Counts an opening packet that was rejected.
-    #[cfg_attr(
-        not(test),
-        expect(dead_code, reason = "called once the agent has a wait queue")
-    )]
     pub(crate) fn count_rejection(&mut self, reason: &'static str) {
         *self.rejected_opens.entry(reason).or_default() += 1;
     }
--- a/crates/relay/src/process/packets.rs
+++ b/crates/relay/src/process/packets.rs
@@ -132,7 +132,8 @@
                     self.count_send_error(&sent, "reset_not_sent");
                 }
                 Action::Answered { key, latency } => self.record_answer(key, latency),
-                Action::Waited(_) => {}
+                Action::Waited(waited) => self.metrics.record_wait(waited),
+                Action::Rejected(reason) => self.metrics.count_rejection(reason),
                 Action::Log(line) => self.decision_log.log(now, &line),
             }
         }
