Export the metrics of the admission

Cause: docs/OPERATIONS.md describes gauges of the admission that no process exported.

Change: an agent exports monsoon_waiting, monsoon_service_time_us, monsoon_concurrency, monsoon_pace{phase} as one series for each phase with the value 0 or 1, monsoon_admitted_percent{priority} and monsoon_account_share{account}.

--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use monsoon_admission::SHEDDING_PERIOD;
+use monsoon_admission::{Pace, SHEDDING_PERIOD};
 use monsoon_flow::{Agent, Heartbeat};
 use monsoon_membership::{AgentNode, Event, LocalState, Message as Control, Role};
 use monsoon_model::{Duration, Instant};
 
 use crate::members::{local_state, own_member};
 use crate::message::Message;
+use crate::metrics::Gauge;
 use crate::process::Process;
 use crate::{AgentSettings, Settings};
 
@@ -174,6 +175,38 @@
         ]
     }
 
+    /// Present values of the admission of flows whose routes state a demand.
+    pub(crate) fn admission_gauges(&self, now: Instant) -> Vec<Gauge> {
+        let stats = self.flows.admission_stats(now);
+        let plain = |name, value| Gauge {
+            name,
+            label: None,
+            value,
+        };
+        let service_time = stats.service_time.as_micros() as f64;
+        let mut gauges = vec![
+            plain("waiting", stats.waiting as f64),
+            plain("service_time_us", service_time),
+            plain("concurrency", stats.places as f64),
+        ];
+        gauges.extend(Pace::PHASES.map(|phase| Gauge {
+            name: "pace",
+            label: Some(("phase", phase.to_owned())),
+            value: f64::from(u8::from(phase == stats.phase)),
+        }));
+        gauges.extend(stats.admitted.into_iter().map(|(priority, share)| Gauge {
+            name: "admitted_percent",
+            label: Some(("priority", priority.to_string())),
+            value: (share * 100.0).round(),
+        }));
+        gauges.extend(stats.shares.into_iter().map(|(account, share)| Gauge {
+            name: "account_share",
+            label: Some(("account", account.to_string())),
+            value: rounded(share),
+        }));
+        gauges
+    }
+
     /// Leaves the membership. Returns the time until the process ends: none, since the target keeps
     /// its flows.
     pub(crate) fn stop(&mut self, process: &mut Process, now: Instant) -> Duration {
@@ -182,6 +215,11 @@
     }
 }
 
+/// Share with three decimals; more of them would change with every start.
+fn rounded(share: f64) -> f64 {
+    (share * 1_000.0).round() / 1_000.0
+}
+
 /// Number of the present shedding period. Instances whose clocks differ shed other accounts for the
 /// length of the difference.
 fn shedding_period() -> u64 {
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -348,14 +348,17 @@
                 let _ = reply.send(self.explain(role_state, now, &query));
             }
             Message::Metrics(reply) => {
-                let mut gauges = match role_state {
-                    RoleState::Balancer(balancer) => balancer.gauges(),
-                    RoleState::Agent(agent) => agent.gauges(now),
+                let (mut gauges, labelled) = match role_state {
+                    RoleState::Balancer(balancer) => (balancer.gauges(), Vec::new()),
+                    RoleState::Agent(agent) => (agent.gauges(now), agent.admission_gauges(now)),
                 };
                 gauges.push(("store_era", self.restore.era()));
                 gauges.push(("store_revision", self.store_revision));
                 let (decisions, rejections) = (self.decision_log.counts(), &self.rejections);
-                let _ = reply.send(self.metrics.render(decisions, rejections, &gauges, &[]));
+                let text = self
+                    .metrics
+                    .render(decisions, rejections, &gauges, &labelled);
+                let _ = reply.send(text);
             }
             Message::Readiness(reply) => {
                 let is_ready = match role_state {
