Announce weights by the learned speed of targets

Cause: balancers weighted targets by their slots alone, although targets of one service differ in speed. Slow ones got as many flows as fast ones, until their agents passed them on.

Change: an agent announces 16 for each slot. After 32 answers, and only if a route to the service of its target states a demand, this is scaled by the speed, 20 ms over the learned service time, in powers of the square root of 2 from 1/8 to 8. The weight is announced in the field for the slots, whose format stays; nothing else reads it. Targets whose agents know no weight, and owners that are not listed, count as one slot, as before.

The example of monsoonctl explain shows 32 for two slots in place of 2. The test of the process that explains placements also checks the weight.

--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -8,6 +8,7 @@
 mod inbound;
 mod outbound;
 mod places;
+mod speed;
 mod stats;
 
 use std::collections::VecDeque;
@@ -22,6 +23,7 @@
 use admission::Admission;
 use flows::{Flow, Flows};
 use inbound::pass_on;
+use speed::Speed;
 pub use stats::{AdmissionStats, AgentStats};
 
 /// Time within which a live target answers an opening packet. A handshake takes it less than a
@@ -361,6 +363,17 @@
         u16::try_from(load).unwrap_or(u16::MAX)
     }
 
+    /// Weight of the target in the ranking of balancers: [`WEIGHT_PER_SLOT`](crate::WEIGHT_PER_SLOT)
+    /// for each slot, times the learned speed if a route to its service states a demand.
+    pub fn weight(&self) -> u16 {
+        let speed = if self.has_demand() {
+            self.admission.speed
+        } else {
+            Speed::default()
+        };
+        speed.weight(self.slots())
+    }
+
     fn slots(&self) -> u16 {
         self.target_state
             .last_heartbeat()
--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -13,6 +13,7 @@
 use super::flows::{Flow, Opening};
 use super::inbound::{pass_on, pass_on_busy, pass_on_failing};
 use super::places::Places;
+use super::speed::Speed;
 use crate::action::{log, send};
 use crate::{Action, Demand, Fallback, FlowKey, Frame, Open, PacketInfo, PacketKind, Reason};
 
@@ -54,6 +55,7 @@
 pub(super) struct Admission {
     pub queue: WaitQueue<Queued>,
     pub places: Places,
+    pub speed: Speed,
     pub pace: Pace,
     pub shedding: Shedding,
 }
@@ -63,6 +65,7 @@
         Self {
             queue: WaitQueue::new(),
             places: Places::default(),
+            speed: Speed::default(),
             pace: Pace::full(1),
             shedding: Shedding::new(),
         }
@@ -255,16 +258,19 @@
 
     /// Paces a target that has started or recovered, if a route to its service states a demand.
     pub(super) fn restart_pace(&mut self, now: Instant) {
-        let Some(catalogue) = &self.catalogue else {
-            return;
-        };
-        let service = self.service();
-        let mut routes = catalogue.routes.values();
-        if routes.any(|route| route.demand.is_some() && route.leads_to(service)) {
+        if self.has_demand() {
             self.admission.pace.restart(now);
         }
     }
 
+    /// Whether a route to the service of the target states a demand.
+    pub(super) fn has_demand(&self) -> bool {
+        let service = self.service();
+        let routes = self.catalogue.iter().flat_map(|c| c.routes.values());
+        let mut with_demand = routes.filter(|route| route.demand.is_some());
+        with_demand.any(|route| route.leads_to(service))
+    }
+
     /// Sets the slots and the goal to which answers are compared.
     fn configure_pace(&mut self, key: FlowKey) {
         if let Some(demand) = self.demand_of(key) {
--- a/crates/flow/src/agent/outbound.rs
+++ b/crates/flow/src/agent/outbound.rs
@@ -6,6 +6,7 @@
 use monsoon_model::Instant;
 
 use super::Agent;
+use super::admission::Admission;
 use super::flows::{Flow, OpenFlow};
 use super::inbound::pass_on;
 use crate::action::{log, reset, send};
@@ -164,7 +165,9 @@
         if let Some((at, place_since, running)) = answered {
             let latency = now.since(at);
             let slots = self.slots();
-            self.admission.places.record_answer(latency, running, slots);
+            let Admission { places, speed, .. } = &mut self.admission;
+            places.record_answer(latency, running, slots);
+            speed.record_answer(places.service_time());
             self.admission.pace.answered(now, place_since, latency);
             self.health.answered(now, latency);
             actions.push(Action::Answered { key, latency });
--- a/crates/flow/src/balancer/targets.rs
+++ b/crates/flow/src/balancer/targets.rs
@@ -48,7 +48,7 @@
     pub accepts_flows: bool,
     /// Whether the target is cold.
     pub is_cold: bool,
-    /// Weight in the ranking of candidates.
+    /// Weight in the ranking of candidates, by slots and learned speed; 0 if unknown.
     pub weight: u32,
     /// Percent of the slots in use; above 100 when requests are queued.
     pub load: u16,
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -37,5 +37,6 @@
 };
 pub use key::FlowKey;
 pub use packet::{PacketInfo, PacketKind, Reset};
+pub use ranking::WEIGHT_PER_SLOT;
 pub use target_state::{Heartbeat, Readiness, TargetLimits, TargetState};
 pub use window_limiter::WindowLimiter;
--- a/crates/flow/src/ranking.rs
+++ b/crates/flow/src/ranking.rs
@@ -10,6 +10,9 @@
 
 /// Limit of candidates in one attempt to place a flow.
 pub(crate) const MAX_HOPS: usize = 4;
+/// Weight of each slot of a target whose speed is usual or unknown. It leaves room for the weights
+/// of slow targets with few slots, because announcements hold integers.
+pub const WEIGHT_PER_SLOT: u16 = 16;
 /// Salt that makes this ranking independent of other rendezvous rankings.
 const RANKING_SALT: u64 = hash::bytes(b"flow-candidates");
 /// Load, in percent of the slots, from which a target in the own data centre is no longer
@@ -32,7 +35,7 @@
         .map(|(&at, target)| {
             let is_local = target.data_centre == data_centre && target.load < LOCAL_LOAD_LIMIT;
             let group = (target.is_suspected(now), target.is_cold, !is_local);
-            (group, score(key, at, target.weight), at)
+            (group, score(key, at, weight_of(target)), at)
         })
         .collect();
     ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -40,7 +43,7 @@
 }
 
 /// Agents that may own a flow, most likely ones first. This is the order of the candidates when the
-/// flow opened, unless their states or loads mattered then.
+/// flow opened, unless their states or loads mattered then or their weights have changed.
 pub(crate) fn rank_owners<'a>(
     key: u64,
     data_centre: DataCentreId,
@@ -50,7 +53,7 @@
         .into_iter()
         .map(|(at, target)| {
             let is_remote = target.is_none_or(|target| target.data_centre != data_centre);
-            let weight = target.map_or(1, |target| target.weight);
+            let weight = target.map_or(WEIGHT_PER_SLOT.into(), weight_of);
             (is_remote, score(key, at, weight), at)
         })
         .collect();
@@ -58,9 +61,20 @@
     ranked.into_iter().map(|(_, _, at)| at).collect()
 }
 
+/// Weight of a target; that of one slot if its agent does not know it.
+fn weight_of(target: &TargetView) -> u32 {
+    match target.weight {
+        0 => WEIGHT_PER_SLOT.into(),
+        weight => weight,
+    }
+}
+
 /// Score of weighted rendezvous hashing; the lowest score is the best.
 fn score(key: u64, at: SocketAddrV4, weight: u32) -> f64 {
     let draw = mix(RANKING_SALT ^ key, address_bits(at));
     let uniform = (draw >> 11) as f64 / (1_u64 << 53) as f64;
     -(uniform.max(f64::MIN_POSITIVE)).ln() / f64::from(weight.max(1))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/membership/src/api.rs
+++ b/crates/membership/src/api.rs
@@ -13,7 +13,7 @@
     pub state: State,
     /// Percent of the concurrency limit in use.
     pub load: u16,
-    /// Concurrent requests when warm.
+    /// Concurrent requests when warm, or another weight of the target; 0 without a target.
     pub slots: u16,
     /// Configuration in force.
     pub versions: Versions,
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -52,7 +52,7 @@
     pub peer: SocketAddr,
     /// How much work the member takes.
     pub state: State,
-    /// Concurrent requests when warm.
+    /// Concurrent requests when warm, or another weight of the target; 0 without a target.
     pub slots: u16,
     /// Percent of the concurrency limit in use.
     pub load: u16,
--- a/crates/relay/src/explain/tests.rs
+++ b/crates/relay/src/explain/tests.rs
@@ -87,7 +87,7 @@
         presence: Presence::Present,
         accepts_flows,
         is_cold,
-        weight: 2,
+        weight: 32,
         load,
         suspected_until: None,
     };
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -43,17 +43,18 @@
         None | Some(Reason::Returned | Reason::Unresponsive) => State::Ready,
         Some(_) => State::Leaving,
     };
-    // With zero slots, the state says whether heartbeats of a target may still arrive (`Cold`) or
-    // the target has ended (`Leaving`).
-    let (state, announced_slots) = match agent.presence() {
-        Presence::Present => (state, slots),
+    // Balancers use the announced slots as a weight only, so that they hold the learned speed as well.
+    // With a weight of zero, the state says whether heartbeats of a target may still arrive (`Cold`) or the
+    // target has ended (`Leaving`).
+    let (state, weight) = match agent.presence() {
+        Presence::Present => (state, agent.weight().max(1)),
         Presence::Unknown => (State::Cold, 0),
         Presence::Ended => (State::Leaving, 0),
     };
     LocalState {
         state,
         load: u16::try_from(counts.in_flight * 100 / usize::from(slots)).unwrap_or(u16::MAX),
-        slots: announced_slots,
+        slots: weight,
         versions: agent.versions(),
     }
 }
