--- a/crates/flow/src/agent.rs
+++ b/crates/flow/src/agent.rs
@@ -8,6 +8,8 @@
 mod inbound;
 mod outbound;
 mod places;
+mod speed;
+mod stats;
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
@@ -21,6 +23,8 @@
 use admission::{Admission, PendingRequest};
 use flows::{Flow, Flows};
 use inbound::pass_on;
+use speed::Speed;
+pub use stats::{AdmissionStats, AgentStats};
 
 /// Time within which a live target answers an opening packet. A handshake takes it less than a
 /// millisecond, even when all slots are busy.
@@ -58,19 +62,6 @@
     pub first_start: bool,
 }
 
-/// Metrics of an agent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct AgentStats {
-    /// Requests that the target is processing.
-    pub in_flight: usize,
-    /// Entries of the flow table, recently ended flows included.
-    pub flows: usize,
-    /// Failure rate of recent requests, in percent.
-    pub failing_percent: u8,
-    /// Number of requests that the target processes concurrently.
-    pub slots: u16,
-}
-
 /// Number of flows that hold a place, as kept and as counted from the flow table.
 #[doc(hidden)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -350,16 +341,6 @@
         self.target_state.refusal_reason(now)
     }
 
-    /// Metrics for announcements and operators.
-    pub fn stats(&self, now: Instant) -> AgentStats {
-        AgentStats {
-            failing_percent: (self.health.failure_rate(now) * 100.0) as u8,
-            in_flight: self.flows.in_flight(),
-            flows: self.flows.len(),
-            slots: self.slots(),
-        }
-    }
-
     /// Counts that must agree with the flow table, for tests.
     #[doc(hidden)]
     pub fn place_counts(&self) -> PlaceCounts {
@@ -420,6 +401,17 @@
         u16::try_from(load).unwrap_or(u16::MAX)
     }
 
+    /// Weight of the target in the ranking of balancers: [`WEIGHT_PER_SLOT`](crate::WEIGHT_PER_SLOT)
+    /// for each slot, times the learned speed if a route to its service states a demand.
+    pub fn weight(&self) -> u16 {
+        let speed = if self.has_demand() {
+            self.admission.speed
+        } else {
+            Speed::default()
+        };
+        speed.weight(self.slots())
+    }
+
     fn slots(&self) -> u16 {
         self.target_state
             .last_heartbeat()
--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -14,6 +14,7 @@
 use super::Agent;
 use super::inbound::{pass_on, pass_on_busy, pass_on_failing};
 use super::places::Places;
+use super::speed::Speed;
 use crate::action::{log, send};
 use crate::{Action, Demand, Fallback, FlowKey, Frame, Open, PacketInfo, PacketKind, Reason};
 
@@ -40,6 +41,9 @@
 /// Limit of flows whose first request is awaited. At the limit the oldest is no longer watched.
 const MAX_PENDING_REQUESTS: usize = 4_096;
 
+/// Reason of shed requests in metrics, beside the names of [`monsoon_admission::RejectReason`].
+const SHED: &str = "shed";
+
 /// Opening packet that waits for a place at the target.
 #[derive(Clone, Debug)]
 pub(super) struct Queued {
@@ -67,6 +71,7 @@
     /// the queue takes 4 µs at 1,000 waiting flows, for each opening packet.
     pub sequences: BTreeMap<FlowKey, u32>,
     pub places: Places,
+    pub speed: Speed,
     pub pace: Pace,
     pub shedding: Shedding,
     /// When waiting flows have to be looked at although no packet arrives; zero for at once.
@@ -79,6 +84,7 @@
             queue: WaitQueue::new(),
             sequences: BTreeMap::new(),
             places: Places::default(),
+            speed: Speed::default(),
             pace: Pace::full(1),
             shedding: Shedding::new(),
             recheck_at: None,
@@ -175,6 +181,7 @@
         };
         if !shedding.admits(now, demand.priority, account, wait, demand.goal) {
             let Queued { open, packet, .. } = queued;
+            actions.push(Action::Rejected(SHED));
             pass_on(key, open, packet, Reason::Shed, actions);
             return;
         }
@@ -297,16 +304,19 @@
 
     /// Paces a target that has started or recovered, if a route to its service states a demand.
     pub(super) fn restart_pace(&mut self, now: Instant) {
-        let Some(catalogue) = &self.catalogue else {
-            return;
-        };
-        let service = self.service();
-        let mut routes = catalogue.routes.values();
-        if routes.any(|route| route.demand.is_some() && route.leads_to(service)) {
+        if self.has_demand() {
             self.admission.pace.restart(now);
         }
     }
 
+    /// Whether a route to the service of the target states a demand.
+    pub(super) fn has_demand(&self) -> bool {
+        let service = self.service();
+        let routes = self.catalogue.iter().flat_map(|c| c.routes.values());
+        let mut with_demand = routes.filter(|route| route.demand.is_some());
+        with_demand.any(|route| route.leads_to(service))
+    }
+
     /// Sets the slots and the goal to which answers are compared.
     fn configure_pace(&mut self, key: FlowKey) {
         if let Some(demand) = self.demand_of(key) {
@@ -374,6 +384,7 @@
     } = rejected.item;
     let inputs = format!("reason=\"{}\"", rejected.reason);
     actions.push(log(info.key, "rejected", inputs));
+    actions.push(Action::Rejected(rejected.reason.name()));
     pass_on(info.key, open, packet, Reason::Overloaded, actions);
 }
 
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -23,7 +23,7 @@
 mod window_limiter;
 
 pub use action::{Action, Log};
-pub use agent::{Agent, AgentStats, PlaceCounts, Settings as AgentSettings};
+pub use agent::{AdmissionStats, Agent, AgentStats, PlaceCounts, Settings as AgentSettings};
 pub use balancer::{
     Balancer, Candidate, Decision, DropReason, Explanation, Presence, RankReason, ResetReason,
     Settings as BalancerSettings, TargetView,
@@ -37,5 +37,6 @@
 };
 pub use key::FlowKey;
 pub use packet::{PacketInfo, PacketKind, Reset};
+pub use ranking::WEIGHT_PER_SLOT;
 pub use target_state::{Heartbeat, Readiness, TargetLimits, TargetState};
 pub use window_limiter::WindowLimiter;
