Do not reset a waiting flow whose retransmission went elsewhere

Cause: a flow may wait at an agent past the caller's retransmission. If that packet reached another balancer, the flow may be open there, while the refusal of the waiting packet led to a reset by the first balancer (found in review).

Change: when a waiting flow is refused, each retransmission that is due must have arrived here, else the flow is dropped. The times of the retransmissions move to one place.

Measured: a_flow_with_a_missing_retransmission_is_not_reset fails without the check.

--- a/crates/flow/src/agent/admission.rs
+++ b/crates/flow/src/agent/admission.rs
@@ -16,7 +16,7 @@
 use super::places::Places;
 use super::speed::Speed;
 use crate::action::{log, send};
-use crate::{Action, Demand, Fallback, FlowKey, Frame, Open, PacketInfo, PacketKind, Reason};
+use crate::{Action, Demand, Fallback, FlowKey, Frame, Open, PacketInfo, Reason};
 
 /// Share of the goal up to which the mean time of a request is good, so that a flow need not be
 /// compared with other targets.
@@ -29,12 +29,6 @@
 /// Time after which a caller that did not answer the offer of the target loses its place. An answer
 /// usually takes one round trip; a lost one is repeated after 200 ms.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
-/// Least time since the first opening packet of a caller at each of its retransmissions.
-const RETRANSMISSION_AGES: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(200),
-    Duration::from_millis(600),
-];
 /// Time between the start of a request and its answer at the caller that does not depend on the
 /// load: the handshake and the way of the answer.
 const TRANSIT_TIME: Duration = Duration::from_millis(15);
@@ -185,7 +179,7 @@
             pass_on(key, open, packet, Reason::Shed, actions);
             return;
         }
-        let age = age_of(&queued.info) + TRANSIT_TIME;
+        let age = queued.info.age() + TRANSIT_TIME;
         let request = Waiting {
             account,
             priority: demand.priority,
@@ -399,15 +393,6 @@
     AccountKey(u64::from(key.caller.ip().to_bits()))
 }
 
-/// Least time since the caller's first opening packet.
-fn age_of(info: &PacketInfo) -> Duration {
-    let PacketKind::Open { copy } = info.kind else {
-        return Duration::ZERO;
-    };
-    let last = RETRANSMISSION_AGES.len() - 1;
-    RETRANSMISSION_AGES[usize::try_from(copy).map_or(last, |copy| copy.min(last))]
-}
-
 impl Agent {
     /// Begins to wait for the first request of a flow whose opening packet was delivered at
     /// `delivered_at`.
--- a/crates/flow/src/balancer/frames.rs
+++ b/crates/flow/src/balancer/frames.rs
@@ -8,6 +8,7 @@
 use super::{Balancer, Flow};
 use crate::action::{log, send};
 use crate::lookup::Outcome;
+use crate::packet::retransmissions_by;
 use crate::{Action, FlowKey, Frame, OwnerReply, Ownership, PacketInfo, Reason};
 
 /// Attempts to place a flow that may end at overloaded targets. The targets of a service are about
@@ -93,6 +94,9 @@
         }
         if opening.overloads >= MAX_OVERLOADS {
             if opening.open_attempts == 0 {
+                // A missing retransmission may have opened the flow through another balancer.
+                let age = now.since(opening.received_at);
+                opening.saw_all &= opening.copy >= retransmissions_by(age);
                 self.reject(info.key, &opening, "overloaded", actions);
             } else {
                 // The flow may still open through another attempt, whose end decides.
--- a/crates/flow/tests/overload/balancer.rs
+++ b/crates/flow/tests/overload/balancer.rs
@@ -127,3 +127,27 @@
     let end = reply(&mut balancer, first, refusal(Reason::Shed));
     assert!(!has_reset(&end) && attempts(&end).is_empty(), "{end:?}");
 }
+
+/// Load pattern: a flow that waits at an agent past the caller's retransmission, which went to
+/// another balancer. Guards against a reset of the flow, which may have opened through that one.
+#[test]
+fn a_flow_with_a_missing_retransmission_is_not_reset() {
+    for (copies, after, is_reset) in [
+        (0, 200, true),
+        (0, 300, false),
+        (1, 300, true),
+        (1, 700, false),
+    ] {
+        let mut balancer = balancer();
+        let (first, _) = first_attempt(&mut balancer);
+        reply(&mut balancer, first, Frame::Queued { key: flow(1) });
+        if copies > 0 {
+            open(&mut balancer, 200, opening(flow(1), copies));
+            reply(&mut balancer, first, Frame::Queued { key: flow(1) });
+        }
+        let now = START + Duration::from_millis(after);
+        let (packet, info) = (Bytes::from_static(b"p"), opening(flow(1), 0));
+        let end = balancer.handle_frame(now, first, refusal(Reason::Shed), packet, Some(info));
+        assert_eq!(has_reset(&end), is_reset, "{copies} {after} {end:?}");
+    }
+}
