Use loopback addresses for the routes of review case 8

Cause: every address of a case has to be one of the loopback range.

Change: routes on 127.18.0.0/16, a line in the record for each request that is sent, and stand-ins whose flows carry several requests.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin-2"))
 from deployment import Client, Deployment, Endpoint, config, main  # noqa: E402
 
-KEPT, DROPPED, ADDED = ("198.18.0.1", 8080), ("198.18.0.1", 8443), ("198.18.0.2", 8080)
+KEPT, DROPPED, ADDED = ("127.18.0.1", 8080), ("127.18.0.1", 8443), ("127.18.0.2", 8080)
 FIRST = 7
 # The next version, with the disruption and without it.
 NEXT = {True: 20261207010203, False: 12}
@@ -31,12 +31,13 @@
         nonlocal number
         number += 1
         client = Client(deployment, number, address)
+        record.write(f"client: {name}-{number} sent to {address}")
         result = await client.open()
         if result == "open":
             result = await client.request(f"{name}-{number}")
         client.close()
         result = "200" if " by " in result else result
-        record.write(f"request {name}-{number} to {address}: {result}")
+        record.write(f"client: {name}-{number} answered: {result}")
         return result
 
     try:
--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -264,15 +264,19 @@
         except (OSError, asyncio.TimeoutError):
             return False
 
-    async def send_beat(self):
+    def next_beat(self):
+        """Body of the next heartbeat."""
         self.sequence += 1
-        state = self.state
-        done = await self.call("PUT", {
+        return {
             "service": self.deployment.service_of(self.machine),
             "addr": "%s:%d" % (self.machine["ip"], self.machine["app"]),
             "zone": self.machine["zone"], "version": "v1", "slots": self.slots_count,
-            "state": state, "warm_left_ms": round(self.warm_left() * 1000),
-            "seq": self.sequence, "born": round(self.born * 1000)})
+            "state": self.state, "warm_left_ms": round(self.warm_left() * 1000),
+            "seq": self.sequence, "born": round(self.born * 1000)}
+
+    async def send_beat(self):
+        state, body = self.state, self.next_beat()
+        done = await self.call("PUT", body)
         if done and state not in self.acked:
             self.acked[state] = time.monotonic()
             self.record.write(f"endpoint {self.identity} state {state} acknowledged")
@@ -312,8 +316,9 @@
             if flow and flow["start"] == packet.seq:
                 self.answer_syn(packet, flow)
                 return
-            flow = {"start": packet.seq, "own": random.getrandbits(32), "arrived": arrived,
-                    "open": False, "ran": False, "reply": None}
+            own = random.getrandbits(32)
+            flow = {"start": packet.seq, "own": own, "arrived": arrived, "open": False,
+                    "reply": None, "received": (packet.seq + 1) & M32, "sent": (own + 1) & M32}
             self.flows[key] = flow
             self.answer_syn(packet, flow)
             return
@@ -329,21 +334,22 @@
             del self.flows[key]
             return
         flow["open"] = True
-        if packet.data and not flow["ran"]:
-            flow["ran"] = True
-            asyncio.create_task(self.run(key, flow, packet))
+        if packet.data and packet.seq == flow["received"]:
+            flow["received"] = (packet.seq + len(packet.data)) & M32
+            flow["reply"] = None
+            asyncio.create_task(self.run(flow, packet))
         elif packet.data and flow["reply"]:
             self.send(flow["reply"])
         if packet.flags & FIN:
-            self.send(Packet(ACK, flow["own"] + 1, packet.seq + 1, packet.dst, packet.src))
+            self.send(Packet(ACK, flow["sent"], packet.seq + 1, packet.dst, packet.src))
             self.ended.add(key)
             self.flows.pop(key, None)
 
     def answer_syn(self, packet, flow):
         self.send(Packet(SYN | ACK, flow["own"], packet.seq + 1, packet.dst, packet.src))
 
-    async def run(self, key, flow, packet):
-        """Runs the request of a flow and answers it."""
+    async def run(self, flow, packet):
+        """Runs one request of a flow and answers it."""
         async with self.slots:
             request = packet.data.decode()
             self.ran.append((request, flow["arrived"], self.warm_left() > 0))
@@ -351,8 +357,8 @@
             self.deployment.ran.setdefault(request, []).append(self.identity)
             await asyncio.sleep(self.work_s)
         data = f"{request} by {self.identity}".encode()
-        flow["reply"] = Packet(ACK, flow["own"] + 1, packet.seq + len(packet.data), packet.dst,
-                               packet.src, data)
+        flow["reply"] = Packet(ACK, flow["sent"], flow["received"], packet.dst, packet.src, data)
+        flow["sent"] = (flow["sent"] + len(data)) & M32
         self.send(flow["reply"])
 
 
