--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -644,9 +644,10 @@
                        "header_timeout_ms": 3000, "idle_timeout_ms": idle_ms}}
 
 
-def main(play, folder):
-    """Runs a case. `play` returns whether the rule was broken, or `None` if it could not run."""
-    record = Record(os.path.join(folder, "record.txt"))
+def main(play):
+    """Runs a case. `play` returns whether the rule was broken, or `None` if it could not run. The
+    first argument of the program is the path of the record."""
+    record = Record(sys.argv[1])
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble={trouble}")
     try:
