--- a/crates/flow/src/catalogue.rs
+++ b/crates/flow/src/catalogue.rs
@@ -5,7 +5,7 @@
 
 use derive_more::{Display, Error};
 use monsoon_model::hash::{self, mix};
-use monsoon_model::{Duration, ServiceId, Version};
+use monsoon_model::{Duration, Number, ServiceId, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::FlowKey;
@@ -93,8 +93,8 @@
     /// The goal is above the time limit.
     #[display("the response-time goal is above the time limit; the time limit is used")]
     GoalAboveLimit,
-    /// The priority is not an integer between 0 and 255.
-    #[display("the priority is not between 0 and 255; the lowest is used")]
+    /// The priority is missing or negative.
+    #[display("the priority is missing or not a number from 0; the lowest is used")]
     Priority,
 }
 
@@ -141,6 +141,44 @@
     }
 }
 
+/// Priorities that the routes of a configuration state. They are used as they are if each is an
+/// integer of 8 bits, and by their order otherwise.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Priorities {
+    /// All of them in order, if one is no integer of 8 bits.
+    order: Vec<Number>,
+}
+
+impl Priorities {
+    /// Priorities of all routes.
+    pub fn of(stated: impl IntoIterator<Item = Number>) -> Self {
+        let order: BTreeSet<_> = stated.into_iter().collect();
+        let is_usable = order.iter().all(|&priority| as_u8(priority).is_some());
+        Self {
+            order: if is_usable {
+                Vec::new()
+            } else {
+                order.into_iter().collect()
+            },
+        }
+    }
+
+    /// Urgency of a priority that was stated; 0 is the highest. From the 256th on, all have the
+    /// lowest.
+    pub fn rank(&self, priority: Number) -> Option<u8> {
+        if self.order.is_empty() {
+            return as_u8(priority);
+        }
+        let at = self.order.binary_search(&priority).ok()?;
+        Some(u8::try_from(at).unwrap_or(u8::MAX))
+    }
+}
+
+fn as_u8(number: Number) -> Option<u8> {
+    let integer = u8::try_from(number.saturating_u64()).ok()?;
+    (Number::of(integer.into()) == number).then_some(integer)
+}
+
 /// Address to which callers send, and the services behind it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -29,8 +29,8 @@
     Settings as BalancerSettings, TargetView,
 };
 pub use catalogue::{
-    Catalogue, Demand, DemandError, Evacuations, RequestKind, Route, Service, ServiceTag, Share,
-    StatedDemand,
+    Catalogue, Demand, DemandError, Evacuations, Priorities, RequestKind, Route, Service,
+    ServiceTag, Share, StatedDemand,
 };
 pub use frame::{
     Fallback, Frame, FrameError, Open, OwnerQuery, OwnerReply, Ownership, Reason, decode, encode,
