Keep withdrawn evacuations withdrawn after a loss of all processes

Cause: the version of a listed set of evacuations is the largest revision of its entries, so that an empty list has version 0. The stale list with which an agent starts still had the removed entries, a larger version, and counted as checked. Balancers took it for news and put it into force, against the list that they had read themselves.

Ruled out: the store lists none, and no process survived. The agents had the set first, and balancers after "peers: fetched" from an agent.

Change: a stale list counts as nothing that was read. An agent that starts asks the balancers that answer it for their configuration, and reads the whole list after 0.5 s without one. A process that read the whole list does not adopt a differing set of a peer of an earlier revision, and raises its own version to that of the list, which the peer adopts. A list with unreadable entries, or within the time after a restore, decides nothing.

Why it works: a set spreads by its version, and the only versions left are those of lists and changes that were up to date when they were read. The second rule holds against processes of the former release and against one that was cut off, which still have older sets.

--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -145,6 +145,7 @@
         from: SocketAddr,
         message: Control,
     ) {
+        process.fetch_unchecked(message.header.peer);
         self.handle_event(process, now, Event::Message { from, message });
     }
 
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -45,6 +45,15 @@
     pub revision: Number,
 }
 
+/// Whole list of the store, as it was at the time of the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct List {
+    /// Revision of the store.
+    pub revision: Number,
+    /// Whether all its entries could be read.
+    pub is_complete: bool,
+}
+
 /// Part of the configuration as the store or a peer has it.
 #[derive(Debug)]
 pub(crate) enum Update {
@@ -56,8 +65,8 @@
     Evacuations(Evacuations),
     /// Evacuated data centres after a change in the store of the entries of these names.
     ChangedEvacuations(Evacuations, BTreeSet<String>),
-    /// Evacuated data centres, as the store listed them at this revision.
-    ListedEvacuations(Evacuations, Number),
+    /// Evacuated data centres, as the store listed them.
+    ListedEvacuations(Evacuations, List),
 }
 
 /// Message to the task that owns the state.
--- a/crates/relay/src/process/configuration.rs
+++ b/crates/relay/src/process/configuration.rs
@@ -80,6 +80,14 @@
         });
     }
 
+    /// Fetches the configuration of a peer that was heard, for a process whose configuration is not
+    /// checked.
+    pub(crate) fn fetch_unchecked(&self, peer: SocketAddr) {
+        if !self.config_checked {
+            self.fetch_from_peer(peer);
+        }
+    }
+
     /// Fetches the configuration of a random seed, for a process that cannot read the store and
     /// whose configuration is not checked.
     pub(super) fn fetch_from_seed(&mut self) {
--- a/crates/relay/src/process/era.rs
+++ b/crates/relay/src/process/era.rs
@@ -104,8 +104,8 @@
                 let from = Source::Changes(&names);
                 self.offer_evacuations(now, role_state, evacuations, from);
             }
-            Update::ListedEvacuations(evacuations, revision) => {
-                self.offer_evacuations(now, role_state, evacuations, Source::List(revision));
+            Update::ListedEvacuations(evacuations, list) => {
+                self.offer_evacuations(now, role_state, evacuations, Source::List(list));
             }
         }
     }
@@ -167,6 +167,7 @@
     ) {
         self.observe_era(now, role_state, evacuations.version.era());
         let before = self.restore.evacuations().clone();
+        let offered = evacuations.version;
         if !self.restore.offer(now, evacuations, from) {
             return;
         }
@@ -178,9 +179,9 @@
                 present.version,
                 present.data_centres
             );
-        } else if present.version.era() > before.version.era() {
+        } else if present.version.era() > before.version.era() || present.version > offered {
             log::info!(
-                "places: kept places={} out={:?}",
+                "places: kept places={} offered={offered} out={:?}",
                 present.version,
                 present.data_centres
             );
--- a/crates/relay/src/restore.rs
+++ b/crates/relay/src/restore.rs
@@ -9,7 +9,7 @@
 use monsoon_flow::Evacuations;
 use monsoon_model::{Duration, Instant, Number, Version};
 
-use crate::message::StoreObject;
+use crate::message::{List, StoreObject};
 
 /// Time for which an evacuation stays in force although its entry is missing in a new era.
 /// Operators write again what they had written, within seconds.
@@ -39,7 +39,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Source<'a> {
     /// The whole list of the store at a revision.
-    List(Number),
+    List(List),
     /// Changes in the store, which wrote or removed the entries of these names.
     Changes(&'a BTreeSet<String>),
     /// Another process.
@@ -96,6 +96,9 @@
     accepted: BTreeSet<String>,
     /// Set in force.
     in_force: Evacuations,
+    /// Revision of the last list of the present era that was read here completely. All changes up
+    /// to it are known.
+    listed_at: Option<Number>,
 }
 
 impl Restore {
@@ -128,6 +131,7 @@
             self.is_read = [false; 2];
             self.is_restored = is_restore;
             self.is_incomplete = false;
+            self.listed_at = None;
             self.recheck_at = None;
             self.ends_at = None;
         }
@@ -200,8 +204,16 @@
             let names = in_force.iter().chain(of_peer).cloned();
             self.retained = names.map(|name| (name, until)).collect();
         }
+        if matches!(from, Source::Peer)
+            && let Some(listed_at) = self.newer_list(now, &offered)
+        {
+            // The peer, and all that have the set from it, adopt the present one.
+            self.in_force.version = listed_at;
+            return true;
+        }
         match from {
-            Source::List(_) => {
+            Source::List(list) => {
+                self.listed_at = list.is_complete.then_some(list.revision);
                 self.retained
                     .retain(|name, _| !offered.data_centres.contains(name));
                 self.is_incomplete |= !self.retained.is_empty();
@@ -210,7 +222,7 @@
             Source::Peer => {}
         }
         let data_centres = with_retained(&offered.data_centres, &self.retained);
-        if let Source::List(revision) = from
+        if let Source::List(List { revision, .. }) = from
             && data_centres != self.in_force.data_centres
             && version <= present
         {
@@ -230,6 +242,18 @@
         true
     }
 
+    /// Version of the list that was read here, if a peer's set differs from it and is of an earlier
+    /// revision. Nobody may know any more that its evacuations were withdrawn: a list does not show
+    /// the revision at which an entry was removed. After a restore, peers know of entries that the
+    /// list lacks.
+    fn newer_list(&self, now: Instant, offered: &Evacuations) -> Option<Version> {
+        let listed_at = Version::new(self.in_force.version.era(), self.listed_at?);
+        let is_restoring = self.ends_at.is_some_and(|ends_at| now < ends_at);
+        let is_older = offered.version > self.in_force.version && offered.version <= listed_at;
+        let is_other = offered.data_centres != self.in_force.data_centres;
+        (is_older && is_other && !is_restoring).then_some(listed_at)
+    }
+
     /// Ends the evacuations that were retained for [`REWRITE_WAIT`]. Returns those that are no
     /// longer in force.
     pub(crate) fn expire(&mut self, now: Instant) -> BTreeSet<String> {
--- a/crates/relay/src/restore/tests.rs
+++ b/crates/relay/src/restore/tests.rs
@@ -6,7 +6,7 @@
 use monsoon_model::{Duration, Instant, Number, Version};
 
 use super::{Choice, REWRITE_WAIT, Restore, Source, choose, is_same_era};
-use crate::message::StoreObject;
+use crate::message::{List, StoreObject};
 
 const START: Instant = Instant::from_secs(100);
 
@@ -25,6 +25,14 @@
     }
 }
 
+/// Complete list of the store.
+fn list(revision: u64) -> Source<'static> {
+    Source::List(List {
+        revision: Number::of(revision),
+        is_complete: true,
+    })
+}
+
 fn in_force(restore: &Restore) -> String {
     let names = restore.evacuations().data_centres.iter();
     names.cloned().collect::<Vec<_>>().join(" ")
@@ -34,11 +42,7 @@
 fn before_restore(data_centres: &str) -> Restore {
     let mut restore = Restore::default();
     assert!(!restore.observe(START, 1), "the first era is no restore");
-    assert!(restore.offer(
-        START,
-        set(1, 90, data_centres),
-        Source::List(Number::of(95))
-    ));
+    assert!(restore.offer(START, set(1, 90, data_centres), list(95)));
     restore
 }
 
@@ -69,17 +73,65 @@
     );
 }
 
+/// Guards against an evacuation that was withdrawn and comes back with the set of a peer that could
+/// not read the store since, because no process is left that saw its end (review/6).
+#[test]
+fn a_set_from_before_the_list_does_not_come_into_force() {
+    let mut restore = Restore::default();
+    restore.observe(START, 1);
+    assert!(restore.offer(START, set(1, 0, ""), list(60)));
+    assert!(restore.offer(START, set(1, 50, "brno"), Source::Peer));
+    assert_eq!(in_force(&restore), "");
+    // The version tells the peer that its set is outdated.
+    assert_eq!(restore.evacuations().version, version(1, 60));
+    // A set of a later change comes into force.
+    assert!(restore.offer(START, set(1, 61, "olomouc"), Source::Peer));
+    assert_eq!(in_force(&restore), "olomouc");
+}
+
+/// Guards against a withdrawn evacuation that comes back beside others that are in force.
+#[test]
+fn one_evacuation_of_several_does_not_come_back() {
+    let mut restore = Restore::default();
+    restore.observe(START, 1);
+    assert!(restore.offer(START, set(1, 40, "olomouc"), list(60)));
+    assert!(restore.offer(START, set(1, 50, "brno olomouc"), Source::Peer));
+    assert_eq!(in_force(&restore), "olomouc");
+    // An equal set of an earlier revision changes no version.
+    let mut other = Restore::default();
+    other.observe(START, 1);
+    assert!(other.offer(START, set(1, 40, "olomouc"), list(60)));
+    assert!(other.offer(START, set(1, 50, "olomouc"), Source::Peer));
+    assert_eq!(other.evacuations().version, version(1, 50));
+}
+
+/// Guards against an evacuation that ends because the list of a process that has just started holds
+/// an entry which it cannot read, and against one that ends during a restore.
+#[test]
+fn a_list_that_is_not_complete_decides_nothing() {
+    let mut restore = Restore::default();
+    restore.observe(START, 1);
+    let incomplete = Source::List(List {
+        revision: Number::of(60),
+        is_complete: false,
+    });
+    assert!(restore.offer(START, set(1, 0, ""), incomplete));
+    assert!(restore.offer(START, set(1, 50, "brno"), Source::Peer));
+    assert_eq!(in_force(&restore), "brno");
+    let mut restored = before_restore("");
+    restored.observe(START, 2);
+    assert!(restored.offer(START, set(2, 0, ""), list(60)));
+    assert!(restored.offer(START, set(2, 50, "brno"), Source::Peer));
+    assert_eq!(in_force(&restored), "brno");
+}
+
 /// Guards against an evacuation that ends because the copy lacks its entry.
 #[test]
 fn an_evacuation_that_the_copy_lacks_stays_until_it_is_removed() {
     let mut restore = before_restore("brno olomouc");
     let later = START + Duration::from_secs(1);
     assert!(restore.observe(later, 2));
-    assert!(restore.offer(
-        later,
-        set(2, 40, "brno plzen"),
-        Source::List(Number::of(41))
-    ));
+    assert!(restore.offer(later, set(2, 40, "brno plzen"), list(41)));
     // The copy holds one evacuation that had ended.
     assert_eq!(in_force(&restore), "brno olomouc plzen");
     // Changes of other entries do not end it.
@@ -99,7 +151,7 @@
 fn an_entry_that_was_written_and_removed_at_once_ends_the_evacuation() {
     let mut restore = before_restore("brno");
     restore.observe(START, 2);
-    restore.offer(START, set(2, 0, ""), Source::List(Number::of(41)));
+    restore.offer(START, set(2, 0, ""), list(41));
     assert_eq!(in_force(&restore), "brno");
     let changes = names("brno");
     assert!(restore.offer(START, set(2, 43, ""), Source::Changes(&changes)));
@@ -111,7 +163,7 @@
 fn an_evacuation_that_is_not_written_again_ends_after_the_wait() {
     let mut restore = before_restore("brno");
     restore.observe(START, 2);
-    restore.offer(START, set(2, 0, ""), Source::List(Number::of(41)));
+    restore.offer(START, set(2, 0, ""), list(41));
     let almost = START + REWRITE_WAIT.saturating_sub(Duration::from_millis(1));
     assert!(restore.expire(almost).is_empty());
     assert_eq!(in_force(&restore), "brno");
@@ -124,10 +176,10 @@
 fn a_second_restore_retains_what_the_first_one_had_kept() {
     let mut restore = before_restore("brno olomouc");
     assert!(restore.observe(START, 2));
-    restore.offer(START, set(2, 40, "brno"), Source::List(Number::of(41)));
+    restore.offer(START, set(2, 40, "brno"), list(41));
     let second = START + Duration::from_secs(8);
     assert!(restore.observe(second, 3));
-    restore.offer(second, set(3, 0, ""), Source::List(Number::of(20)));
+    restore.offer(second, set(3, 0, ""), list(20));
     assert_eq!(in_force(&restore), "brno olomouc");
     assert!(restore.expire(START + REWRITE_WAIT).is_empty());
     assert_eq!(restore.expire(second + REWRITE_WAIT), names("brno olomouc"));
@@ -135,7 +187,7 @@
     let mut restore = before_restore("brno");
     restore.observe(START, 2);
     restore.observe(START, 3);
-    restore.offer(START, set(3, 0, ""), Source::List(Number::of(20)));
+    restore.offer(START, set(3, 0, ""), list(20));
     assert_eq!(in_force(&restore), "brno");
 }
 
@@ -145,7 +197,7 @@
     let mut restore = before_restore("brno");
     restore.observe(START, 2);
     assert!(!restore.offer(START, set(1, 99, ""), Source::Changes(&names("brno"))));
-    assert!(!restore.offer(START, set(1, 99, ""), Source::List(Number::of(99))));
+    assert!(!restore.offer(START, set(1, 99, ""), list(99)));
     assert!(!restore.observe(START, 1));
     assert_eq!((restore.era(), in_force(&restore).as_str()), (2, "brno"));
 }
@@ -158,7 +210,7 @@
     restore.observe(START, 2);
     assert!(restore.offer(START, set(2, 40, "olomouc plzen"), Source::Peer));
     assert_eq!(in_force(&restore), "brno olomouc plzen");
-    assert!(restore.offer(START, set(2, 40, "plzen"), Source::List(Number::of(41))));
+    assert!(restore.offer(START, set(2, 40, "plzen"), list(41)));
     assert_eq!(in_force(&restore), "brno olomouc plzen");
     restore.expire(START + REWRITE_WAIT);
     assert_eq!(in_force(&restore), "plzen");
@@ -201,14 +253,14 @@
     assert!(restore.needs_store(START));
     assert_eq!(restore.era(), 1, "an announcement makes no response late");
     restore.observe(START, 2);
-    restore.offer(START, set(2, 40, "brno"), Source::List(Number::of(41)));
+    restore.offer(START, set(2, 40, "brno"), list(41));
     restore.set_read(StoreObject::Catalogue);
     assert!(restore.needs_store(START));
     restore.set_read(StoreObject::Places);
     assert!(!restore.needs_store(START));
     // A restore whose copy lacks an evacuation: the store is read once more at the end.
     restore.observe(START, 3);
-    restore.offer(START, set(3, 0, ""), Source::List(Number::of(20)));
+    restore.offer(START, set(3, 0, ""), list(20));
     restore.set_read(StoreObject::Catalogue);
     restore.set_read(StoreObject::Places);
     let end = START + REWRITE_WAIT;
@@ -225,9 +277,9 @@
     let spread = Duration::from_secs(2);
     let mut restore = Restore::new(spread);
     restore.observe(START, 1);
-    restore.offer(START, set(1, 90, "brno"), Source::List(Number::of(95)));
+    restore.offer(START, set(1, 90, "brno"), list(95));
     restore.observe(START, 2);
-    restore.offer(START, set(2, 0, ""), Source::List(Number::of(41)));
+    restore.offer(START, set(2, 0, ""), list(41));
     let earliest = START + REWRITE_WAIT + super::RECHECK_DELAY;
     assert!(!restore.take_recheck(earliest));
     let recheck_at = earliest + spread;
@@ -240,7 +292,7 @@
 fn a_change_that_a_peer_has_shown_before_ends_the_evacuation() {
     let mut restore = before_restore("brno olomouc");
     restore.observe(START, 2);
-    restore.offer(START, set(2, 40, "olomouc"), Source::List(Number::of(41)));
+    restore.offer(START, set(2, 40, "olomouc"), list(41));
     // The peer did not know the evacuation before the restore.
     assert!(restore.offer(START, set(2, 50, "olomouc"), Source::Peer));
     assert_eq!(in_force(&restore), "brno olomouc");
@@ -257,7 +309,7 @@
     let mut restore = Restore::default();
     assert!(!restore.observe(START, 0));
     restore.offer(START, set(0, 14, "brno"), Source::Peer);
-    assert!(restore.offer(START, set(0, 3, ""), Source::List(Number::of(20))));
+    assert!(restore.offer(START, set(0, 3, ""), list(20)));
     assert_eq!(restore.evacuations(), &set(0, 20, ""));
     assert!(!restore.offer(START, set(0, 19, "brno"), Source::Peer));
     assert!(!restore.needs_store(START));
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -19,9 +19,9 @@
 use monsoon_flow::{Catalogue, Evacuations};
 use monsoon_model::{Number, Version};
 pub(crate) use policy::{ReadPolicy, raise_era};
-use watch::watch_object;
+use watch::{Extent, watch_object};
 
-use crate::message::{Message, MessageSender, StoreObject, Update};
+use crate::message::{List, Message, MessageSender, StoreObject, Update};
 use crate::{EvacuationEntry, RejectedEntry, StoreClient, StoreFuture, StoreRead};
 
 /// Watches the configuration until the process ends.
@@ -58,7 +58,14 @@
         Box::pin(async move { Ok(reject_unknown(response.await?, &known)) })
     };
     let mut data_centres = BTreeSet::new();
-    let apply = move |response: StoreRead<EvacuationEntry>, era, is_full_list: bool| {
+    let apply = move |response: StoreRead<EvacuationEntry>, era, extent| {
+        if extent == Extent::StaleList {
+            // It may hold evacuations that have ended. No list of a process that removed them may
+            // be left to tell, so that it is not even used until the next read.
+            return None;
+        }
+        let is_full_list = extent == Extent::List;
+        let is_complete = !response.is_partial && response.rejected.is_empty();
         if is_full_list {
             // An entry that cannot be read any more, or was not read, has not been removed.
             let rejected = response.rejected.iter();
@@ -83,7 +90,11 @@
         };
         if is_full_list {
             let listed = evacuations(newest);
-            let update = Update::ListedEvacuations(listed, response.revision);
+            let list = List {
+                revision: response.revision,
+                is_complete,
+            };
+            let update = Update::ListedEvacuations(listed, list);
             return Some(Message::Update(update));
         }
         if touched.is_empty() {
--- a/crates/relay/src/store_watch/watch.rs
+++ b/crates/relay/src/store_watch/watch.rs
@@ -22,6 +22,10 @@
 /// It relies on them again once both objects were read, so that the watch is a call for nothing.
 const FIRST_WATCH_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for which a process with a stale list waits for the configuration of a peer before it reads
+/// the whole list. Peers usually answer within two announcements at the start.
+const PEER_WAIT: Duration = Duration::from_millis(500);
+
 /// State of a watch.
 struct Watch {
     object: StoreObject,
@@ -41,13 +45,24 @@
     must_poll: bool,
 }
 
+/// What a response contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Extent {
+    /// The whole list, as it is now or was some seconds ago.
+    StaleList,
+    /// The whole list as it is now.
+    List,
+    /// The changes since the last read.
+    Changes,
+}
+
 /// The process ends.
 struct Ended;
 
 pub(super) async fn watch_object<T>(
     object: StoreObject,
     read: impl Fn(ReadFrom) -> StoreFuture<StoreRead<T>>,
-    mut apply: impl FnMut(StoreRead<T>, u64, bool) -> Option<Message>,
+    mut apply: impl FnMut(StoreRead<T>, u64, Extent) -> Option<Message>,
     policy: ReadPolicy,
     messages: MessageSender,
 ) {
@@ -83,7 +98,7 @@
     async fn step<T>(
         &mut self,
         read: impl Fn(ReadFrom) -> StoreFuture<StoreRead<T>>,
-        apply: impl FnMut(StoreRead<T>, u64, bool) -> Option<Message>,
+        apply: impl FnMut(StoreRead<T>, u64, Extent) -> Option<Message>,
     ) -> Result<(), Ended> {
         let called_at = Instant::now();
         let policy = &mut self.policy;
@@ -193,7 +208,7 @@
         response: StoreRead<T>,
         era: u64,
         was_held: bool,
-        mut apply: impl FnMut(StoreRead<T>, u64, bool) -> Option<Message>,
+        mut apply: impl FnMut(StoreRead<T>, u64, Extent) -> Option<Message>,
     ) -> Result<(), Ended> {
         let (object, revision) = (self.object, response.revision);
         self.era = era;
@@ -203,21 +218,31 @@
         }
         self.is_failing = false;
         self.retry_delay = MIN_RETRY_DELAY;
-        let is_full_list = self.revision.is_none();
+        let extent = match (self.revision, self.list) {
+            (Some(_), _) => Extent::Changes,
+            (None, ReadFrom::StaleList) => Extent::StaleList,
+            (None, _) => Extent::List,
+        };
         self.list = ReadFrom::List;
         let has_entries = !(response.items.is_empty() && response.rejected.is_empty());
-        self.revision = Some(revision);
         let rejected = rejected_entries(&response, object.kind());
-        let message = apply(response, era, is_full_list);
-        let position = Position { era, revision };
-        let read = Message::ObjectRead(object, self.generation, position);
-        for message in rejected.into_iter().chain(message).chain([read]) {
+        let message = apply(response, era, extent);
+        for message in rejected.into_iter().chain(message) {
             self.send(message).await?;
         }
-        if is_full_list && self.policy.starts_stale {
+        if extent == Extent::StaleList {
+            // Only a list that is up to date counts as read.
+            self.policy.wait_to_watch(PEER_WAIT, era).await;
+            return Ok(());
+        }
+        self.revision = Some(revision);
+        let position = Position { era, revision };
+        let read = Message::ObjectRead(object, self.generation, position);
+        self.send(read).await?;
+        if extent == Extent::List && self.policy.starts_stale {
             self.policy.wait_to_watch(FIRST_WATCH_DELAY, era).await;
         }
-        if !is_full_list && (has_entries || !was_held) {
+        if extent == Extent::Changes && (has_entries || !was_held) {
             let mut eras = self.policy.era.subscribe();
             tokio::select! {
                 () = sleep(CHANGE_DELAY) => {}
