Announce an unknown target as unknown from the start of an agent

Cause: until its first tick a starting agent was a member that leaves and has no slots, which says that its target has ended. The membership announces the member on the first event of any kind, and a reply to the former process at the address may come before the first tick. Balancers then reset all flows of the agent that they know.

Evidence: the resets have the reason "target ended", without "target: ended" or "target: absent" at the agent. Ruled out by the reason: a denial of every agent, and a reset by the agent itself.

Change: the member starts with the state of an agent without a heartbeat. A process counts as one with peers only once it has heard one; the time of the last message started as the time of the start.

Test: a_starting_agent_does_not_say_that_its_target_has_ended failed before ("left: Ended, right: Unknown") for a late reply, a tick and a stop as the first event.

--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -39,10 +39,14 @@
 
 impl AgentState {
     pub(crate) fn new(now: Instant, settings: &Settings, agent: &AgentSettings) -> Self {
-        let member = own_member(settings, Role::Agent, agent.service.service_id());
+        let flows = Agent::new(now, flow_settings(settings, agent));
+        let LocalState { state, slots, .. } = local_state(now, &flows);
+        let service = agent.service.service_id();
+        let mut member = own_member(settings, Role::Agent, service, state);
+        member.slots = slots;
         let seeds = settings.seeds.clone();
         Self {
-            flows: Agent::new(now, flow_settings(settings, agent)),
+            flows,
             node: AgentNode::new(now, member, seeds, rand::random()),
             agent_settings: agent.clone(),
             announced_state: None,
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -51,7 +51,7 @@
 
 impl BalancerState {
     pub(crate) fn new(now: Instant, settings: &Settings) -> Self {
-        let member = own_member(settings, Role::Balancer, ServiceId(0));
+        let member = own_member(settings, Role::Balancer, ServiceId(0), State::Leaving);
         let seeds = settings.seeds.clone();
         Self {
             flows: Balancer::new(
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -9,8 +9,14 @@
 
 use crate::Settings;
 
-/// Member that stands for this process. It announces `Leaving` until it is ready.
-pub(crate) fn own_member(settings: &Settings, role: Role, service: ServiceId) -> Member {
+/// Member that stands for this process. `state` is announced as it is until the process announces
+/// another, possibly before its first tick, so that it must be true of a process that knows nothing.
+pub(crate) fn own_member(
+    settings: &Settings,
+    role: Role,
+    service: ServiceId,
+    state: State,
+) -> Member {
     Member {
         id: AgentId(rand::random()),
         incarnation: 1,
@@ -22,7 +28,7 @@
         control: settings.control.into(),
         data: settings.frames,
         peer: settings.peer.into(),
-        state: State::Leaving,
+        state,
         slots: 0,
         load: 0,
         versions: PackedVersions::default(),
@@ -116,3 +122,6 @@
         suspected_until: None,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -135,6 +135,8 @@
     is_isolated: watch::Sender<bool>,
     /// Time at which the last membership message was received.
     last_control: Instant,
+    /// Whether any message of the membership was received.
+    has_heard: bool,
     freshness: Freshness,
     /// Whether a fetch from a peer is in progress.
     is_fetching: Arc<AtomicBool>,
@@ -208,7 +210,7 @@
         });
         // Each call to the store is priced, and balancers answer every announcement of an agent
         // with their versions. A balancer itself always watches the store, and a few of them closely.
-        let has_peers = self.config_checked && !is_isolated;
+        let has_peers = self.config_checked && self.has_heard && !is_isolated;
         self.tick_restore(now, role_state);
         let peers_know_all = has_peers && !self.restore.needs_store(now);
         let (is_on_duty, peers_suffice) = match role_state {
--- a/crates/relay/src/process/packets.rs
+++ b/crates/relay/src/process/packets.rs
@@ -89,6 +89,7 @@
             };
             let now = self.clock.now();
             self.last_control = now;
+            self.has_heard = true;
             match role_state {
                 RoleState::Balancer(balancer) => balancer.receive_control(self, now, from, message),
                 RoleState::Agent(agent) => agent.receive_control(self, now, from, message),
--- a/crates/relay/src/process/start.rs
+++ b/crates/relay/src/process/start.rs
@@ -132,6 +132,7 @@
             fetched_at: Instant::ZERO,
             is_isolated: watch::Sender::new(false),
             last_control: clock.now(),
+            has_heard: false,
             freshness: Freshness::default(),
             is_fetching: Arc::default(),
         })
