Convert numbers to integers without text

Cause: packing a version, which every message does, formatted and parsed the digits of its number.

Change: the integer part is computed. The values are those of a_number_has_one_text and packed_versions_are_rounded_down, which pass unchanged.

--- a/crates/flow/src/frame.rs
+++ b/crates/flow/src/frame.rs
@@ -20,8 +20,8 @@
     pub balancer: SocketAddrV4,
     /// Service that the balancer chose.
     pub service: ServiceTag,
-    /// Versions of the configuration that the balancer used. They are packed, and those that do not
-    /// fit are exact only in the frame that says so.
+    /// Versions of the configuration that the balancer used, rounded down if they cannot be packed
+    /// and one of the candidates does not read exact ones.
     pub versions: Versions,
     /// Frame addresses of the candidates after the receiver.
     pub hops: Vec<SocketAddrV4>,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,5 +1,5 @@
-//! Types that all crates share: identifiers, numbers, versions, virtual time, candidate chains and the hash
-//! of all rendezvous rankings.
+//! Types that all crates share: identifiers, numbers, versions, virtual time, candidate chains and
+//! the hash of all rendezvous rankings.
 //!
 //! Nothing here does I/O or keeps state. Identifiers are small `Copy` values, so that state
 //! machines refer to arena entries by key instead of by reference.
--- a/crates/model/src/number.rs
+++ b/crates/model/src/number.rs
@@ -11,6 +11,8 @@
 
 /// Digits of each of the two parts.
 const PART_DIGITS: usize = 18;
+/// Value of the last digit of the first part, in units of the last digit of the second one.
+const PART: u128 = 10_u128.pow(PART_DIGITS as u32);
 /// Limit of significant digits. Every integer of 64 bits has at most 20, and a binary floating-point
 /// number of 64 bits is identified by 17.
 const MAX_DIGITS: usize = 2 * PART_DIGITS;
@@ -74,11 +76,10 @@
         let digits = value.ilog10() + 1;
         // At most 20 digits are moved to the left end of 36.
         let aligned = value as u128 * 10_u128.pow(MAX_DIGITS as u32 - digits);
-        let part = 10_u128.pow(PART_DIGITS as u32);
         Self {
             rank: digits as i64 + EXPONENT_BIAS,
-            high: (aligned / part) as i64,
-            low: (aligned % part) as i64,
+            high: (aligned / PART) as i64,
+            low: (aligned % PART) as i64,
         }
     }
 
@@ -88,14 +89,13 @@
         if exponent <= 0 {
             return 0;
         }
-        let digits = self.digits();
-        let integer = digits.chars().chain(std::iter::repeat('0'));
-        // 20 digits suffice for 64 bits.
-        if exponent > 20 {
+        // An integer of more digits than the two parts have exceeds 64 bits.
+        let Some(fraction) = (MAX_DIGITS as u32).checked_sub(exponent.min(1 << 16) as u32) else {
             return u64::MAX;
-        }
-        let integer: String = integer.take(exponent as usize).collect();
-        integer.parse().unwrap_or(u64::MAX)
+        };
+        let (high, low) = (self.high.unsigned_abs(), self.low.unsigned_abs());
+        let aligned = u128::from(high) * PART + u128::from(low);
+        u64::try_from(aligned / 10_u128.pow(fraction)).unwrap_or(u64::MAX)
     }
 
     /// Whether this is an integer of at least zero that is written without an exponent.
