--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -60,8 +60,8 @@
     let mut data_centres = BTreeSet::new();
     let apply = move |response: StoreRead<EvacuationEntry>, era, extent| {
         if extent == Extent::StaleList {
-            // It may hold evacuations that have ended. No list of a process that removed them may
-            // be left to tell, so that it is not even used until the next read.
+            // It may hold evacuations that were withdrawn since, and no process may be left that knows
+            // of the withdrawal.
             return None;
         }
         let is_full_list = extent == Extent::List;
