Use the version before the first one where nothing is in force

Membership took the 0 for a newer version than none, and sent notices that changed the order of all later events.

--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -84,11 +84,11 @@
             document: self
                 .document
                 .as_ref()
-                .map_or(Version::of(0), |in_force| in_force.version),
+                .map_or(Version::NONE, |in_force| in_force.version),
             evacuations: self
                 .evacuations
                 .as_ref()
-                .map_or(Version::of(0), |in_force| in_force.version),
+                .map_or(Version::NONE, |in_force| in_force.version),
         }
     }
 
@@ -139,7 +139,7 @@
 ) -> OfferResult {
     let present = in_force
         .as_ref()
-        .map_or(Version::of(0), |in_force| in_force.version);
+        .map_or(Version::NONE, |in_force| in_force.version);
     if version < present {
         counters.stale += 1;
         return OfferResult::Stale;
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -107,7 +107,7 @@
             timing,
             held: None,
             observed: None,
-            newest_version: Version::of(0),
+            newest_version: Version::NONE,
             state: State::Idle { wake_at: now },
         }
     }
