--- a/crates/daemon/src/balancer/status_writer.rs
+++ b/crates/daemon/src/balancer/status_writer.rs
@@ -176,9 +176,7 @@
         let fence = current
             .as_ref()
             .and_then(|(_, stored)| serde_json::from_str::<Fence>(&stored.text).ok())
-            .map_or(Version::NONE, |present| {
-                Version::from_packed(present.fence)
-            });
+            .map_or(Version::NONE, |present| Version::from_packed(present.fence));
         if !may_replace(token, fence) {
             log::warn!(
                 "status: the status of {data_centre_name} is not written, because a later lease holder has written it"
