--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -121,6 +121,11 @@
     p[6..10] == sum_of(p).to_le_bytes()
 }
 
+/// Second byte of all addresses of a run, so that runs beside each other do not meet.
+fn network() -> u8 {
+    20 + (std::process::id() % 200) as u8
+}
+
 static RANDOM: AtomicU64 = AtomicU64::new(0);
 
 fn random() -> u64 {
@@ -164,6 +169,14 @@
         text
     }
 
+    /// Number of objects of a kind whose names begin so.
+    fn count(&self, kind: &str, prefix: &str) -> usize {
+        let state = self.0.0.lock().unwrap();
+        let keys = state.objects.keys();
+        keys.filter(|(k, name)| k == kind && name.starts_with(prefix))
+            .count()
+    }
+
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let (method, path, body) = read_request(&mut reader)?;
@@ -515,6 +528,7 @@
     opened: Instant,
     sent: f64,
     copies: u32,
+    is_answered: bool,
 }
 
 /// Clients that open a flow for each request, and the routers in front of the balancers.
@@ -610,6 +624,7 @@
             opened: Instant::now(),
             sent,
             copies: 0,
+            is_answered: false,
         };
         self.0.flows.lock().unwrap().insert(from, flow);
         self.route(from, &self.head(from, SYN, seq, 0).write(b""));
@@ -663,6 +678,7 @@
         }
         if flow.state == State::Open && packet.len() > 32 {
             flow.state = State::Answered;
+            flow.is_answered = true;
             flow.last_ack = head.seq.wrapping_add(2);
             self.0.answered.fetch_add(1, Ordering::Relaxed);
             let fin = self.head(from, ACK | FIN, flow.seq.wrapping_add(8), flow.last_ack);
@@ -717,6 +733,19 @@
         let _ = self.child.wait();
     }
 
+    /// Replaces the seeds in the settings.
+    fn set_seeds(&self, old: &[Ipv4Addr], new: &[Ipv4Addr]) {
+        let line = |ips: &[Ipv4Addr]| {
+            let seeds: Vec<_> = ips
+                .iter()
+                .map(|ip| format!("{ip}:{CONTROL_PORT}"))
+                .collect();
+            format!("seeds={}\n", seeds.join(","))
+        };
+        let text = std::fs::read_to_string(&self.settings).expect("the settings");
+        std::fs::write(&self.settings, text.replace(&line(old), &line(new))).expect("the settings");
+    }
+
     /// Starts the program again, with the settings in effect then.
     fn restart(&mut self) {
         let text = std::fs::read_to_string(&self.settings).expect("the settings");
@@ -746,8 +775,9 @@
         .iter()
         .map(|ip| format!("{ip}:{CONTROL_PORT}"))
         .collect();
+    let zone = if node.contains("-zb-") { "zb" } else { "za" };
     let mut text = format!(
-        "node={node}\nrole=r\nclass={class}\nserves={class}\nip={ip}\nzone=za\nregion=ra\nzones.za=ra\n\
+        "node={node}\nrole=r\nclass={class}\nserves={class}\nip={ip}\nzone={zone}\nregion=ra\nzones.za=ra\nzones.zb=ra\n\
          listen.udp_addr={ip}:{PACKETS_PORT}\nlisten.ready={ip}:{READY_PORT}\nlisten.control={ip}:{CONTROL_PORT}\n\
          internal_port_range=7720,7735\nseeds={}\nbootstrap=true\nin_tolerance=false\nlimits.cpu_share=0.25\n\
          limits.cores=1\nlimits.memory_mb=260\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\n\
@@ -817,7 +847,7 @@
 
 /// A cold endpoint, steady load, and restarts of the agent beside it after a kill.
 fn cold_restart(folder: &Path, record: &Record, trouble: bool) -> i32 {
-    let ip = |a, b| Ipv4Addr::new(127, 43, a, b);
+    let ip = |a, b| Ipv4Addr::new(127, network(), a, b);
     let (store_ip, fronts, side) = (ip(0, 1), [ip(1, 1), ip(1, 2)], ip(2, 1));
     let host = SocketAddrV4::new(ip(9, 1), 8443);
     let client_ips: Vec<_> = (1..=4).map(|n| ip(3, n)).collect();
@@ -832,7 +862,7 @@
     for (n, &front) in fronts.iter().enumerate() {
         let path = settings(
             folder,
-            &format!("front-{n}"),
+            &format!("front-za-{}", n + 1),
             "front",
             front,
             &fronts,
@@ -841,7 +871,15 @@
         );
         programs.push(Program::start("balancer", &path));
     }
-    let path = settings(folder, "side-0", "side", side, &fronts, store_ip, "svc-a");
+    let path = settings(
+        folder,
+        "side-za-1",
+        "side",
+        side,
+        &fronts,
+        store_ip,
+        "svc-a",
+    );
     let mut agent = Program::start("agent", &path);
     let deadline = Instant::now() + ms(10_000);
     while !fronts.iter().all(|&front| is_ready(front)) {
@@ -909,6 +947,152 @@
     i32::from(most > COLD_LIMIT)
 }
 
+/// Time after which most requests are served again (`recover_s`).
+const RECOVER: Duration = Duration::from_secs(12);
+/// Machines that are removed for good before the final fault.
+const REMOVED: u16 = 70;
+/// Variable that sets another number of them, a multiple of [`BATCH`].
+const REMOVED_VARIABLE: &str = "REMOVED";
+/// Of these, how many run at once.
+const BATCH: u16 = 35;
+
+/// Requests that were sent from `from` until `to`, and how many of them were answered.
+fn served(clients: &Clients, from: f64, to: f64) -> (usize, usize) {
+    let flows = clients.0.flows.lock().unwrap();
+    let sent = flows
+        .values()
+        .filter(|flow| flow.sent >= from && flow.sent < to);
+    let is_answered =
+        |flow: &&Flow| matches!(flow.state, State::Answered | State::Closed) && flow.is_answered;
+    (sent.clone().count(), sent.filter(is_answered).count())
+}
+
+/// Opens 20 flows a second for a span of time.
+fn press(clients: &Clients, client: Ipv4Addr, port: &mut u16, span: Duration) {
+    let end = Instant::now() + span;
+    while Instant::now() < end {
+        clients.open(SocketAddrV4::new(client, *port));
+        *port += 1;
+        sleep(ms(50));
+    }
+}
+
+/// Many machines are removed for good, and then all processes are killed and start again.
+fn replaced_machines(folder: &Path, record: &Record, trouble: bool) -> i32 {
+    let ip = |a, b| Ipv4Addr::new(127, network(), a, b);
+    let (store_ip, fronts, side) = (ip(0, 1), [ip(1, 1), ip(1, 2)], ip(2, 1));
+    let host = SocketAddrV4::new(ip(9, 1), 8443);
+    let client = ip(3, 1);
+    let removed = |n: u16| ip(4 + (n / 200) as u8, (n % 200 + 1) as u8);
+    let store = Store::start(store_ip);
+    store.put("config", "main", &config(7, host, "svc-a", 2, 0));
+    let clients = Clients::start(&[client], host, &fronts, record);
+    let mut programs = Vec::new();
+    for (n, &front) in fronts.iter().enumerate() {
+        let node = format!("front-za-{}", n + 1);
+        let path = settings(folder, &node, "front", front, &fronts, store_ip, "");
+        programs.push(Program::start("balancer", &path));
+    }
+    let path = settings(
+        folder,
+        "side-za-1",
+        "side",
+        side,
+        &fronts,
+        store_ip,
+        "svc-a",
+    );
+    programs.push(Program::start("agent", &path));
+    let endpoint = Endpoint::start(side, "za", "svc-a", Duration::ZERO, &clients, record);
+    let deadline = Instant::now() + ms(10_000);
+    while !fronts.iter().all(|&front| is_ready(front)) {
+        if Instant::now() > deadline {
+            record.line("the balancers are not ready");
+            return 2;
+        }
+        sleep(ms(100));
+    }
+    sleep(ms(3_000));
+    let mut port = 1_024;
+    let before = record.at();
+    press(&clients, client, &mut port, ms(4_000));
+    sleep(ms(2_000));
+    let (sent, answered) = served(&clients, before, record.at());
+    record.line(&format!(
+        "before the final fault: {sent} requests sent, {answered} served"
+    ));
+    if answered * 4 < sent * 3 {
+        return 2;
+    }
+    let count = std::env::var(REMOVED_VARIABLE)
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(REMOVED);
+    if trouble {
+        for batch in 0..count / BATCH {
+            let range = batch * BATCH..(batch + 1) * BATCH;
+            let mut machines = Vec::new();
+            for n in range {
+                let node = format!("front-zb-{}", n + 1);
+                let path = settings(folder, &node, "front", removed(n), &fronts, store_ip, "");
+                machines.push(Program::start("balancer", &path));
+            }
+            let deadline = Instant::now() + ms(8_000);
+            let wanted = usize::from((batch + 1) * BATCH);
+            while store.count("monsoon-balancers", "front-zb-") < wanted
+                && Instant::now() < deadline
+            {
+                sleep(ms(100));
+            }
+            // They are removed without SIGTERM.
+            drop(machines);
+        }
+        let listed = store.count("monsoon-balancers", "front-zb-");
+        record.line(&format!(
+            "{count} machines of zb were added and removed for good; {listed} in the store"
+        ));
+    }
+    sleep(ms(5_000));
+    let again = record.at();
+    press(&clients, client, &mut port, ms(2_000));
+    sleep(ms(2_000));
+    let (sent, answered) = served(&clients, again, record.at());
+    record.line(&format!(
+        "after the removal: {sent} requests sent, {answered} served"
+    ));
+    for program in &mut programs {
+        program.kill();
+    }
+    record.line("all processes are killed");
+    sleep(ms(1_000));
+    let seeds = match std::env::var("SEEDS") {
+        Ok(value) if value == "valid" => fronts.to_vec(),
+        _ => vec![removed(0), removed(1), removed(2)],
+    };
+    for program in &mut programs {
+        program.set_seeds(&fronts, &seeds);
+        program.restart();
+    }
+    let back = record.at();
+    record.line(&format!(
+        "all processes are started again, with the seeds {seeds:?}"
+    ));
+    press(&clients, client, &mut port, RECOVER + ms(24_000));
+    let to = record.at();
+    sleep(ms(2_000));
+    let (sent, answered) = served(&clients, back + RECOVER.as_secs_f64(), to);
+    record.line(&format!(
+        "result: {sent} requests sent later than {} s after the machines were back, {answered} served; endpoint {} lives",
+        RECOVER.as_secs(),
+        endpoint.id
+    ));
+    println!(
+        "{answered} of {sent} requests served later than {} s after the machines were back",
+        RECOVER.as_secs()
+    );
+    i32::from(answered * 4 < sent)
+}
+
 fn main() {
     let arguments: Vec<_> = std::env::args().collect();
     let [_, case, folder, record] = &arguments[..] else {
@@ -924,6 +1108,7 @@
     let record = Record::new(Path::new(record));
     let code = match case.as_str() {
         "cold-restart" => cold_restart(Path::new(folder), &record, trouble),
+        "replaced-machines" => replaced_machines(Path::new(folder), &record, trouble),
         _ => 2,
     };
     std::process::exit(code);
